feat: workspace with result codes, message types and framed transport

Cause: nothing existed. What was weighed: one package for all against a package a subject; the latter keeps decisions importable without sockets. A single tsconfig was ruled out because packages must resolve each other through their exports as an embedder does.

--- /dev/null
+++ b/packages/common/src/resultCode.ts
@@ -0,0 +1,175 @@
+/** Whether a request, or the effect that it asked for, took place. */
+export type RunState = 'ran' | 'not-run' | 'unknown';
+
+/**
+ * Numbers of all results that the system gives to callers, operators and its own processes.
+ *
+ * @remarks
+ * 1xx requests, 2xx claims of non-repeatable requests, 3xx agreement and configuration changes,
+ * 4xx fleet programs and settings, 5xx weights, 6xx connections between processes.
+ */
+export enum ResultCode {
+  Ok = 0,
+  BadRequest = 100,
+  UnknownTeam = 101,
+  UnknownService = 102,
+  RateLimited = 103,
+  ConcurrencyLimited = 104,
+  Overloaded = 105,
+  NoUpstream = 106,
+  Quarantined = 107,
+  DeadlineExceeded = 108,
+  UpstreamFailed = 109,
+  AnswerIncomplete = 110,
+  AnswerMismatched = 111,
+  Draining = 112,
+  VersionUnavailable = 113,
+  RetryBudgetSpent = 114,
+  BodyTooLarge = 115,
+  AttemptNeverStarted = 116,
+  InternalError = 117,
+  ClaimInProgress = 200,
+  ClaimOutcomeUnknown = 201,
+  ClaimBodyDiffers = 202,
+  LedgerUnreachable = 203,
+  ClaimNotFound = 204,
+  ClaimFenced = 205,
+  ClaimOutcomeNotKept = 206,
+  NotLeader = 300,
+  QuorumUnreachable = 301,
+  RevisionConflict = 302,
+  GroupNotFormed = 303,
+  GroupAlreadyFormed = 304,
+  StaleRevision = 305,
+  StorageCorrupt = 306,
+  ReplicaIsLearner = 307,
+  FleetInvalid = 400,
+  FleetProgramFailed = 401,
+  SettingsInvalid = 402,
+  SettingsUnreadable = 403,
+  VersionNotInStore = 404,
+  ChunkNotHeld = 500,
+  ChunkCorrupt = 501,
+  UploadsBusy = 502,
+  OriginUnreachable = 503,
+  EngineRefusedOrder = 504,
+  WeightsIncomplete = 505,
+  ConnectionLost = 600,
+  CallTimedOut = 601,
+  UnknownMessage = 602,
+  MessageMalformed = 603,
+}
+
+/** What operators and callers are told about one result code. */
+export interface ResultDescription {
+  /** HTTP status with which an entry answers the caller. */
+  readonly httpStatus: number;
+  /** Explanation in one sentence. */
+  readonly text: string;
+}
+
+/** Description of every result code; docs/RESULTS.md holds the same table. */
+export const resultDescriptions: Readonly<Record<ResultCode, ResultDescription>> = {
+  [ResultCode.Ok]: { httpStatus: 200, text: 'The request was carried out.' },
+  [ResultCode.BadRequest]: { httpStatus: 400, text: 'The request is malformed.' },
+  [ResultCode.UnknownTeam]: { httpStatus: 403, text: 'The team is not part of the fleet.' },
+  [ResultCode.UnknownService]: { httpStatus: 404, text: 'No service of the fleet has this route.' },
+  [ResultCode.RateLimited]: { httpStatus: 429, text: 'The team exceeds its request rate.' },
+  [ResultCode.ConcurrencyLimited]: {
+    httpStatus: 429,
+    text: 'The team has too many requests in progress.',
+  },
+  [ResultCode.Overloaded]: {
+    httpStatus: 503,
+    text: 'The service has no capacity for the request.',
+  },
+  [ResultCode.NoUpstream]: { httpStatus: 503, text: 'No upstream of the service is present.' },
+  [ResultCode.Quarantined]: {
+    httpStatus: 422,
+    text: 'Requests with this content crashed upstreams and are refused for a time.',
+  },
+  [ResultCode.DeadlineExceeded]: { httpStatus: 504, text: 'The deadline of the request passed.' },
+  [ResultCode.UpstreamFailed]: { httpStatus: 502, text: 'The upstream failed during the request.' },
+  [ResultCode.AnswerIncomplete]: { httpStatus: 502, text: 'The answer was cut off.' },
+  [ResultCode.AnswerMismatched]: {
+    httpStatus: 502,
+    text: 'The upstream sent an answer that belongs to another request.',
+  },
+  [ResultCode.Draining]: { httpStatus: 503, text: 'The process is shutting down.' },
+  [ResultCode.VersionUnavailable]: {
+    httpStatus: 503,
+    text: 'No upstream serves the weights that the request is bound to.',
+  },
+  [ResultCode.RetryBudgetSpent]: { httpStatus: 503, text: 'The retry budget is spent.' },
+  [ResultCode.BodyTooLarge]: { httpStatus: 413, text: 'The body exceeds the size limit.' },
+  [ResultCode.AttemptNeverStarted]: {
+    httpStatus: 503,
+    text: 'The attempt was refused before it started.',
+  },
+  [ResultCode.InternalError]: { httpStatus: 500, text: 'The process failed unexpectedly.' },
+  [ResultCode.ClaimInProgress]: {
+    httpStatus: 409,
+    text: 'A request with this idempotency key is in progress.',
+  },
+  [ResultCode.ClaimOutcomeUnknown]: {
+    httpStatus: 409,
+    text: 'The outcome of the request with this idempotency key is unknown; it is not repeated.',
+  },
+  [ResultCode.ClaimBodyDiffers]: {
+    httpStatus: 422,
+    text: 'The idempotency key was used with another request.',
+  },
+  [ResultCode.LedgerUnreachable]: {
+    httpStatus: 503,
+    text: 'The ledger of the service cannot be reached; the request was not sent.',
+  },
+  [ResultCode.ClaimNotFound]: { httpStatus: 404, text: 'No request has this idempotency key.' },
+  [ResultCode.ClaimFenced]: { httpStatus: 409, text: 'The attempt was fenced before it started.' },
+  [ResultCode.ClaimOutcomeNotKept]: {
+    httpStatus: 409,
+    text: 'The request ran; its answer was too large to be kept.',
+  },
+  [ResultCode.NotLeader]: { httpStatus: 503, text: 'The replica does not lead the group.' },
+  [ResultCode.QuorumUnreachable]: {
+    httpStatus: 503,
+    text: 'No quorum confirmed the change in time; it may still take effect.',
+  },
+  [ResultCode.RevisionConflict]: {
+    httpStatus: 409,
+    text: 'Another change took this revision number.',
+  },
+  [ResultCode.GroupNotFormed]: { httpStatus: 503, text: 'The group has not been formed.' },
+  [ResultCode.GroupAlreadyFormed]: { httpStatus: 409, text: 'The group has been formed before.' },
+  [ResultCode.StaleRevision]: {
+    httpStatus: 409,
+    text: 'The order carries a revision older than one already seen.',
+  },
+  [ResultCode.StorageCorrupt]: {
+    httpStatus: 500,
+    text: 'The data folder holds records that fail their checksum.',
+  },
+  [ResultCode.ReplicaIsLearner]: { httpStatus: 503, text: 'The replica is a learner.' },
+  [ResultCode.FleetInvalid]: { httpStatus: 400, text: 'The fleet configuration is invalid.' },
+  [ResultCode.FleetProgramFailed]: { httpStatus: 400, text: 'The fleet program failed.' },
+  [ResultCode.SettingsInvalid]: { httpStatus: 400, text: 'The settings are invalid.' },
+  [ResultCode.SettingsUnreadable]: { httpStatus: 400, text: 'The settings file cannot be read.' },
+  [ResultCode.VersionNotInStore]: {
+    httpStatus: 404,
+    text: 'The weight store has no such version.',
+  },
+  [ResultCode.ChunkNotHeld]: { httpStatus: 404, text: 'The agent does not hold the chunk.' },
+  [ResultCode.ChunkCorrupt]: { httpStatus: 502, text: 'The chunk fails its digest.' },
+  [ResultCode.UploadsBusy]: { httpStatus: 503, text: 'All upload slots of the agent are taken.' },
+  [ResultCode.OriginUnreachable]: { httpStatus: 502, text: 'The origin cannot be reached.' },
+  [ResultCode.EngineRefusedOrder]: { httpStatus: 502, text: 'The engine refused an order.' },
+  [ResultCode.WeightsIncomplete]: { httpStatus: 503, text: 'The weights are not whole yet.' },
+  [ResultCode.ConnectionLost]: { httpStatus: 502, text: 'The connection to a process was lost.' },
+  [ResultCode.CallTimedOut]: { httpStatus: 504, text: 'A process did not answer in time.' },
+  [ResultCode.UnknownMessage]: { httpStatus: 501, text: 'The process has no handler for this.' },
+  [ResultCode.MessageMalformed]: { httpStatus: 400, text: 'A message cannot be decoded.' },
+};
+
+/** Name of a result code as written in logs and JSON output. */
+export function resultName(code: ResultCode): string {
+  return ResultCode[code];
+}
--- /dev/null
+++ b/packages/protocol/src/protocolConfiguration.ts
@@ -0,0 +1,49 @@
+/** A configuration that a quorum committed. */
+export interface CommittedConfiguration {
+  /** Position in the order of accepted configurations; starts at 1. */
+  readonly revision: number;
+  /** Term of the leader that committed it; with the revision it is the fencing number. */
+  readonly term: number;
+  readonly digest: string;
+  /** Canonical JSON of the fleet configuration. */
+  readonly document: string;
+}
+
+/** Asks for a change of configuration. */
+export interface ConfigurationApply {
+  /** Equal for a resend of the same order. */
+  readonly orderId: string;
+  readonly expectedRevision: number;
+  readonly document: string;
+}
+
+/** First and every later answer to one order. */
+export type ConfigurationApplyReply =
+  | { readonly kind: 'accepted'; readonly revision: number; readonly digest: string }
+  | { readonly kind: 'conflict'; readonly revision: number; readonly digest: string };
+
+/** What a process reports of itself to operators. */
+export interface ProcessStatus {
+  readonly name: string;
+  readonly incarnation: string;
+  readonly dataCentre: string;
+  readonly roles: readonly string[];
+  readonly revision: number;
+  readonly digest: string;
+  readonly groups: readonly GroupStatus[];
+  readonly residentBytes: number;
+  readonly processorMilliseconds: number;
+  readonly controlBytesSent: number;
+}
+
+/** One replica's view of its quorum group. */
+export interface GroupStatus {
+  readonly group: string;
+  readonly member: string;
+  readonly role: 'unformed' | 'learner' | 'follower' | 'candidate' | 'leader';
+  readonly term: number;
+  readonly commitIndex: number;
+  readonly leader: string | null;
+  readonly voters: readonly string[];
+  readonly learners: readonly string[];
+}
--- /dev/null
+++ b/packages/protocol/src/protocolKinds.ts
@@ -0,0 +1,51 @@
+import type {
+  AttemptFence,
+  AttemptFenceReply,
+  AttemptItem,
+  AttemptStart,
+} from './protocolAttempt.js';
+import type {
+  CommittedConfiguration,
+  ConfigurationApply,
+  ConfigurationApplyReply,
+  ProcessStatus,
+} from './protocolConfiguration.js';
+import type { Announcement, AnnouncementReply, DirectoryUpdate } from './protocolMembership.js';
+
+/** A call with one request and one reply. */
+export interface CallShape<Request, Reply> {
+  readonly request: Request;
+  readonly reply: Reply;
+}
+
+/** A call whose reply is a sequence of items. */
+export interface StreamShape<Request, Item> {
+  readonly request: Request;
+  readonly item: Item;
+}
+
+/** Calls between processes by kind. Families add theirs by declaration merging. */
+export interface PeerCalls {
+  'attempt.fence': CallShape<AttemptFence, AttemptFenceReply>;
+  'membership.announce': CallShape<Announcement, AnnouncementReply>;
+  'membership.update': CallShape<DirectoryUpdate, { readonly counter: number }>;
+  'membership.list': CallShape<Record<string, never>, readonly Announcement[]>;
+  'configuration.apply': CallShape<ConfigurationApply, ConfigurationApplyReply>;
+  'configuration.current': CallShape<Record<string, never>, CommittedConfiguration | null>;
+  'process.status': CallShape<Record<string, never>, ProcessStatus>;
+}
+
+/** Streams between processes by kind. */
+export interface PeerStreams {
+  'attempt.run': StreamShape<AttemptStart, AttemptItem>;
+  'configuration.watch': StreamShape<{ readonly knownRevision: number }, CommittedConfiguration>;
+}
+
+/** One-way messages between processes by kind. */
+export interface PeerNotifications {
+  'process.leave': { readonly reason: string };
+}
+
+export type CallKind = keyof PeerCalls;
+export type StreamKind = keyof PeerStreams;
+export type NotificationKind = keyof PeerNotifications;
--- /dev/null
+++ b/packages/protocol/src/protocolMembership.ts
@@ -0,0 +1,61 @@
+import type { Address } from './protocolAddress.js';
+
+/** Load of an upstream as its engine reported it last; it lags behind the truth. */
+export interface LoadReport {
+  readonly running: number;
+  readonly waiting: number;
+  /** Requests that the upstream runs at the same time without loss of pace. */
+  readonly capacity: number;
+  /** Share of the prefix cache in use, 0 to 1. */
+  readonly cacheUse: number;
+}
+
+/** Weights that an upstream serves. */
+export interface ServedVersion {
+  readonly model: string;
+  readonly version: string;
+  readonly digest: string;
+  readonly adapters: readonly string[];
+}
+
+/** Presence of an agent and its upstream, sent to the registrars of its data centre. */
+export interface Announcement {
+  readonly agent: string;
+  readonly incarnation: string;
+  /** Grows with each announcement of one incarnation. */
+  readonly sequence: number;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly address: Address;
+  readonly service: string;
+  readonly state: 'present' | 'leaving';
+  /** Absent while no weights are live, and for plain services. */
+  readonly serving?: ServedVersion;
+  /** True for plain services, and for engines whose weights are live. */
+  readonly ready: boolean;
+  readonly load?: LoadReport;
+  /** Digests of prompt prefixes that the engine's cache events name as held. */
+  readonly prefixes: readonly string[];
+  readonly rollout?: {
+    readonly digest: string;
+    readonly heldChunks: number;
+    readonly chunks: number;
+  };
+}
+
+/** Reply to an announcement: other agents and what the agent needs of the fleet. */
+export interface AnnouncementReply {
+  readonly revision: number;
+}
+
+/** A registrar's changes for another entry, in the order of its own counter. */
+export interface DirectoryUpdate {
+  readonly registrar: string;
+  readonly incarnation: string;
+  /** Counter of the last change that this update holds. */
+  readonly counter: number;
+  /** Counter before the first change that this update holds; 0 for a full copy. */
+  readonly since: number;
+  readonly announcements: readonly Announcement[];
+  readonly departed: readonly { readonly agent: string; readonly incarnation: string }[];
+}
--- /dev/null
+++ b/packages/transport/__tests__/peerConnection.spec.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { ResultError } from '@burdockrail/common/outcome.js';
+import type { PeerIdentity } from '@burdockrail/protocol/protocolAddress.js';
+import { createPeerClient } from '../src/peerClient.js';
+import { createPeerServer } from '../src/peerServer.js';
+import type { PeerHandlers } from '../src/peerHandlers.js';
+
+const identity: PeerIdentity = { name: 'a', incarnation: '1', dataCentre: 'd', roles: ['entry'] };
+const loopback = { host: '127.0.0.1', port: 0 };
+const timeout = { timeoutMilliseconds: 2_000 };
+
+const handlers: PeerHandlers = {
+  calls: {
+    'attempt.fence': async (request) => {
+      if (request.attemptId === 'refused') throw new ResultError(ResultCode.ClaimFenced, 'no');
+      return Promise.resolve({ kind: 'fenced' });
+    },
+    'configuration.current': async (_request, context) =>
+      new Promise((resolve) => {
+        context.signal.addEventListener('abort', () => {
+          resolve(null);
+        });
+      }),
+  },
+  streams: {
+    'configuration.watch': async (request, sink) => {
+      for (let revision = 1; revision <= request.knownRevision; revision += 1) {
+        await sink.write({ revision, term: 1, digest: '', document: 'x'.repeat(10_000) });
+      }
+    },
+  },
+  notifications: {},
+};
+
+describe('a peer connection', () => {
+  it('answers calls, passes numbered errors on and streams items in order', async () => {
+    await using server = await createPeerServer(loopback, identity, handlers);
+    await using client = createPeerClient({ identity });
+    const connection = client.to(server.address);
+    const fence = { attemptId: 'one', agentIncarnation: 'i' };
+    assert.deepEqual(await connection.call('attempt.fence', fence, timeout), { kind: 'fenced' });
+    await assert.rejects(
+      connection.call('attempt.fence', { ...fence, attemptId: 'refused' }, timeout),
+      (error: unknown) => error instanceof ResultError && error.code === ResultCode.ClaimFenced,
+    );
+    let last = 0;
+    for await (const item of connection.stream('configuration.watch', { knownRevision: 500 }, {})) {
+      assert.equal(item.revision, last + 1);
+      last = item.revision;
+    }
+    assert.equal(last, 500);
+  });
+
+  it('ends a call at its timeout and leaves the connection usable', async () => {
+    await using server = await createPeerServer(loopback, identity, handlers);
+    await using client = createPeerClient({ identity });
+    const connection = client.to(server.address);
+    await assert.rejects(
+      connection.call('configuration.current', {}, { timeoutMilliseconds: 20 }),
+      (error: unknown) => error instanceof ResultError && error.code === ResultCode.CallTimedOut,
+    );
+    const fence = { attemptId: 'one', agentIncarnation: 'i' };
+    assert.deepEqual(await connection.call('attempt.fence', fence, timeout), { kind: 'fenced' });
+  });
+
+  it('fails pending calls when the other side goes away and connects anew afterwards', async () => {
+    const server = await createPeerServer(loopback, identity, handlers);
+    await using client = createPeerClient({ identity });
+    const pending = client.to(server.address).call('configuration.current', {}, timeout);
+    await client.to(server.address).peer;
+    await server[Symbol.asyncDispose]();
+    await assert.rejects(pending, (error: unknown) => error instanceof ResultError);
+    await client.to(server.address).closed;
+    await using again = await createPeerServer(server.address, identity, handlers);
+    assert.equal((await client.to(again.address).peer).name, 'a');
+  });
+});
--- /dev/null
+++ b/packages/transport/src/peerConnection.ts
@@ -0,0 +1,325 @@
+import { once } from 'node:events';
+import type { Socket } from 'node:net';
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { ResultError, toResultError } from '@burdockrail/common/outcome.js';
+import type { PeerIdentity } from '@burdockrail/protocol/protocolAddress.js';
+import type {
+  CallKind,
+  NotificationKind,
+  PeerCalls,
+  PeerNotifications,
+  PeerStreams,
+  StreamKind,
+} from '@burdockrail/protocol/protocolKinds.js';
+import { createFrameReader, encodeFrame } from './frameCodec.js';
+import { FrameKind, isPeerFrame, type PeerFrame } from './peerFrame.js';
+import type { PeerContext, PeerHandlers, StreamSink } from './peerHandlers.js';
+
+/** Bound on one call or stream. */
+export interface CallOptions {
+  readonly timeoutMilliseconds: number;
+  readonly signal?: AbortSignal;
+}
+
+/** Bytes that a connection has carried. */
+export interface ConnectionCounters {
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+}
+
+/** A connection between two processes on which both can call. */
+export interface PeerConnection extends AsyncDisposable {
+  /** Identity that the other side introduced itself with. */
+  readonly peer: Promise<PeerIdentity>;
+  readonly closed: Promise<void>;
+  readonly counters: ConnectionCounters;
+  call<Kind extends CallKind>(
+    kind: Kind,
+    request: PeerCalls[Kind]['request'],
+    options: CallOptions,
+  ): Promise<PeerCalls[Kind]['reply']>;
+  /** Opens a stream; leaving the iteration early cancels it at the other side. */
+  stream<Kind extends StreamKind>(
+    kind: Kind,
+    request: PeerStreams[Kind]['request'],
+    options: Partial<CallOptions>,
+  ): AsyncIterable<PeerStreams[Kind]['item']>;
+  notify<Kind extends NotificationKind>(kind: Kind, message: PeerNotifications[Kind]): void;
+  /** Ends the connection at once. */
+  destroy(): void;
+}
+
+interface PendingCall {
+  readonly settle: (reply: unknown, error?: ResultError) => void;
+}
+
+interface PendingStream {
+  readonly push: (item: unknown) => void;
+  readonly end: (error?: ResultError) => void;
+}
+
+type AnyCallHandler = (request: unknown, context: PeerContext) => Promise<unknown>;
+type AnyStreamHandler = (
+  request: unknown,
+  sink: StreamSink<unknown>,
+  context: PeerContext,
+) => Promise<void>;
+type AnyNotificationHandler = (message: unknown, context: PeerContext) => void;
+
+/** Runs the frame protocol on a connected socket. */
+export function createPeerConnection(
+  socket: Socket,
+  identity: PeerIdentity,
+  handlers: PeerHandlers,
+): PeerConnection {
+  const reader = createFrameReader();
+  const calls = new Map<number, PendingCall>();
+  const streams = new Map<number, PendingStream>();
+  const running = new Map<number, AbortController>();
+  let nextId = 1;
+  let peerIdentity: PeerIdentity | null = null;
+  let resolvePeer: (peer: PeerIdentity) => void = () => undefined;
+  let rejectPeer: (error: Error) => void = () => undefined;
+  const peer = new Promise<PeerIdentity>((resolve, reject) => {
+    resolvePeer = resolve;
+    rejectPeer = reject;
+  });
+  peer.catch(() => undefined);
+
+  const send = (frame: PeerFrame): boolean => {
+    if (socket.destroyed || socket.writableEnded) return false;
+    return socket.write(encodeFrame(frame));
+  };
+
+  const contextFor = (controller: AbortController): PeerContext => ({
+    peer: peerIdentity ?? { name: 'unknown', incarnation: '', dataCentre: '', roles: [] },
+    signal: controller.signal,
+  });
+
+  const sendError = (id: number, error: unknown): void => {
+    const result = toResultError(error, ResultCode.InternalError);
+    send([FrameKind.Error, id, result.code, result.message]);
+  };
+
+  const runCall = async (id: number, kind: string, request: unknown): Promise<void> => {
+    const handler = handlers.calls[kind as CallKind] as AnyCallHandler | undefined;
+    const controller = new AbortController();
+    running.set(id, controller);
+    try {
+      if (handler === undefined) throw new ResultError(ResultCode.UnknownMessage, kind);
+      send([FrameKind.Reply, id, await handler(request, contextFor(controller))]);
+    } catch (error) {
+      sendError(id, error);
+    } finally {
+      running.delete(id);
+    }
+  };
+
+  const runStream = async (id: number, kind: string, request: unknown): Promise<void> => {
+    const handler = handlers.streams[kind as StreamKind] as AnyStreamHandler | undefined;
+    const controller = new AbortController();
+    running.set(id, controller);
+    const sink: StreamSink<unknown> = {
+      write: async (item) => {
+        if (controller.signal.aborted) throw new ResultError(ResultCode.ConnectionLost);
+        const ready = send([FrameKind.StreamItem, id, item]);
+        if (!ready && !socket.destroyed) await once(socket, 'drain', { signal: controller.signal });
+      },
+    };
+    try {
+      if (handler === undefined) throw new ResultError(ResultCode.UnknownMessage, kind);
+      await handler(request, sink, contextFor(controller));
+      send([FrameKind.StreamEnd, id]);
+    } catch (error) {
+      sendError(id, error);
+    } finally {
+      running.delete(id);
+    }
+  };
+
+  const runNotification = (kind: string, message: unknown): void => {
+    const handler = handlers.notifications[kind as NotificationKind] as
+      AnyNotificationHandler | undefined;
+    handler?.(message, contextFor(new AbortController()));
+  };
+
+  const settleError = (id: number, code: ResultCode, detail: string): void => {
+    const error = new ResultError(code, detail);
+    calls.get(id)?.settle(undefined, error);
+    streams.get(id)?.end(error);
+  };
+
+  const receive = (frame: PeerFrame): void => {
+    switch (frame[0]) {
+      case FrameKind.Hello:
+        peerIdentity = frame[1];
+        resolvePeer(frame[1]);
+        return;
+      case FrameKind.Notification:
+        runNotification(frame[1], frame[2]);
+        return;
+      case FrameKind.Call:
+        void runCall(frame[1], frame[2], frame[3]);
+        return;
+      case FrameKind.Reply:
+        calls.get(frame[1])?.settle(frame[2]);
+        return;
+      case FrameKind.Error:
+        settleError(frame[1], frame[2], frame[3]);
+        return;
+      case FrameKind.StreamOpen:
+        void runStream(frame[1], frame[2], frame[3]);
+        return;
+      case FrameKind.StreamItem:
+        streams.get(frame[1])?.push(frame[2]);
+        return;
+      case FrameKind.StreamEnd:
+        streams.get(frame[1])?.end();
+        return;
+      case FrameKind.Cancel:
+        running.get(frame[1])?.abort();
+        return;
+    }
+  };
+
+  socket.setNoDelay(true);
+  socket.on('data', (bytes: Buffer) => {
+    try {
+      for (const message of reader.push(bytes)) {
+        if (!isPeerFrame(message)) throw new ResultError(ResultCode.MessageMalformed);
+        receive(message);
+      }
+    } catch {
+      socket.destroy();
+    }
+  });
+  socket.on('error', () => socket.destroy());
+  const closed = new Promise<void>((resolve) => {
+    socket.on('close', () => {
+      const error = new ResultError(ResultCode.ConnectionLost);
+      rejectPeer(error);
+      for (const call of [...calls.values()]) call.settle(undefined, error);
+      for (const stream of [...streams.values()]) stream.end(error);
+      for (const controller of [...running.values()]) controller.abort();
+      resolve();
+    });
+  });
+  send([FrameKind.Hello, identity]);
+
+  const call = async (kind: string, request: unknown, options: CallOptions): Promise<unknown> => {
+    const id = nextId++;
+    if (socket.destroyed) throw new ResultError(ResultCode.ConnectionLost);
+    return new Promise((resolve, reject) => {
+      const finish = (): void => {
+        calls.delete(id);
+        clearTimeout(timer);
+        options.signal?.removeEventListener('abort', onAbort);
+      };
+      const fail = (error: ResultError): void => {
+        finish();
+        reject(error);
+      };
+      const cancel = (error: ResultError): void => {
+        send([FrameKind.Cancel, id]);
+        fail(error);
+      };
+      const onAbort = (): void => {
+        cancel(new ResultError(ResultCode.ConnectionLost, 'the call was cancelled'));
+      };
+      const timer = setTimeout(() => {
+        cancel(new ResultError(ResultCode.CallTimedOut, kind));
+      }, options.timeoutMilliseconds);
+      options.signal?.addEventListener('abort', onAbort, { once: true });
+      calls.set(id, {
+        settle: (reply, error) => {
+          if (error !== undefined) {
+            fail(error);
+            return;
+          }
+          finish();
+          resolve(reply);
+        },
+      });
+      send([FrameKind.Call, id, kind, request]);
+    });
+  };
+
+  async function* stream(
+    kind: string,
+    request: unknown,
+    options: Partial<CallOptions>,
+  ): AsyncGenerator<unknown, void, undefined> {
+    const id = nextId++;
+    if (socket.destroyed) throw new ResultError(ResultCode.ConnectionLost);
+    const items: unknown[] = [];
+    let ended = false;
+    let failureOfStream: ResultError | undefined;
+    let wake: () => void = () => undefined;
+    const end = (error?: ResultError): void => {
+      if (ended) return;
+      ended = true;
+      failureOfStream = error;
+      wake();
+    };
+    streams.set(id, {
+      push: (item) => {
+        items.push(item);
+        wake();
+      },
+      end,
+    });
+    const onAbort = (): void => {
+      end(new ResultError(ResultCode.ConnectionLost, 'the stream was cancelled'));
+    };
+    options.signal?.addEventListener('abort', onAbort, { once: true });
+    const timer =
+      options.timeoutMilliseconds === undefined
+        ? undefined
+        : setTimeout(() => {
+            end(new ResultError(ResultCode.CallTimedOut, kind));
+          }, options.timeoutMilliseconds);
+    send([FrameKind.StreamOpen, id, kind, request]);
+    let complete = false;
+    try {
+      for (;;) {
+        while (items.length > 0) yield items.shift();
+        // `end` changes these from callbacks, which the control flow analysis does not see.
+        // eslint-disable-next-line @typescript-eslint/no-unnecessary-condition
+        if (ended) {
+          if (failureOfStream !== undefined) throw failureOfStream;
+          complete = true;
+          return;
+        }
+        await new Promise<void>((resolve) => {
+          wake = resolve;
+        });
+      }
+    } finally {
+      streams.delete(id);
+      clearTimeout(timer);
+      options.signal?.removeEventListener('abort', onAbort);
+      if (!complete) send([FrameKind.Cancel, id]);
+    }
+  }
+
+  return {
+    peer,
+    closed,
+    get counters() {
+      return { sentBytes: socket.bytesWritten, receivedBytes: socket.bytesRead };
+    },
+    call: call as PeerConnection['call'],
+    stream: stream as PeerConnection['stream'],
+    notify: (kind, message) => {
+      send([FrameKind.Notification, kind, message]);
+    },
+    destroy: () => {
+      socket.destroy();
+    },
+    [Symbol.asyncDispose]: async () => {
+      socket.end();
+      socket.destroySoon();
+      await closed;
+    },
+  };
+}
