feat: daemon skeleton with roles, settings, event log and configuration holder

Cause: the parts need one frame to grow in at the same time. Ruled out: one process a role, because a control replica shares its VM with an entry. After: burdockraild starts with any of its roles from a checked settings file, logs numbered events and ends in order on SIGTERM. Conclusion: roles are factories in a table; the rest of the daemon does not name them.

--- /dev/null
+++ b/packages/daemon/src/configurationHolder.ts
@@ -0,0 +1,55 @@
+import {
+  fleetConfigurationSchema,
+  type FleetConfiguration,
+} from '@burdockrail/fleet/fleetConfiguration.js';
+import type { CommittedConfiguration } from '@burdockrail/protocol/protocolConfiguration.js';
+import type { EventLog } from '@burdockrail/telemetry/eventLog.js';
+
+/** A committed configuration with its document decoded. */
+export interface ConfigurationInForce {
+  readonly committed: CommittedConfiguration;
+  readonly fleet: FleetConfiguration;
+}
+
+/** Called with each configuration that comes into force. */
+export type ConfigurationListener = (configuration: ConfigurationInForce) => void;
+
+/** The highest committed configuration that this process has seen. */
+export interface ConfigurationHolder {
+  readonly current: ConfigurationInForce | null;
+  /** Takes a committed configuration; lower or equal revisions change nothing. */
+  offer(committed: CommittedConfiguration): void;
+  /** Calls the listener now, if there is a configuration, and for each later one. */
+  subscribe(listener: ConfigurationListener): () => void;
+}
+
+/** Creates an empty holder. */
+export function createConfigurationHolder(log: EventLog): ConfigurationHolder {
+  const listeners = new Set<ConfigurationListener>();
+  let current: ConfigurationInForce | null = null;
+  return {
+    get current() {
+      return current;
+    },
+    offer: (committed) => {
+      const known = current?.committed.revision ?? 0;
+      if (committed.revision < known) {
+        log.write('configurationRefused', { revision: committed.revision, inForce: known });
+      }
+      if (committed.revision <= known) return;
+      const fleet = fleetConfigurationSchema.parse(JSON.parse(committed.document));
+      const next = { committed, fleet };
+      current = next;
+      log.write('configurationInForce', {
+        revision: committed.revision,
+        digest: committed.digest,
+      });
+      for (const listener of listeners) listener(next);
+    },
+    subscribe: (listener) => {
+      listeners.add(listener);
+      if (current !== null) listener(current);
+      return () => listeners.delete(listener);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/controller.ts
@@ -0,0 +1,51 @@
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { toResultError } from '@burdockrail/common/outcome.js';
+import type { EventLog } from '@burdockrail/telemetry/eventLog.js';
+import { dispatch, spawn, stop, type ActorSystemRef, type Ref } from 'nact';
+
+/** An actor that owns one state and handles one message at a time, in order of arrival. */
+export interface Controller<Message> {
+  readonly send: (message: Message) => void;
+  readonly stop: () => void;
+}
+
+/** Takes a state and a message and gives the next state; effects are carried out inside. */
+export type ControllerStep<State, Message> = (
+  state: State,
+  message: Message,
+) => State | Promise<State>;
+
+/**
+ * Starts a controller in an actor system.
+ *
+ * @remarks
+ * A step that throws leaves the state as it was before the message and writes an event; the
+ * controller goes on with the next message.
+ */
+export function createController<State, Message>(
+  system: ActorSystemRef,
+  name: string,
+  initial: State,
+  step: ControllerStep<State, Message>,
+  log: EventLog,
+): Controller<Message> {
+  const handle = async (state: State | undefined, message: Message): Promise<State> => {
+    const present = state ?? initial;
+    try {
+      return await step(present, message);
+    } catch (error) {
+      const reason = toResultError(error, ResultCode.InternalError).message;
+      log.write('controllerFailed', { controller: name, reason });
+      return present;
+    }
+  };
+  const reference: Ref<Message> = spawn<ActorSystemRef, typeof handle>(system, handle, name);
+  return {
+    send: (message) => {
+      dispatch(reference, message);
+    },
+    stop: () => {
+      stop(reference);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/daemonMain.ts
@@ -0,0 +1,106 @@
+import { randomBytes } from 'node:crypto';
+import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
+import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
+import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import { processTime } from '@burdockrail/common/timeSource.js';
+import type { PeerIdentity, Role } from '@burdockrail/protocol/protocolAddress.js';
+import { readSettings } from '@burdockrail/settings/settingsFile.js';
+import type { Settings } from '@burdockrail/settings/settingsSchema.js';
+import { createEventLog } from '@burdockrail/telemetry/eventLog.js';
+import { createPeerClient } from '@burdockrail/transport/peerClient.js';
+import { mergeHandlers } from '@burdockrail/transport/peerHandlers.js';
+import { createPeerServer } from '@burdockrail/transport/peerServer.js';
+import { start, stop } from 'nact';
+import { createConfigurationHolder } from './configurationHolder.js';
+import { daemonRoles } from './daemonRoles.js';
+import type { DaemonContext, DaemonRole } from './daemonRole.js';
+import { createProcessStatusHandlers } from './processStatus.js';
+
+/** Bytes of randomness in a process's incarnation. */
+const INCARNATION_BYTES = 8;
+
+/** Largest seed taken from the system's random source. */
+const SEED_BYTES = 4;
+
+function rolesOf(settings: Settings): readonly Role[] {
+  const roles: readonly Role[] = ['entry', 'control', 'agent'];
+  return roles.filter((role) => settings[role] !== undefined);
+}
+
+function identityOf(settings: Settings): PeerIdentity {
+  return {
+    name: settings.name,
+    incarnation: randomBytes(INCARNATION_BYTES).toString('hex'),
+    dataCentre: settings.dataCentre,
+    roles: rolesOf(settings),
+  };
+}
+
+function createContext(settings: Settings): DaemonContext {
+  const identity = identityOf(settings);
+  const log = createEventLog({ process: settings.name, ...settings.log });
+  return {
+    settings,
+    identity,
+    advertised: settings.advertise ?? settings.listen,
+    client: createPeerClient({ identity, localHost: settings.listen.host }),
+    time: processTime,
+    random: createSeededRandom(randomBytes(SEED_BYTES).readInt32BE(0)),
+    log,
+    actors: start(),
+    configuration: createConfigurationHolder(log),
+  };
+}
+
+async function awaitSignal(): Promise<string> {
+  return new Promise((resolve) => {
+    for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+      process.once(signal, () => {
+        resolve(signal);
+      });
+    }
+  });
+}
+
+async function serve(settings: Settings): Promise<void> {
+  const context = createContext(settings);
+  await using client = context.client;
+  await using owned = createDisposalStack();
+  const roles: DaemonRole[] = [];
+  for (const role of context.identity.roles) roles.push(owned.use(daemonRoles[role](context)));
+  const status = createProcessStatusHandlers(context, roles);
+  const handlers = mergeHandlers([status, ...roles.map((role) => role.handlers)]);
+  await using server = await createPeerServer(settings.listen, context.identity, handlers);
+  await Promise.all(roles.map((role) => role.start()));
+  context.log.write('processStarted', {
+    incarnation: context.identity.incarnation,
+    address: `${server.address.host}:${server.address.port}`,
+    roles: context.identity.roles.join(','),
+    connections: client.counters.sentBytes,
+  });
+  const signal = await awaitSignal();
+  context.log.write('processStopping', { signal });
+  await Promise.all(roles.map((role) => role.drain()));
+  stop(context.actors);
+}
+
+/**
+ * Runs the daemon with its command line.
+ *
+ * @returns the exit code of the process.
+ */
+export async function runDaemon(parameters: readonly string[]): Promise<number> {
+  const path = parameters.at(-1);
+  if (path === undefined) {
+    process.stderr.write('usage: burdockraild [--check-settings] SETTINGS\n');
+    return 2;
+  }
+  const settings = await readSettings(path);
+  if (settings.kind === 'failure') {
+    process.stderr.write(`${settings.code} ${resultName(settings.code)}: ${settings.detail}\n`);
+    return 2;
+  }
+  if (parameters.includes('--check-settings')) return ResultCode.Ok;
+  await serve(settings.value);
+  return 0;
+}
--- /dev/null
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -0,0 +1,36 @@
+/** Levels of log events, the gravest first. */
+export type EventLevel = 'error' | 'warn' | 'info' | 'debug';
+
+/** What the catalogue says of one event. */
+export interface EventDescription {
+  readonly number: number;
+  readonly level: EventLevel;
+  readonly text: string;
+}
+
+/**
+ * All log events by name; docs/EVENTS.md holds the same table.
+ *
+ * @remarks
+ * 1xxx process, 2xxx requests, 3xxx agreement and configuration, 4xxx membership, 5xxx weights,
+ * 6xxx connections. Numbers are never used again for another event.
+ */
+export const eventCatalogue = {
+  processStarted: { number: 1000, level: 'info', text: 'The process is ready.' },
+  processStopping: { number: 1001, level: 'info', text: 'The process drains and then ends.' },
+  processStopped: { number: 1002, level: 'info', text: 'The process has ended in order.' },
+  processFailed: { number: 1003, level: 'error', text: 'The process cannot go on.' },
+  controllerFailed: { number: 1004, level: 'error', text: 'A controller failed on a message.' },
+  configurationInForce: {
+    number: 3000,
+    level: 'info',
+    text: 'A committed configuration is in force in this process.',
+  },
+  configurationRefused: {
+    number: 3001,
+    level: 'warn',
+    text: 'A configuration with a lower revision than the one in force was refused.',
+  },
+} as const satisfies Readonly<Record<string, EventDescription>>;
+
+export type EventName = keyof typeof eventCatalogue;
--- /dev/null
+++ b/packages/telemetry/src/eventLog.ts
@@ -0,0 +1,63 @@
+import { createConsola } from 'consola';
+import { eventCatalogue, type EventLevel, type EventName } from './eventCatalogue.js';
+
+/** Values that belong to one event. */
+export type EventFields = Readonly<Record<string, string | number | boolean | null>>;
+
+/** Writes numbered events. */
+export interface EventLog {
+  write(event: EventName, fields?: EventFields): void;
+}
+
+/** Options of {@link createEventLog}. */
+export interface EventLogOptions {
+  readonly process: string;
+  readonly format: 'json' | 'pretty';
+  readonly level: EventLevel;
+}
+
+/** Levels of consola by our levels. */
+const consolaLevels: Readonly<Record<EventLevel, number>> = {
+  error: 0,
+  warn: 1,
+  info: 3,
+  debug: 4,
+};
+
+/** Creates a log that writes to the standard error stream, one event a line. */
+export function createEventLog(options: EventLogOptions): EventLog {
+  const write = (line: string): void => {
+    process.stderr.write(`${line}\n`);
+  };
+  const consola = createConsola({
+    level: consolaLevels[options.level],
+    reporters: [
+      {
+        log: (entry) => {
+          write(String(entry.args[0]));
+        },
+      },
+    ],
+  });
+  const renderers = {
+    json: (event: EventName, fields: EventFields) =>
+      JSON.stringify({
+        time: new Date().toISOString(),
+        process: options.process,
+        event: eventCatalogue[event].number,
+        name: event,
+        level: eventCatalogue[event].level,
+        ...fields,
+      }),
+    pretty: (event: EventName, fields: EventFields) => {
+      const { number, level, text } = eventCatalogue[event];
+      const rest = Object.entries(fields).map(([key, value]) => `${key}=${String(value)}`);
+      return [new Date().toISOString(), level, number, options.process, text, ...rest].join(' ');
+    },
+  };
+  return {
+    write: (event, fields = {}) => {
+      consola[eventCatalogue[event].level](renderers[options.format](event, fields));
+    },
+  };
+}
--- a/scripts/workspace.mjs
+++ b/scripts/workspace.mjs
@@ -1,5 +1,5 @@
 import { spawnSync } from 'node:child_process';
-import { existsSync, statSync } from 'node:fs';
+import { existsSync, readFileSync, writeFileSync } from 'node:fs';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
@@ -19,12 +19,13 @@
   if (result.status !== 0) process.exit(result.status ?? 1);
 }
 
-/** Installs the declared packages when node_modules is missing or older than the lock file. */
+/** Installs the declared packages when node_modules is missing or was made from another lock file. */
 export function installIfMissing(options = {}) {
-  const marker = join(workspaceRoot, 'node_modules', '.package-lock.json');
-  const lock = join(workspaceRoot, 'package-lock.json');
-  if (existsSync(marker) && statSync(marker).mtimeMs >= statSync(lock).mtimeMs) return;
+  const lock = readFileSync(join(workspaceRoot, 'package-lock.json'), 'utf8');
+  const marker = join(workspaceRoot, 'node_modules', '.installed-lock.json');
+  if (existsSync(marker) && readFileSync(marker, 'utf8') === lock) return;
   runOrExit('npm', ['ci', '--no-audit', '--no-fund'], options);
+  writeFileSync(marker, lock);
 }
 
 /** Compiles every package. */
