fix: infer the actor reference so that lint is clean

Cause: the bindings declare Ref as an empty class, which the linter refuses as a type argument. Ruled out: a lint exception. After: eslint is clean.

--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -1,7 +1,7 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { toResultError } from '@burdockrail/common/outcome.js';
 import type { EventLog } from '@burdockrail/telemetry/eventLog.js';
-import { dispatch, spawn, stop, type ActorSystemRef, type Ref } from 'nact';
+import { dispatch, spawn, stop, type ActorSystemRef } from 'nact';
 
 /** An actor that owns one state and handles one message at a time, in order of arrival. */
 export interface Controller<Message> {
@@ -39,7 +39,7 @@
       return present;
     }
   };
-  const reference: Ref<Message> = spawn<ActorSystemRef, typeof handle>(system, handle, name);
+  const reference = spawn(system, handle, name);
   return {
     send: (message) => {
       dispatch(reference, message);
