feat(membership): registrars, directory and announcer

Cause: entries have no list of upstreams; agents announce themselves. Ruled out: forwarding each renewal; a registrar's own heartbeat stands for all agents it holds. Conclusion: a silent upstream is out of every directory within lease plus one tick.

--- /dev/null
+++ b/packages/daemon/src/membership.ts
@@ -0,0 +1,155 @@
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import { createDirectory } from '@burdockrail/membership/directoryState.js';
+import { REGISTRAR_HEARTBEAT_MILLISECONDS } from '@burdockrail/membership/membershipTiming.js';
+import { createRegistrar } from '@burdockrail/membership/registrarState.js';
+import type { UpstreamDirectory } from '@burdockrail/membership/upstreamDirectory.js';
+import type { Announcement, DirectoryUpdate } from '@burdockrail/protocol/protocolMembership.js';
+import type { PeerSettings } from '@burdockrail/settings/settingsSchema.js';
+import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
+import { createController } from './controller.js';
+import type { DaemonContext } from './daemonRole.js';
+
+/** Time between two checks of leases, in milliseconds. */
+const TICK_MILLISECONDS = 100;
+
+/** Bound on one update to another entry, in milliseconds. */
+const UPDATE_TIMEOUT_MILLISECONDS = 1_000;
+
+/** Membership as an entry sees it: its own registrar and the directory of all. */
+export interface Membership extends AsyncDisposable {
+  readonly directory: UpstreamDirectory;
+  readonly handlers: Partial<PeerHandlers>;
+  start(): void;
+}
+
+type MembershipMessage =
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'acknowledged'; readonly entry: string; readonly counter: number }
+  | { readonly kind: 'unreachable'; readonly entry: string };
+
+/** What this registrar knows of one other entry. */
+interface Recipient {
+  readonly acknowledged: number;
+  readonly busy: boolean;
+  readonly sentAt: Milliseconds;
+}
+
+type Recipients = ReadonlyMap<string, Recipient>;
+
+const newRecipient: Recipient = {
+  acknowledged: 0,
+  busy: false,
+  sentAt: Number.NEGATIVE_INFINITY,
+};
+
+function otherEntries(context: DaemonContext): readonly PeerSettings[] {
+  const { peers, name } = context.settings;
+  return peers.filter((peer) => peer.roles.includes('entry') && peer.name !== name);
+}
+
+/** Creates the membership of an entry. */
+export function createMembership(context: DaemonContext): Membership {
+  const { time, identity } = context;
+  const directory = createDirectory();
+  const registrar = createRegistrar({ name: identity.name, incarnation: identity.incarnation });
+  const entries = otherEntries(context);
+
+  const takeOwn = (now: Milliseconds): void => {
+    const known = directory.knownCounter(identity.name, identity.incarnation);
+    directory.takeUpdate(registrar.updateSince(known), now);
+  };
+
+  const push = async (entry: PeerSettings, update: DirectoryUpdate): Promise<void> => {
+    try {
+      const connection = context.client.to(entry.address);
+      const reply = await connection.call('membership.update', update, {
+        timeoutMilliseconds: UPDATE_TIMEOUT_MILLISECONDS,
+      });
+      controller.send({ kind: 'acknowledged', entry: entry.name, counter: reply.counter });
+    } catch {
+      controller.send({ kind: 'unreachable', entry: entry.name });
+    }
+  };
+
+  const isDue = (recipient: Recipient, now: Milliseconds): boolean => {
+    if (recipient.busy) return false;
+    if (recipient.acknowledged !== registrar.counter) return true;
+    return now - recipient.sentAt >= REGISTRAR_HEARTBEAT_MILLISECONDS;
+  };
+
+  const pushDue = (recipients: Recipients, now: Milliseconds): Recipients => {
+    const next = new Map(recipients);
+    for (const entry of entries) {
+      const recipient = recipients.get(entry.name) ?? newRecipient;
+      if (!isDue(recipient, now)) continue;
+      void push(entry, registrar.updateSince(recipient.acknowledged));
+      next.set(entry.name, { ...recipient, busy: true, sentAt: now });
+    }
+    return next;
+  };
+
+  const settle = (recipients: Recipients, entry: string, acknowledged: number): Recipients => {
+    const recipient = recipients.get(entry) ?? newRecipient;
+    return new Map(recipients).set(entry, { ...recipient, busy: false, acknowledged });
+  };
+
+  const step = (recipients: Recipients, message: MembershipMessage): Recipients => {
+    const now = time.now();
+    switch (message.kind) {
+      case 'tick':
+        registrar.tick(now);
+        takeOwn(now);
+        return pushDue(recipients, now);
+      case 'acknowledged':
+        return pushDue(settle(recipients, message.entry, message.counter), now);
+      case 'unreachable':
+        return settle(recipients, message.entry, 0);
+    }
+  };
+
+  const controller = createController<Recipients, MembershipMessage>(
+    context.actors,
+    'membership',
+    new Map(),
+    step,
+    context.log,
+  );
+
+  const afterChange = (urgent: boolean): void => {
+    takeOwn(time.now());
+    if (urgent) controller.send({ kind: 'tick' });
+  };
+
+  const list = (): readonly Announcement[] =>
+    directory.all(time.now()).map((view) => view.announcement);
+
+  let timer: NodeJS.Timeout | undefined;
+  return {
+    directory,
+    handlers: {
+      calls: {
+        'membership.announce': async (announcement) => {
+          afterChange(registrar.announce(announcement, time.now()));
+          const revision = context.configuration.current?.committed.revision ?? 0;
+          return Promise.resolve({ revision });
+        },
+        'membership.renew': async (renewal) =>
+          Promise.resolve({ known: registrar.renew(renewal, time.now()) }),
+        'membership.update': async (update) =>
+          Promise.resolve({ counter: directory.takeUpdate(update, time.now()) }),
+        'membership.list': async () => Promise.resolve(list()),
+      },
+    },
+    start: () => {
+      timer = setInterval(() => {
+        controller.send({ kind: 'tick' });
+      }, TICK_MILLISECONDS);
+      controller.send({ kind: 'tick' });
+    },
+    [Symbol.asyncDispose]: async () => {
+      clearInterval(timer);
+      controller.stop();
+      return Promise.resolve();
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/membershipAnnouncer.ts
@@ -0,0 +1,69 @@
+import {
+  createAnnouncer,
+  type AnnouncementBody,
+  type AnnouncerMessage,
+} from '@burdockrail/membership/announcerState.js';
+import { ANNOUNCEMENT_INTERVAL_MILLISECONDS } from '@burdockrail/membership/membershipTiming.js';
+import type { PeerSettings } from '@burdockrail/settings/settingsSchema.js';
+import type { DaemonContext } from './daemonRole.js';
+
+/** Announces an agent to its registrars until it is disposed of. */
+export interface MembershipAnnouncer extends AsyncDisposable {
+  start(): void;
+  /** Announces the present state at once; resolves when each registrar answered or failed. */
+  announceNow(): Promise<void>;
+}
+
+/** Creates the announcer of the agent in this process; `describe` gives its present state. */
+export function createMembershipAnnouncer(
+  context: DaemonContext,
+  describe: () => AnnouncementBody,
+): MembershipAnnouncer {
+  const { settings, time } = context;
+  const entries = settings.peers.filter((peer) => peer.roles.includes('entry'));
+  const announcer = createAnnouncer(settings.name, settings.dataCentre, entries);
+  const timeout = { timeoutMilliseconds: ANNOUNCEMENT_INTERVAL_MILLISECONDS };
+  let timer: NodeJS.Timeout | undefined;
+
+  const entryNamed = (name: string): PeerSettings | undefined =>
+    entries.find((entry) => entry.name === name);
+
+  const deliver = async (message: AnnouncerMessage, entry: PeerSettings): Promise<void> => {
+    const connection = context.client.to(entry.address);
+    if (message.kind === 'announce') {
+      await connection.call('membership.announce', message.announcement, timeout);
+      announcer.acknowledged(entry.name, message.announcement.sequence);
+      return;
+    }
+    const reply = await connection.call('membership.renew', message.renewal, timeout);
+    if (!reply.known) announcer.failed(entry.name, 'unknown', time.now());
+  };
+
+  const send = async (message: AnnouncerMessage): Promise<void> => {
+    const entry = entryNamed(message.registrar);
+    if (entry === undefined) return;
+    try {
+      await deliver(message, entry);
+    } catch {
+      announcer.failed(entry.name, 'unreachable', time.now());
+    }
+  };
+
+  const announceNow = async (): Promise<void> => {
+    await Promise.all(announcer.messages(describe(), time.now()).map(send));
+  };
+
+  return {
+    announceNow,
+    start: () => {
+      timer = setInterval(() => {
+        void announceNow();
+      }, ANNOUNCEMENT_INTERVAL_MILLISECONDS);
+      void announceNow();
+    },
+    [Symbol.asyncDispose]: async () => {
+      clearInterval(timer);
+      return Promise.resolve();
+    },
+  };
+}
--- a/packages/protocol/src/protocolKinds.ts
+++ b/packages/protocol/src/protocolKinds.ts
@@ -10,7 +10,13 @@
   ConfigurationApplyReply,
   ProcessStatus,
 } from './protocolConfiguration.js';
-import type { Announcement, AnnouncementReply, DirectoryUpdate } from './protocolMembership.js';
+import type {
+  Announcement,
+  AnnouncementReply,
+  DirectoryUpdate,
+  Renewal,
+  RenewalReply,
+} from './protocolMembership.js';
 
 /** A call with one request and one reply. */
 export interface CallShape<Request, Reply> {
@@ -28,6 +34,7 @@
 export interface PeerCalls {
   'attempt.fence': CallShape<AttemptFence, AttemptFenceReply>;
   'membership.announce': CallShape<Announcement, AnnouncementReply>;
+  'membership.renew': CallShape<Renewal, RenewalReply>;
   'membership.update': CallShape<DirectoryUpdate, { readonly counter: number }>;
   'membership.list': CallShape<Record<string, never>, readonly Announcement[]>;
   'configuration.apply': CallShape<ConfigurationApply, ConfigurationApplyReply>;
--- a/packages/protocol/src/protocolMembership.ts
+++ b/packages/protocol/src/protocolMembership.ts
@@ -43,11 +43,24 @@
   };
 }
 
-/** Reply to an announcement: other agents and what the agent needs of the fleet. */
+/** Reply of a registrar to an announcement. */
 export interface AnnouncementReply {
+  /** Revision of the configuration in force at the registrar. */
   readonly revision: number;
 }
 
+/** Confirms the last announcement of an agent where nothing has changed. */
+export interface Renewal {
+  readonly agent: string;
+  readonly incarnation: string;
+  readonly sequence: number;
+}
+
+/** Reply of a registrar to a renewal; an agent that is not known sends its announcement again. */
+export interface RenewalReply {
+  readonly known: boolean;
+}
+
 /** A registrar's changes for another entry, in the order of its own counter. */
 export interface DirectoryUpdate {
   readonly registrar: string;
