perf(membership): renewals and signs of life by a few bytes

Cause: a renewal named the agent, its incarnation and a sequence number, about 100 bytes each 400 ms, though the connection's greeting has told the first two; a registrar with nothing new sent a whole empty update. Ruled out: slower renewals, because the lease of 1.5 s is what bounds the time until a silent upstream gets no new work. After: a renewal is a call with one number, a sign of life a notification with one number; an entry whose connection is not the one that acknowledged gets a full copy.

--- a/packages/daemon/src/membership.ts
+++ b/packages/daemon/src/membership.ts
@@ -5,6 +5,7 @@
 import type { UpstreamDirectory } from '@burdockrail/membership/upstreamDirectory.js';
 import type { Announcement, DirectoryUpdate } from '@burdockrail/protocol/protocolMembership.js';
 import type { PeerSettings } from '@burdockrail/settings/settingsSchema.js';
+import type { PeerConnection } from '@burdockrail/transport/peerConnection.js';
 import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
 import { createController } from './controller.js';
 import type { DaemonContext } from './daemonRole.js';
@@ -24,12 +25,19 @@
 
 type MembershipMessage =
   | { readonly kind: 'tick' }
-  | { readonly kind: 'acknowledged'; readonly entry: string; readonly counter: number }
+  | {
+      readonly kind: 'acknowledged';
+      readonly entry: string;
+      readonly counter: number;
+      readonly connection: PeerConnection;
+    }
   | { readonly kind: 'unreachable'; readonly entry: string };
 
 /** What this registrar knows of one other entry. */
 interface Recipient {
   readonly acknowledged: number;
+  /** Connection on which it acknowledged; a new one may lead to a process that knows nothing. */
+  readonly connection: PeerConnection | null;
   readonly busy: boolean;
   readonly sentAt: Milliseconds;
 }
@@ -38,6 +46,7 @@
 
 const newRecipient: Recipient = {
   acknowledged: 0,
+  connection: null,
   busy: false,
   sentAt: Number.NEGATIVE_INFINITY,
 };
@@ -59,38 +68,51 @@
     directory.takeUpdate(registrar.updateSince(known), now);
   };
 
-  const push = async (entry: PeerSettings, update: DirectoryUpdate): Promise<void> => {
+  const push = async (
+    entry: PeerSettings,
+    connection: PeerConnection,
+    update: DirectoryUpdate,
+  ): Promise<void> => {
     try {
-      const connection = context.client.to(entry.address);
       const reply = await connection.call('membership.update', update, {
         timeoutMilliseconds: UPDATE_TIMEOUT_MILLISECONDS,
       });
-      controller.send({ kind: 'acknowledged', entry: entry.name, counter: reply.counter });
+      const { counter } = reply;
+      controller.send({ kind: 'acknowledged', entry: entry.name, counter, connection });
     } catch {
       controller.send({ kind: 'unreachable', entry: entry.name });
     }
   };
 
-  const isDue = (recipient: Recipient, now: Milliseconds): boolean => {
-    if (recipient.busy) return false;
-    if (recipient.acknowledged !== registrar.counter) return true;
-    return now - recipient.sentAt >= REGISTRAR_HEARTBEAT_MILLISECONDS;
+  const handToEntry = (entry: PeerSettings, recipient: Recipient, now: Milliseconds): Recipient => {
+    const connection = context.client.to(entry.address);
+    const isKnown = recipient.connection === connection;
+    if (isKnown && recipient.acknowledged === registrar.counter) {
+      if (now - recipient.sentAt < REGISTRAR_HEARTBEAT_MILLISECONDS) return recipient;
+      connection.notify('membership.beat', { counter: registrar.counter });
+      return { ...recipient, sentAt: now };
+    }
+    void push(entry, connection, registrar.updateSince(isKnown ? recipient.acknowledged : 0));
+    return { ...recipient, busy: true, sentAt: now };
   };
 
   const pushDue = (recipients: Recipients, now: Milliseconds): Recipients => {
     const next = new Map(recipients);
     for (const entry of entries) {
       const recipient = recipients.get(entry.name) ?? newRecipient;
-      if (!isDue(recipient, now)) continue;
-      void push(entry, registrar.updateSince(recipient.acknowledged));
-      next.set(entry.name, { ...recipient, busy: true, sentAt: now });
+      if (!recipient.busy) next.set(entry.name, handToEntry(entry, recipient, now));
     }
     return next;
   };
 
-  const settle = (recipients: Recipients, entry: string, acknowledged: number): Recipients => {
+  const settle = (
+    recipients: Recipients,
+    entry: string,
+    acknowledged: number,
+    connection: PeerConnection | null,
+  ): Recipients => {
     const recipient = recipients.get(entry) ?? newRecipient;
-    return new Map(recipients).set(entry, { ...recipient, busy: false, acknowledged });
+    return new Map(recipients).set(entry, { ...recipient, busy: false, acknowledged, connection });
   };
 
   const step = (recipients: Recipients, message: MembershipMessage): Recipients => {
@@ -101,9 +123,9 @@
         takeOwn(now);
         return pushDue(recipients, now);
       case 'acknowledged':
-        return pushDue(settle(recipients, message.entry, message.counter), now);
+        return pushDue(settle(recipients, message.entry, message.counter, message.connection), now);
       case 'unreachable':
-        return settle(recipients, message.entry, 0);
+        return settle(recipients, message.entry, 0, null);
     }
   };
 
@@ -133,12 +155,19 @@
           const revision = context.configuration.current?.committed.revision ?? 0;
           return Promise.resolve({ revision });
         },
-        'membership.renew': async (renewal) =>
-          Promise.resolve({ known: registrar.renew(renewal, time.now()) }),
+        'membership.renew': async ({ sequence }, { peer }) => {
+          const confirmed = { agent: peer.name, incarnation: peer.incarnation, sequence };
+          return Promise.resolve({ known: registrar.renew(confirmed, time.now()) });
+        },
         'membership.update': async (update) =>
           Promise.resolve({ counter: directory.takeUpdate(update, time.now()) }),
         'membership.list': async () => Promise.resolve(list()),
       },
+      notifications: {
+        'membership.beat': ({ counter }, { peer }) => {
+          directory.takeBeat(peer.name, peer.incarnation, counter, time.now());
+        },
+      },
     },
     start: () => {
       timer = setInterval(() => {
--- a/packages/membership/src/announcerState.ts
+++ b/packages/membership/src/announcerState.ts
@@ -51,8 +51,7 @@
     if (acknowledgedSequence.get(registrar) !== announcement.sequence) {
       return { kind: 'announce', registrar, announcement };
     }
-    const { agent: name, incarnation, sequence } = announcement;
-    return { kind: 'renew', registrar, renewal: { agent: name, incarnation, sequence } };
+    return { kind: 'renew', registrar, renewal: { sequence: announcement.sequence } };
   };
 
   return {
--- a/packages/membership/src/directoryState.ts
+++ b/packages/membership/src/directoryState.ts
@@ -10,6 +10,8 @@
    * tells the registrar where its next update has to start.
    */
   takeUpdate(update: DirectoryUpdate, now: Milliseconds): number;
+  /** Takes a sign of life of a registrar whose changes are all known up to the counter. */
+  takeBeat(registrar: string, incarnation: string, counter: number, now: Milliseconds): void;
   /** Counter up to which a registrar's incarnation is known; 0 when it is not. */
   knownCounter(registrar: string, incarnation: string): number;
 }
@@ -68,6 +70,17 @@
     return record?.incarnation === incarnation ? record.counter : 0;
   }
 
+  const takeBeat = (
+    registrar: string,
+    incarnation: string,
+    counter: number,
+    now: Milliseconds,
+  ): void => {
+    const record = registrars.get(registrar);
+    if (record?.incarnation !== incarnation || record.counter !== counter) return;
+    record.heardAt = now;
+  };
+
   const isFresher = (candidate: UpstreamView, than: UpstreamView | undefined): boolean => {
     if (than === undefined) return true;
     if (candidate.announcement.incarnation === than.announcement.incarnation) {
@@ -112,5 +125,5 @@
     return viewsOf([...agents].sort(), now);
   };
 
-  return { takeUpdate, knownCounter, upstreamsOf, upstream, all };
+  return { takeUpdate, takeBeat, knownCounter, upstreamsOf, upstream, all };
 }
--- a/packages/membership/src/registrarState.ts
+++ b/packages/membership/src/registrarState.ts
@@ -1,9 +1,5 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
-import type {
-  Announcement,
-  DirectoryUpdate,
-  Renewal,
-} from '@burdockrail/protocol/protocolMembership.js';
+import type { Announcement, DirectoryUpdate } from '@burdockrail/protocol/protocolMembership.js';
 import { announcementChange } from './announcementChange.js';
 import {
   DEPARTURE_MEMORY_MILLISECONDS,
@@ -18,7 +14,7 @@
   /** Takes an announcement; returns whether other entries must be told at once. */
   announce(announcement: Announcement, now: Milliseconds): boolean;
   /** Takes a renewal; returns false when the agent must announce itself in full. */
-  renew(renewal: Renewal, now: Milliseconds): boolean;
+  renew(confirmed: ConfirmedAnnouncement, now: Milliseconds): boolean;
   /**
    * Drops agents whose lease has ended and releases load reports that waited for their interval;
    * returns whether other entries must be told at once.
@@ -28,6 +24,9 @@
   updateSince(counter: number): DirectoryUpdate;
 }
 
+/** Names one announcement of an agent. */
+export type ConfirmedAnnouncement = Pick<Announcement, 'agent' | 'incarnation' | 'sequence'>;
+
 /** Options of {@link createRegistrar}. */
 export interface RegistrarOptions {
   readonly name: string;
@@ -91,12 +90,12 @@
     return false;
   };
 
-  const renew = (renewal: Renewal, now: Milliseconds): boolean => {
-    const known = agents.get(renewal.agent);
+  const renew = (confirmed: ConfirmedAnnouncement, now: Milliseconds): boolean => {
+    const known = agents.get(confirmed.agent);
     if (known === undefined) return false;
-    if (known.latest.incarnation !== renewal.incarnation) return false;
-    if (known.latest.sequence !== renewal.sequence) return false;
-    agents.set(renewal.agent, { ...known, heardAt: now });
+    if (known.latest.incarnation !== confirmed.incarnation) return false;
+    if (known.latest.sequence !== confirmed.sequence) return false;
+    agents.set(confirmed.agent, { ...known, heardAt: now });
     return true;
   };
 
--- a/packages/protocol/src/protocolKinds.ts
+++ b/packages/protocol/src/protocolKinds.ts
@@ -14,6 +14,7 @@
   Announcement,
   AnnouncementReply,
   DirectoryUpdate,
+  RegistrarBeat,
   Renewal,
   RenewalReply,
 } from './protocolMembership.js';
@@ -50,6 +51,7 @@
 
 /** One-way messages between processes by kind. */
 export interface PeerNotifications {
+  'membership.beat': RegistrarBeat;
   'process.leave': { readonly reason: string };
 }
 
--- a/packages/protocol/src/protocolMembership.ts
+++ b/packages/protocol/src/protocolMembership.ts
@@ -49,10 +49,8 @@
   readonly revision: number;
 }
 
-/** Confirms the last announcement of an agent where nothing has changed. */
+/** Confirms the last announcement of the agent at the other end, where nothing has changed. */
 export interface Renewal {
-  readonly agent: string;
-  readonly incarnation: string;
   readonly sequence: number;
 }
 
@@ -72,3 +70,8 @@
   readonly announcements: readonly Announcement[];
   readonly departed: readonly { readonly agent: string; readonly incarnation: string }[];
 }
+
+/** Sign of life of a registrar that has nothing new for the entry at the other end. */
+export interface RegistrarBeat {
+  readonly counter: number;
+}
