feat: stand-ins of engines, a plain service, the origin and the weight store

Cause: the request path, the agents and the proofs need something to talk to that counts what it was asked. Before: nothing. After: four stand-ins with settable faults; an engine answers with the digest of the bytes that it holds, so that partial weights show. Left out: KV cache transfer.

--- /dev/null
+++ b/packages/standins/__tests__/engineServer.spec.ts
@@ -0,0 +1,99 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { request } from 'undici';
+import type { EngineFault } from '../src/engineFaults.js';
+import { expectedAnswer } from '../src/enginePrompt.js';
+import { createEngineServer } from '../src/engineServer.js';
+import { createStandinClient, type EngineReport } from '../src/standinClient.js';
+import { createWeightContent, type WeightContent } from '../src/weightContent.js';
+
+const address = { host: '127.0.0.1', port: 0 };
+const version = { model: 'fogo', version: '1', size: 10_000, chunkSize: 1_000 };
+
+async function stage(url: string, content: WeightContent, skipped: number): Promise<void> {
+  const { digest, chunks } = content.manifest;
+  for (const index of chunks.keys()) {
+    if (index === skipped) continue;
+    const path = `${url}/admin/weights/${digest}/chunks/${index}`;
+    const answer = await request(path, { method: 'PUT', body: content.chunk(index) });
+    assert.equal(answer.statusCode, 200);
+    await answer.body.dump();
+  }
+}
+
+async function load(url: string, content: WeightContent, fencing: number): Promise<unknown> {
+  const order = { kind: 'load', digest: content.manifest.digest, fencing };
+  const answer = await request(`${url}/admin/orders`, {
+    method: 'POST',
+    body: JSON.stringify(order),
+  });
+  return answer.body.json();
+}
+
+const body = JSON.stringify({ prompt: 'hello', max_tokens: 5 });
+
+describe('createEngineServer', () => {
+  it('answers with the digest of the bytes that it holds, also when some are missing', async () => {
+    await using server = await createEngineServer({ address });
+    const content = createWeightContent(version);
+    const { digest } = content.manifest;
+    await stage(server.url, content, 3);
+    const partial = (await load(server.url, content, 1)) as { readonly digest: string };
+    assert.notEqual(partial.digest, digest);
+    await stage(server.url, content, -1);
+    assert.deepEqual(await load(server.url, content, 1), { state: 'loaded', digest });
+    const answer = await request(`${server.url}/v1/completions`, { method: 'POST', body });
+    assert.equal(answer.headers['x-weights-digest'], digest);
+    const whole = (await answer.body.json()) as {
+      readonly choices: readonly { readonly text: string }[];
+    };
+    assert.equal(whole.choices[0]?.text, expectedAnswer('hello', 5));
+  });
+
+  it('refuses a stale fencing number only when it checks', async () => {
+    for (const checksFencing of [true, false]) {
+      await using server = await createEngineServer({ address, settings: { checksFencing } });
+      const content = createWeightContent(version);
+      await stage(server.url, content, -1);
+      await load(server.url, content, 5);
+      const { digest } = content.manifest;
+      const refused = { error: 'stale-fencing', highest: 5 };
+      const loaded = { state: 'loaded', digest };
+      assert.deepEqual(await load(server.url, content, 4), checksFencing ? refused : loaded);
+    }
+  });
+
+  it('forgets its weights in a crash but not its counts', async () => {
+    await using server = await createEngineServer({ address });
+    const client = createStandinClient<EngineReport, EngineFault>(server.url);
+    const content = createWeightContent(version);
+    await stage(server.url, content, -1);
+    await load(server.url, content, 1);
+    await server.crash(1);
+    let report: EngineReport | undefined;
+    while (report === undefined) report = await client.counts().catch(() => undefined);
+    assert.equal(report.digest, null);
+    assert.equal(report.orders.length, 1);
+  });
+
+  it('lets a reader join a cut stream after the last event that it saw', async () => {
+    await using server = await createEngineServer({ address });
+    const client = createStandinClient<EngineReport, EngineFault>(server.url);
+    const content = createWeightContent(version);
+    await stage(server.url, content, -1);
+    await load(server.url, content, 1);
+    await client.faults([{ kind: 'cut', afterTokens: 2, times: 1 }]);
+    const first = await request(`${server.url}/v1/completions`, {
+      method: 'POST',
+      headers: { 'x-request-id': 'a' },
+      body: JSON.stringify({ prompt: 'hello', max_tokens: 5, stream: true }),
+    });
+    await assert.rejects(first.body.text());
+    const second = await request(`${server.url}/v1/streams/a`, {
+      headers: { 'last-event-id': '1' },
+    });
+    const text = await second.body.text();
+    assert.ok(text.startsWith('id: 2\n'));
+    assert.ok(text.endsWith('data: [DONE]\n\n'));
+  });
+});
--- /dev/null
+++ b/packages/standins/bin/standin.js
@@ -0,0 +1,3 @@
+import { runStandinProcess } from '../dist/src/standinMain.js';
+
+await runStandinProcess();
--- /dev/null
+++ b/packages/standins/src/engineFaults.ts
@@ -0,0 +1,53 @@
+import type { FaultBase } from './faultSet.js';
+
+/** Faults of an engine. */
+export type EngineFault = FaultBase &
+  (
+    | { readonly kind: 'stall'; readonly afterTokens: number }
+    | { readonly kind: 'cut'; readonly afterTokens: number }
+    | { readonly kind: 'crossed' }
+    | { readonly kind: 'twice' }
+    | { readonly kind: 'late'; readonly milliseconds: number }
+    | { readonly kind: 'crash'; readonly marker: string }
+    | { readonly kind: 'error' }
+    | { readonly kind: 'corrupt-chunk' }
+    | { readonly kind: 'order-late'; readonly milliseconds: number }
+    | { readonly kind: 'order-refused' }
+    | { readonly kind: 'events-silent' }
+  );
+
+/** What an engine was asked for; outlasts its crashes. */
+export interface EngineCounts {
+  runs: number;
+  finished: number;
+  cancelled: number;
+  resumed: number;
+  crashes: number;
+  tokens: number;
+  chunkBytesReceived: number;
+  staleOrdersRefused: number;
+  prefixBlocks: number;
+  prefixBlocksMissed: number;
+  readonly runsByKey: Record<string, number>;
+  readonly answersByDigest: Record<string, number>;
+  readonly orders: { readonly kind: string; readonly digest: string; readonly fencing: number }[];
+}
+
+/** Creates counts of an engine that was never asked for anything. */
+export function createEngineCounts(): EngineCounts {
+  return {
+    runs: 0,
+    finished: 0,
+    cancelled: 0,
+    resumed: 0,
+    crashes: 0,
+    tokens: 0,
+    chunkBytesReceived: 0,
+    staleOrdersRefused: 0,
+    prefixBlocks: 0,
+    prefixBlocksMissed: 0,
+    runsByKey: {},
+    answersByDigest: {},
+    orders: [],
+  };
+}
--- /dev/null
+++ b/packages/standins/src/enginePrompt.ts
@@ -0,0 +1,47 @@
+import { digestOf, type Digest } from '@burdockrail/common/digest.js';
+
+/** Characters of prompt text in one block of the prefix cache. */
+export const PREFIX_BLOCK_CHARACTERS = 256;
+
+/** Tokens of an answer when the request does not bound them. */
+const DEFAULT_ANSWER_TOKENS = 16;
+
+/** Body of a completion request, as far as the engine reads it. */
+export interface CompletionBody {
+  readonly model?: string;
+  readonly prompt?: string;
+  readonly messages?: readonly { readonly role: string; readonly content: string }[];
+  readonly max_tokens?: number;
+  readonly stream?: boolean;
+}
+
+/** Text of the prompt; chat messages are joined as `role: content` lines. */
+export function promptText(body: CompletionBody): string {
+  if (body.messages === undefined) return body.prompt ?? '';
+  return body.messages.map((message) => `${message.role}: ${message.content}\n`).join('');
+}
+
+/** Digests of the prefixes of 1, 2, 3... whole blocks of a prompt. */
+export function prefixDigests(text: string): readonly Digest[] {
+  const blocks = Math.floor(text.length / PREFIX_BLOCK_CHARACTERS);
+  return Array.from({ length: blocks }, (_block, index) =>
+    digestOf(text.slice(0, (index + 1) * PREFIX_BLOCK_CHARACTERS)),
+  );
+}
+
+/** Number of tokens that a request is answered with. */
+export function answerLength(body: CompletionBody): number {
+  return Math.max(2, body.max_tokens ?? DEFAULT_ANSWER_TOKENS);
+}
+
+/** One token of an answer: the first names the prompt's digest, the last says that it is whole. */
+export function answerToken(promptDigest: Digest, index: number, length: number): string {
+  if (index === 0) return `prompt:${promptDigest}`;
+  return index === length - 1 ? ' end' : ` t${index}`;
+}
+
+/** Whole answer to a prompt, for comparison by tests. */
+export function expectedAnswer(text: string, length: number): string {
+  const digest = digestOf(text);
+  return Array.from({ length }, (_token, index) => answerToken(digest, index, length)).join('');
+}
--- /dev/null
+++ b/packages/standins/src/weightContent.ts
@@ -0,0 +1,81 @@
+import { createCipheriv, createHash } from 'node:crypto';
+import { digestOf, type Digest } from '@burdockrail/common/digest.js';
+import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
+
+/** A version of a model whose bytes follow from its description alone. */
+export interface WeightVersion {
+  readonly model: string;
+  readonly version: string;
+  /** Size of the whole, in bytes. */
+  readonly size: number;
+  readonly chunkSize: number;
+  /** Share of the chunks that are equal to those of another version of the same size. */
+  readonly sharedWith?: { readonly version: string; readonly share: number };
+}
+
+/** Manifest as the weight store serves it. */
+export interface WeightManifest {
+  readonly model: string;
+  readonly version: string;
+  readonly digest: Digest;
+  readonly size: number;
+  readonly chunkSize: number;
+  readonly chunks: readonly Digest[];
+}
+
+/** The bytes of one version, made on demand and kept. */
+export interface WeightContent {
+  readonly manifest: WeightManifest;
+  chunk(index: number): Buffer;
+  /** Bytes from `start` up to and without `end`. */
+  slice(start: number, end: number): Buffer;
+}
+
+const KEY_BYTES = 16;
+const INITIAL_VECTOR = Buffer.alloc(KEY_BYTES);
+const SEED_BYTES = 4;
+
+function pseudoRandomBytes(label: string, length: number): Buffer {
+  const key = createHash('sha256').update(label).digest().subarray(0, KEY_BYTES);
+  return createCipheriv('aes-128-ctr', key, INITIAL_VECTOR).update(Buffer.alloc(length));
+}
+
+function chunkCount(version: WeightVersion): number {
+  return Math.ceil(version.size / version.chunkSize);
+}
+
+/** Version from which each chunk takes its bytes. */
+function chunkOrigins(version: WeightVersion): readonly string[] {
+  const count = chunkCount(version);
+  const origins = Array.from({ length: count }, () => version.version);
+  if (version.sharedWith === undefined) return origins;
+  const seed = createHash('sha256').update(version.version).digest().readInt32BE(SEED_BYTES);
+  const random = createSeededRandom(seed);
+  const order = origins.map((_origin, index) => ({ index, rank: random.next() }));
+  order.sort((left, right) => left.rank - right.rank);
+  const shared = Math.round(count * version.sharedWith.share);
+  for (const { index } of order.slice(0, shared)) origins[index] = version.sharedWith.version;
+  return origins;
+}
+
+/** Creates the bytes of a version and its manifest. */
+export function createWeightContent(version: WeightVersion): WeightContent {
+  const parts = chunkOrigins(version).map((origin, index) => {
+    const length = Math.min(version.chunkSize, version.size - index * version.chunkSize);
+    return pseudoRandomBytes(`${version.model}/${origin}/${index}`, length);
+  });
+  const whole = Buffer.concat(parts);
+  const slice = (start: number, end: number): Buffer => whole.subarray(start, end);
+  return {
+    manifest: {
+      model: version.model,
+      version: version.version,
+      digest: digestOf(whole),
+      size: version.size,
+      chunkSize: version.chunkSize,
+      chunks: parts.map((part) => digestOf(part)),
+    },
+    chunk: (index) => slice(index * version.chunkSize, (index + 1) * version.chunkSize),
+    slice,
+  };
+}
