feat: operator library, fleet checks and config print and check

Cause: fleets could be described only as raw data against a schema; nothing checked what lies between the fields, and no program could declare a fleet.

defineFleet and its builders make plain data, so that a program may bring its own copy of the library. The data centres of a service are checked by the compiler as well as by checkFleet. TypeScript programs are translated by a hook of Node's module loader; a temporary file next to the program was ruled out, because it leaves files behind and breaks relative imports.

A repeatable route inside a non-repeatable one is refused. The other way round is the usual way to protect one path, so a plain longest-prefix rule would have let either through.

Before: no command line.

--- /dev/null
+++ b/packages/cli/__tests__/programs/throwing.mjs
@@ -0,0 +1,1 @@
+throw new Error('the table of piers is missing');
--- /dev/null
+++ b/packages/cli/__tests__/programs/withoutFleet.mjs
@@ -0,0 +1,1 @@
+export default { fleet: 'harbour' };
--- /dev/null
+++ b/packages/cli/src/commands/configCheck.ts
@@ -0,0 +1,24 @@
+import { string as textArgument } from '@oclif/core/args';
+import { OperatorCommand } from '../operatorCommand.js';
+
+/** Checks the configuration that a fleet program makes. */
+export class ConfigCheck extends OperatorCommand {
+  static override summary = 'Check the configuration that a fleet program makes.';
+  static override args = {
+    program: textArgument({ required: true, description: 'fleet program (.ts, .mjs, .js, .yaml)' }),
+  };
+
+  async run(): Promise<unknown> {
+    const { args } = await this.parse(ConfigCheck);
+    const { loadFleet } = await import('../fleetProgram.js');
+    const fleet = await loadFleet(args.program);
+    const { fleetDigest } = await import('@burdockrail/fleet/fleetCanonical.js');
+    const digest = fleetDigest(fleet);
+    const { services, teams, dataCentres } = fleet;
+    this.log(`valid: fleet ${fleet.fleet}, digest ${digest}`);
+    this.log(
+      `${dataCentres.length} data centres, ${services.length} services, ${teams.length} teams`,
+    );
+    return { valid: true, fleet: fleet.fleet, digest };
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/fleetCanonical.ts
@@ -0,0 +1,72 @@
+import { canonicalJson, digestOf, type Digest } from '@burdockrail/common/digest.js';
+import { stringify } from 'yaml';
+import type {
+  FleetConfiguration,
+  RouteConfiguration,
+  ServiceConfiguration,
+} from './fleetConfiguration.js';
+import { normalRoutePath } from './fleetRoute.js';
+
+/** Widest line of the YAML text, in characters. */
+const YAML_LINE_CHARACTERS = 100;
+
+/**
+ * The same configuration with all lists and upstream counts in the order of their names.
+ *
+ * @remarks
+ * Two programs that declare the same fleet in another order get the same document and digest.
+ */
+export function canonicalFleet(fleet: FleetConfiguration): FleetConfiguration {
+  return {
+    fleet: fleet.fleet,
+    dataCentres: sortedBy(fleet.dataCentres, (dataCentre) => dataCentre.name),
+    services: sortedBy(fleet.services.map(canonicalService), (service) => service.name),
+    teams: sortedBy(fleet.teams, (team) => team.name),
+  };
+}
+
+/** Canonical JSON of a configuration: what replicas store and what the digest covers. */
+export function fleetDocument(fleet: FleetConfiguration): string {
+  return canonicalJson(canonicalFleet(fleet));
+}
+
+/** Digest of the canonical document. */
+export function fleetDigest(fleet: FleetConfiguration): Digest {
+  return digestOf(fleetDocument(fleet));
+}
+
+/** YAML of a configuration for people; equal configurations give equal bytes. */
+export function fleetYaml(fleet: FleetConfiguration): string {
+  return stringify(canonicalFleet(fleet), {
+    aliasDuplicateObjects: false,
+    lineWidth: YAML_LINE_CHARACTERS,
+  });
+}
+
+function canonicalService(service: ServiceConfiguration): ServiceConfiguration {
+  return {
+    ...service,
+    upstreams: Object.fromEntries(
+      sortedBy(Object.entries(service.upstreams), ([dataCentre]) => dataCentre),
+    ),
+    adapters: sortedBy(service.adapters, (adapter) => adapter.model),
+    routes: sortedBy(
+      service.routes.map(canonicalRoute),
+      (route) => `${route.path} ${route.method}`,
+    ),
+  };
+}
+
+function canonicalRoute(route: RouteConfiguration): RouteConfiguration {
+  return { ...route, path: normalRoutePath(route.path) };
+}
+
+function sortedBy<Item>(items: readonly Item[], key: (item: Item) => string): readonly Item[] {
+  return [...items].sort((left, right) => compareTexts(key(left), key(right)));
+}
+
+/** Order by code units, which does not depend on the locale of the machine. */
+function compareTexts(left: string, right: string): number {
+  if (left === right) return 0;
+  return left < right ? -1 : 1;
+}
--- /dev/null
+++ b/packages/fleet/src/fleetServiceChecks.ts
@@ -0,0 +1,127 @@
+import type { FieldIssue } from '@burdockrail/common/fieldIssue.js';
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import type { ServiceConfiguration } from './fleetConfiguration.js';
+import { isWithin, normalRoutePath } from './fleetRoute.js';
+
+type ServiceCheck = (
+  service: ServiceConfiguration,
+  path: string,
+  dataCentres: ReadonlySet<string>,
+) => readonly FieldIssue[];
+
+/** Faults between the fields of one service. */
+export function serviceIssues(
+  service: ServiceConfiguration,
+  dataCentres: ReadonlySet<string>,
+): readonly FieldIssue[] {
+  const path = `services[${service.name}]`;
+  return serviceChecks.flatMap((check) => check(service, path, dataCentres));
+}
+
+const unknownDataCentres: ServiceCheck = (service, path, dataCentres) => {
+  const named = [
+    { path: `${path}.home`, name: service.home },
+    ...Object.keys(service.upstreams).map((name) => ({ path: `${path}.upstreams.${name}`, name })),
+  ];
+  return named
+    .filter((place) => !dataCentres.has(place.name))
+    .map((place) => ({
+      code: ResultCode.FleetDataCentreUnknown,
+      path: place.path,
+      expected: `one of the data centres ${[...dataCentres].sort().join(', ')}`,
+      found: place.name,
+    }));
+};
+
+const homeWithoutUpstreams: ServiceCheck = (service, path) => {
+  const count = service.upstreams[service.home] ?? 0;
+  if (count > 0) return [];
+  return [
+    {
+      code: ResultCode.FleetHomeWithoutUpstreams,
+      path: `${path}.upstreams.${service.home}`,
+      expected: 'at least 1 upstream in the home data centre, which goes on when it is cut off',
+      found: String(count),
+    },
+  ];
+};
+
+const missingWeights: ServiceCheck = (service, path) => {
+  if (service.kind !== 'model' || service.weights !== undefined) return [];
+  return [
+    {
+      code: ResultCode.FleetWeightsMissing,
+      path: `${path}.weights`,
+      expected: 'a version, because the service is a model',
+      found: 'nothing',
+    },
+  ];
+};
+
+const needlessWeights: ServiceCheck = (service, path) => {
+  if (service.kind !== 'plain') return [];
+  const fields = [
+    ...(service.weights === undefined ? [] : ['weights']),
+    ...(service.adapters.length === 0 ? [] : ['adapters']),
+  ];
+  return fields.map((field) => ({
+    code: ResultCode.FleetWeightsNotAllowed,
+    path: `${path}.${field}`,
+    expected: 'nothing, because the service is plain',
+    found: 'a version',
+  }));
+};
+
+const repeatedAdapters: ServiceCheck = (service, path) => {
+  const models = service.adapters.map((adapter) => adapter.model);
+  const repeated = new Set(models.filter((model, position) => models.indexOf(model) !== position));
+  return [...repeated].map((model) => ({
+    code: ResultCode.FleetNameRepeated,
+    path: `${path}.adapters[${model}]`,
+    expected: 'one version of each adapter',
+    found: `it ${models.filter((other) => other === model).length} times`,
+  }));
+};
+
+const repeatedRoutes: ServiceCheck = (service, path) => {
+  const keys = service.routes.map((route) => `${route.method} ${normalRoutePath(route.path)}`);
+  const repeated = new Set(keys.filter((key, position) => keys.indexOf(key) !== position));
+  return [...repeated].map((key) => ({
+    code: ResultCode.FleetNameRepeated,
+    path: `${path}.routes[${key}]`,
+    expected: 'each method and path once',
+    found: `it ${keys.filter((other) => other === key).length} times`,
+  }));
+};
+
+// A repeatable route inside a non-repeatable one would let a request that the outer route protects
+// run twice; the other way round it is an exception that makes requests safer.
+const conflictingRoutes: ServiceCheck = (service, path) => {
+  const protectedRoutes = service.routes.filter((route) => !route.repeatable);
+  return service.routes
+    .filter((route) => route.repeatable)
+    .flatMap((route) => {
+      const outer = protectedRoutes.find(
+        (other) => other.method === route.method && isWithin(other.path, route.path),
+      );
+      if (outer === undefined) return [];
+      return [
+        {
+          code: ResultCode.FleetRoutesConflict,
+          path: `${path}.routes[${route.method} ${route.path}].repeatable`,
+          expected: `false, as for ${outer.method} ${outer.path} around it`,
+          found: 'true',
+        },
+      ];
+    });
+};
+
+const serviceChecks: readonly ServiceCheck[] = [
+  unknownDataCentres,
+  homeWithoutUpstreams,
+  missingWeights,
+  needlessWeights,
+  repeatedAdapters,
+  repeatedRoutes,
+  conflictingRoutes,
+];
--- /dev/null
+++ b/packages/operator/src/dataCentre.ts
@@ -0,0 +1,13 @@
+/** A declared data centre. */
+export interface DataCentreDefinition<Name extends string> {
+  readonly name: Name;
+  readonly region: string;
+}
+
+/** Declares a data centre; links between regions are thinner than links within one. */
+export function dataCentre<const Name extends string>(
+  name: Name,
+  options: { readonly region: string },
+): DataCentreDefinition<Name> {
+  return { name, region: options.region };
+}
