feat(entry): request path over HTTP with routing, retries and drain

Cause: callers had no way in; the entry role was empty. Ruled out: holding event streams until they are whole (the first token would be late); trusting HTTP's chunk end alone for cut streams (event stream clients look for an event), so a cut one gets a numbered error event and a broken connection. Before: no answer. After: whole and streamed answers through a fake agent, retries inside the deadline and a retry budget, not-run at once where nothing can be done, drain without cutting off. Non-repeatable requests are refused until the ledger is there.

--- /dev/null
+++ b/packages/daemon/__tests__/entryFixture.ts
@@ -0,0 +1,142 @@
+import { canonicalJson, digestOf } from '@burdockrail/common/digest.js';
+import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
+import { processTime } from '@burdockrail/common/timeSource.js';
+import type { FleetConfigurationInput } from '@burdockrail/fleet/fleetConfiguration.js';
+import type { Address, PeerIdentity } from '@burdockrail/protocol/protocolAddress.js';
+import type { AttemptItem, AttemptStart } from '@burdockrail/protocol/protocolAttempt.js';
+import type { Announcement } from '@burdockrail/protocol/protocolMembership.js';
+import { settingsSchema } from '@burdockrail/settings/settingsSchema.js';
+import { createPeerClient } from '@burdockrail/transport/peerClient.js';
+import { createPeerServer } from '@burdockrail/transport/peerServer.js';
+import { start, stop } from 'nact';
+import { createConfigurationHolder } from '../src/configurationHolder.js';
+import type { DaemonContext } from '../src/daemonRole.js';
+import { createEntryRole } from '../src/entryRole.js';
+
+/** Sends the items of an attempt's answer. */
+export type FakeAttempt = (
+  startOrder: AttemptStart,
+  send: (item: AttemptItem) => Promise<void>,
+) => Promise<void>;
+
+const loopback: Address = { host: '127.0.0.1', port: 0 };
+const silentLog = { write: () => undefined };
+const encoder = new TextEncoder();
+
+/** Fleet of the tests: a model, and a plain service with one route that may not be repeated. */
+export const testFleet: FleetConfigurationInput = {
+  fleet: 'test',
+  dataCentres: [{ name: 'one', region: 'north' }],
+  services: [
+    { name: 'model', kind: 'model', home: 'one', upstreams: { one: 2 } },
+    {
+      name: 'ledger',
+      kind: 'plain',
+      home: 'one',
+      upstreams: { one: 1 },
+      routes: [{ method: 'POST', path: '/deposit', repeatable: false }],
+    },
+  ],
+  teams: [{ name: 'desk' }, { name: 'piers' }],
+};
+
+/** Items of a whole answer. */
+export async function sendWhole(
+  attemptId: string,
+  send: (item: AttemptItem) => Promise<void>,
+  text: string,
+  contentType = 'application/json',
+): Promise<void> {
+  const headers = { 'content-type': contentType };
+  await send({ kind: 'head', attemptId, status: 200, headers, versionDigest: 'a'.repeat(64) });
+  await send({ kind: 'data', attemptId, bytes: encoder.encode(text) });
+  await send({ kind: 'end', attemptId });
+}
+
+/** A process that answers attempts as told. */
+export async function createFakeAgent(
+  name: string,
+  run: FakeAttempt,
+): Promise<AsyncDisposable & { readonly announcement: Announcement }> {
+  const identity: PeerIdentity = { name, incarnation: '1', dataCentre: 'one', roles: ['agent'] };
+  const server = await createPeerServer(loopback, identity, {
+    calls: {},
+    streams: {
+      'attempt.run': async (order, sink) => run(order, async (item) => sink.write(item)),
+    },
+    notifications: {},
+  });
+  return {
+    announcement: {
+      agent: name,
+      incarnation: '1',
+      sequence: 1,
+      dataCentre: 'one',
+      region: 'north',
+      address: server.address,
+      service: 'model',
+      state: 'present',
+      ready: true,
+      prefixes: [],
+    },
+    [Symbol.asyncDispose]: async () => server[Symbol.asyncDispose](),
+  };
+}
+
+/** An entry in this process with the given upstreams. */
+export async function startEntry(
+  announcements: readonly Announcement[],
+): Promise<AsyncDisposable & { readonly url: string; readonly drain: () => Promise<void> }> {
+  let http = '';
+  const settings = settingsSchema.parse({
+    name: 'entry',
+    dataCentre: 'one',
+    region: 'north',
+    listen: loopback,
+    peers: [],
+    entry: { http: loopback, defaultTimeoutMilliseconds: 3_000 },
+  });
+  const identity: PeerIdentity = {
+    name: 'entry',
+    incarnation: '1',
+    dataCentre: 'one',
+    roles: ['entry'],
+  };
+  const log: DaemonContext['log'] = {
+    write: (event, fields) => {
+      if (event === 'entryListening') http = String(fields?.address);
+    },
+  };
+  const owned = createDisposalStack();
+  const client = owned.use(createPeerClient({ identity }));
+  const actors = start();
+  owned.defer(() => {
+    stop(actors);
+  });
+  const context: DaemonContext = {
+    settings,
+    identity,
+    advertised: loopback,
+    client,
+    time: processTime,
+    random: createSeededRandom(1),
+    log,
+    actors,
+    configuration: createConfigurationHolder(silentLog),
+  };
+  const document = canonicalJson(testFleet);
+  context.configuration.offer({ revision: 1, term: 1, digest: digestOf(document), document });
+  const role = owned.use(createEntryRole(context));
+  await role.start();
+  const announce = role.handlers.calls?.['membership.announce'];
+  for (const announcement of announcements) {
+    const peer = { ...identity, name: announcement.agent };
+    await announce?.(announcement, { peer, signal: new AbortController().signal });
+  }
+  return {
+    url: `http://${http}`,
+    drain: async () => role.drain(),
+    [Symbol.asyncDispose]: async () => owned[Symbol.asyncDispose](),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/entryPages.ts
@@ -0,0 +1,69 @@
+import type { RequestCaller } from './requestCaller.js';
+import type { EntryMetrics } from './metricsEntry.js';
+import type { UpstreamDirectory } from '@burdockrail/membership/upstreamDirectory.js';
+import type { DaemonContext } from './daemonRole.js';
+
+const OK_STATUS = 200;
+const UNAVAILABLE_STATUS = 503;
+
+/** What the pages for the platform and operators show. */
+export interface EntryPageParts {
+  readonly context: DaemonContext;
+  readonly directory: UpstreamDirectory;
+  readonly metrics: EntryMetrics;
+  readonly isDraining: () => boolean;
+}
+
+/** Answers one page. */
+export type EntryPage = (caller: RequestCaller) => void;
+
+function answerText(caller: RequestCaller, status: number, text: string): void {
+  caller.answer(status, { 'content-type': 'text/plain; charset=utf-8' }, text);
+}
+
+function statusDocument({ context, directory, isDraining }: EntryPageParts): string {
+  const committed = context.configuration.current?.committed;
+  const upstreams = directory.all(context.time.now()).map(({ announcement }) => ({
+    agent: announcement.agent,
+    service: announcement.service,
+    dataCentre: announcement.dataCentre,
+    state: announcement.state,
+    ready: announcement.ready,
+    digest: announcement.serving?.digest ?? null,
+  }));
+  return JSON.stringify({
+    name: context.identity.name,
+    dataCentre: context.identity.dataCentre,
+    draining: isDraining(),
+    revision: committed?.revision ?? 0,
+    digest: committed?.digest ?? null,
+    upstreams,
+  });
+}
+
+/** Pages by path. */
+export function createEntryPages(parts: EntryPageParts): Readonly<Record<string, EntryPage>> {
+  const readiness = (): string | null => {
+    if (parts.isDraining()) return 'draining';
+    return parts.context.configuration.current === null ? 'no configuration in force' : null;
+  };
+  return {
+    '/livez': (caller) => {
+      answerText(caller, OK_STATUS, 'live\n');
+    },
+    '/readyz': (caller) => {
+      const reason = readiness();
+      answerText(
+        caller,
+        reason === null ? OK_STATUS : UNAVAILABLE_STATUS,
+        `${reason ?? 'ready'}\n`,
+      );
+    },
+    '/metrics': (caller) => {
+      answerText(caller, OK_STATUS, parts.metrics.text());
+    },
+    '/status': (caller) => {
+      caller.answer(OK_STATUS, { 'content-type': 'application/json' }, statusDocument(parts));
+    },
+  };
+}
--- a/packages/daemon/src/entryRole.ts
+++ b/packages/daemon/src/entryRole.ts
@@ -1,10 +1,78 @@
-import type { DaemonRoleFactory } from './daemonRole.js';
+import { setTimeout } from 'node:timers/promises';
+import { createRetryBudget } from '@burdockrail/limits/retryBudget.js';
+import type { EntrySettings } from '@burdockrail/settings/settingsSchema.js';
+import { createUpstreamRouter } from '@burdockrail/routing/upstreamRouter.js';
+import { mergeHandlers } from '@burdockrail/transport/peerHandlers.js';
+import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import type { DaemonContext, DaemonRole, DaemonRoleFactory } from './daemonRole.js';
+import { createExchangeHandler } from './entryExchange.js';
+import { createEntryPages } from './entryPages.js';
+import { createEntryServer, type EntryServer } from './entryServer.js';
+import type { EntryServices } from './entryServices.js';
+import type { GroupClient } from './groupClient.js';
+import { createMembership } from './membership.js';
+import { createEntryMetrics } from './metricsEntry.js';
+import { createAttemptRunner } from './requestAttempt.js';
+import { createConnectionWatch } from './requestLiveness.js';
+import { createRequestPath } from './requestPath.js';
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { ResultError } from '@burdockrail/common/outcome.js';
+
+/** Stands in until quorum groups are hosted. */
+const unreachableGroups: GroupClient = {
+  propose: async () => Promise.reject(new ResultError(ResultCode.LedgerUnreachable)),
+  query: async () => Promise.reject(new ResultError(ResultCode.LedgerUnreachable)),
+};
+
+function entrySettings(context: DaemonContext): EntrySettings {
+  const { entry } = context.settings;
+  if (entry === undefined) throw new ResultError(ResultCode.SettingsInvalid, 'entry: missing');
+  return entry;
+}
 
 /** Creates the role `entry`. */
-export const createEntryRole: DaemonRoleFactory = () => ({
-  handlers: {},
-  start: async () => Promise.resolve(),
-  drain: async () => Promise.resolve(),
-  groups: [],
-  [Symbol.asyncDispose]: async () => Promise.resolve(),
-});
+export const createEntryRole: DaemonRoleFactory = (context): DaemonRole => {
+  const settings = entrySettings(context);
+  const owned = createDisposalStack();
+  const membership = owned.use(createMembership(context));
+  const watch = owned.use(createConnectionWatch());
+  const services: EntryServices = {
+    dataCentre: context.settings.dataCentre,
+    region: context.settings.region,
+    time: context.time,
+    directory: membership.directory,
+    groups: unreachableGroups,
+    router: createUpstreamRouter({ policy: 'affinity', random: context.random }),
+    retryBudget: createRetryBudget(),
+    attempts: createAttemptRunner({ client: context.client, watch }),
+    metrics: createEntryMetrics(),
+  };
+  let draining = false;
+  let server: EntryServer | undefined;
+  const isDraining = (): boolean => draining;
+  const pages = createEntryPages({
+    context,
+    directory: membership.directory,
+    metrics: services.metrics,
+    isDraining,
+  });
+  const path = createRequestPath(services, () => context.configuration.current?.fleet);
+  const handle = createExchangeHandler({ context, settings, pages, path, isDraining });
+
+  return {
+    handlers: mergeHandlers([membership.handlers]),
+    groups: [],
+    start: async () => {
+      membership.start();
+      server = owned.use(await createEntryServer(settings.http, handle));
+      const { host, port } = server.address;
+      context.log.write('entryListening', { address: `${host}:${port}` });
+    },
+    drain: async () => {
+      draining = true;
+      const bound = setTimeout(context.settings.drainMilliseconds, undefined, { ref: false });
+      await Promise.race([server?.drain(), bound]);
+    },
+    [Symbol.asyncDispose]: async () => owned[Symbol.asyncDispose](),
+  };
+};
--- /dev/null
+++ b/packages/daemon/src/entryServices.ts
@@ -0,0 +1,20 @@
+import type { TimeSource } from '@burdockrail/common/timeSource.js';
+import type { RetryBudget } from '@burdockrail/limits/retryBudget.js';
+import type { UpstreamDirectory } from '@burdockrail/membership/upstreamDirectory.js';
+import type { UpstreamRouter } from '@burdockrail/routing/upstreamRouter.js';
+import type { GroupClient } from './groupClient.js';
+import type { EntryMetrics } from './metricsEntry.js';
+import type { AttemptRunner } from './requestAttempt.js';
+
+/** What the filters of the request path share. */
+export interface EntryServices {
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly time: TimeSource;
+  readonly directory: UpstreamDirectory;
+  readonly groups: GroupClient;
+  readonly router: UpstreamRouter;
+  readonly retryBudget: RetryBudget;
+  readonly attempts: AttemptRunner;
+  readonly metrics: EntryMetrics;
+}
--- /dev/null
+++ b/packages/daemon/src/metricsEntry.ts
@@ -0,0 +1,83 @@
+import { resultName, type ResultCode } from '@burdockrail/common/resultCode.js';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import {
+  createRequestHistograms,
+  type RequestHistograms,
+} from '@burdockrail/telemetry/requestHistograms.js';
+import { metricsText, type MetricFamily } from '@burdockrail/telemetry/metricsText.js';
+import type { AttemptOutcome } from './requestAttempt.js';
+
+/** One finished request, as metrics see it. */
+export interface FinishedRequest {
+  readonly team: string;
+  readonly service: string;
+  readonly code: ResultCode;
+  readonly latency: Milliseconds;
+  readonly timeToFirstByte?: Milliseconds;
+}
+
+/** Counters and histograms of one entry. */
+export interface EntryMetrics {
+  attempt(service: string, kind: AttemptOutcome['kind']): void;
+  request(finished: FinishedRequest): void;
+  /** Time between two parts of a streamed answer. */
+  betweenParts(team: string, service: string, gap: Milliseconds): void;
+  /** All metrics in the text exposition format. */
+  text(): string;
+}
+
+interface Counter {
+  readonly labels: Readonly<Record<string, string>>;
+  value: number;
+}
+
+function createCounters(): {
+  readonly add: (labels: Readonly<Record<string, string>>) => void;
+  readonly all: () => readonly Counter[];
+} {
+  const counters = new Map<string, Counter>();
+  return {
+    add: (labels) => {
+      const key = JSON.stringify(labels);
+      const counter = counters.get(key) ?? { labels, value: 0 };
+      counter.value += 1;
+      counters.set(key, counter);
+    },
+    all: () => [...counters.values()],
+  };
+}
+
+function counterFamily(name: string, help: string, counters: readonly Counter[]): MetricFamily {
+  const samples = counters.map(({ labels, value }) => ({ name, labels, value }));
+  return { name, help, type: 'counter', samples };
+}
+
+/** Creates metrics that start at zero. */
+export function createEntryMetrics(): EntryMetrics {
+  const requests = createCounters();
+  const attempts = createCounters();
+  const latency = createRequestHistograms('burdockrail_request_seconds');
+  const firstByte = createRequestHistograms('burdockrail_first_byte_seconds');
+  const gaps = createRequestHistograms('burdockrail_between_parts_seconds');
+  const families = (): readonly MetricFamily[] => [
+    counterFamily('burdockrail_requests_total', 'Requests by result.', requests.all()),
+    counterFamily('burdockrail_attempts_total', 'Attempts at upstreams.', attempts.all()),
+    ...[latency, firstByte, gaps].map((histograms: RequestHistograms) => histograms.family()),
+  ];
+  return {
+    attempt: (service, outcome) => {
+      attempts.add({ service, outcome });
+    },
+    request: ({ team, service, code, ...times }) => {
+      requests.add({ team, service, code: String(code), result: resultName(code) });
+      latency.record({ team, class: service }, times.latency);
+      if (times.timeToFirstByte !== undefined) {
+        firstByte.record({ team, class: service }, times.timeToFirstByte);
+      }
+    },
+    betweenParts: (team, service, gap) => {
+      gaps.record({ team, class: service }, gap);
+    },
+    text: () => metricsText(families()),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/requestRecord.ts
@@ -0,0 +1,25 @@
+import type { EntryServices } from './entryServices.js';
+import type { RequestFilter } from './requestFilter.js';
+import type { IdentifiedRequest } from './requestTypes.js';
+
+/** Creates the filter that counts each request and its durations by team and class. */
+export function createRecordFilter(
+  services: EntryServices,
+): RequestFilter<IdentifiedRequest, IdentifiedRequest> {
+  const { metrics, time } = services;
+  return async (request, next) => {
+    request.caller.onGap = (gap) => {
+      metrics.betweenParts(request.team.name, request.service.name, gap);
+    };
+    const result = await next(request);
+    const { firstByteAt } = request.caller;
+    metrics.request({
+      team: request.team.name,
+      service: request.service.name,
+      code: result.code,
+      latency: time.now() - request.arrivedAt,
+      ...(firstByteAt === undefined ? {} : { timeToFirstByte: firstByteAt - request.arrivedAt }),
+    });
+    return result;
+  };
+}
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -21,6 +21,8 @@
   processStopped: { number: 1002, level: 'info', text: 'The process has ended in order.' },
   processFailed: { number: 1003, level: 'error', text: 'The process cannot go on.' },
   controllerFailed: { number: 1004, level: 'error', text: 'A controller failed on a message.' },
+  entryListening: { number: 2000, level: 'info', text: 'The entry takes requests of callers.' },
+  requestFailed: { number: 2001, level: 'error', text: 'A request failed unexpectedly.' },
   configurationInForce: {
     number: 3000,
     level: 'info',
--- /dev/null
+++ b/packages/telemetry/src/metricsText.ts
@@ -0,0 +1,33 @@
+/** One value of a metric. */
+export interface MetricSample {
+  readonly name: string;
+  readonly labels: Readonly<Record<string, string>>;
+  readonly value: number;
+}
+
+/** Samples that belong together. */
+export interface MetricFamily {
+  readonly name: string;
+  readonly help: string;
+  readonly type: 'counter' | 'gauge' | 'summary';
+  readonly samples: readonly MetricSample[];
+}
+
+function escapeLabel(value: string): string {
+  return value.replaceAll('\\', '\\\\').replaceAll('"', '\\"').replaceAll('\n', '\\n');
+}
+
+function sampleLine({ name, labels, value }: MetricSample): string {
+  const pairs = Object.entries(labels).map(([key, text]) => `${key}="${escapeLabel(text)}"`);
+  return `${name}${pairs.length === 0 ? '' : `{${pairs.join(',')}}`} ${value}`;
+}
+
+/** Families in the text exposition format that metric collectors read. */
+export function metricsText(families: readonly MetricFamily[]): string {
+  const lines = families.flatMap(({ name, help, type, samples }) => [
+    `# HELP ${name} ${help}`,
+    `# TYPE ${name} ${type}`,
+    ...samples.map(sampleLine),
+  ]);
+  return `${lines.join('\n')}\n`;
+}
--- /dev/null
+++ b/packages/telemetry/src/requestHistograms.ts
@@ -0,0 +1,99 @@
+import { build, type Histogram } from 'hdr-histogram-js';
+import type { MetricFamily, MetricSample } from './metricsText.js';
+
+/** Team and class that a duration belongs to. */
+export interface HistogramLabels {
+  readonly team: string;
+  readonly class: string;
+}
+
+/** Histograms of one duration, one for each team and class. */
+export interface RequestHistograms {
+  /** Records a duration in milliseconds. */
+  record(labels: HistogramLabels, milliseconds: number): void;
+  /** Duration in milliseconds at a percentile from 0 to 100; 0 when nothing was recorded. */
+  percentile(labels: HistogramLabels, percentile: number): number;
+  /** The histograms as one family of metrics, in seconds. */
+  family(): MetricFamily;
+}
+
+/** Longest duration told apart, in microseconds. */
+const HIGHEST_MICROSECONDS = 3_600_000_000;
+
+/** Significant decimal digits of a recorded value. */
+const SIGNIFICANT_DIGITS = 2;
+
+/** Teams and classes beyond this count share one histogram. */
+const MAXIMUM_HISTOGRAMS = 512;
+
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+const MICROSECONDS_PER_SECOND = 1_000_000;
+const EXPOSED_PERCENTILES = [50, 90, 95, 99] as const;
+const OTHER: HistogramLabels = { team: 'other', class: 'other' };
+
+interface LabelledHistogram {
+  readonly labels: HistogramLabels;
+  readonly histogram: Histogram;
+}
+
+function createHistogram(): Histogram {
+  return build({
+    bitBucketSize: 32,
+    autoResize: true,
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 2,
+    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+  });
+}
+
+function samplesOf(
+  name: string,
+  { labels, histogram }: LabelledHistogram,
+): readonly MetricSample[] {
+  const quantiles = EXPOSED_PERCENTILES.map((percentile) => ({
+    name,
+    labels: { ...labels, quantile: String(percentile / 100) },
+    value: histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_SECOND,
+  }));
+  const count = histogram.totalCount;
+  const sum = (histogram.mean * count) / MICROSECONDS_PER_SECOND;
+  return [
+    ...quantiles,
+    { name: `${name}_sum`, labels: { ...labels }, value: count === 0 ? 0 : sum },
+    { name: `${name}_count`, labels: { ...labels }, value: count },
+  ];
+}
+
+/** Creates the histograms of one duration. */
+export function createRequestHistograms(name: string): RequestHistograms {
+  const histograms = new Map<string, LabelledHistogram>();
+  const keyOf = (labels: HistogramLabels): string => `${labels.team}\n${labels.class}`;
+
+  const histogramFor = (labels: HistogramLabels): Histogram => {
+    const known = histograms.get(keyOf(labels));
+    if (known !== undefined) return known.histogram;
+    if (histograms.size >= MAXIMUM_HISTOGRAMS && labels !== OTHER) return histogramFor(OTHER);
+    const created = { labels, histogram: createHistogram() };
+    histograms.set(keyOf(labels), created);
+    return created.histogram;
+  };
+
+  return {
+    record: (labels, milliseconds) => {
+      const microseconds = Math.round(milliseconds * MICROSECONDS_PER_MILLISECOND);
+      const bounded = Math.max(1, Math.min(HIGHEST_MICROSECONDS, microseconds));
+      histogramFor(labels).recordValue(bounded);
+    },
+    percentile: (labels, percentile) => {
+      const known = histograms.get(keyOf(labels));
+      if (known === undefined) return 0;
+      return known.histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MILLISECOND;
+    },
+    family: () => ({
+      name,
+      help: 'Durations by team and class.',
+      type: 'summary',
+      samples: [...histograms.values()].flatMap((labelled) => samplesOf(name, labelled)),
+    }),
+  };
+}
