feat: agent with attempts, announcements and weights from the origin

Cause: the agent role was empty, so no request reached an upstream and no weights an engine. The agent relays attempts, checks that an answer carries its own identity and allowed weights, resumes cut streams, fences non-repeatable attempts, and brings a version from the origin. Ruled out: trusting the end of a chunked body on a connection that is not kept alive, which the HTTP library takes for the end of the answer; a test shows the cut body reported as incomplete. Before: no agent.

--- /dev/null
+++ b/packages/daemon/src/agentModelUpstream.ts
@@ -0,0 +1,68 @@
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { ResultError } from '@burdockrail/common/outcome.js';
+import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import type { AgentSettings } from '@burdockrail/settings/settingsSchema.js';
+import type { AgentUpstreamFactory } from './agentUpstream.js';
+import { createEngineClient } from './engineClient.js';
+import { createEngineMonitor, loadReport } from './engineMonitor.js';
+import { createWeightsController } from './weightsController.js';
+import { fetchFromOrigin } from './weightsFetch.js';
+import { createWeightsOrigin, type WeightsOrigin } from './weightsOrigin.js';
+
+function originOf(settings: AgentSettings, localAddress: string): WeightsOrigin {
+  const { weightStore, origin } = settings;
+  if (weightStore === undefined || origin === undefined) {
+    const detail = 'agent.weightStore and agent.origin: expected for an upstream of kind model';
+    throw new ResultError(ResultCode.SettingsInvalid, detail);
+  }
+  return createWeightsOrigin({ weightStore, origin, localAddress });
+}
+
+/** Creates the upstream of an agent that stands before a model engine. */
+export const createModelUpstream: AgentUpstreamFactory = (options) => {
+  const { context, settings } = options;
+  const localAddress = context.settings.listen.host;
+  const owned = createDisposalStack();
+  const engine = owned.use(createEngineClient(settings.upstream.url, localAddress));
+  const origin = owned.use(originOf(settings, localAddress));
+  const weights = owned.use(
+    createWeightsController({
+      context,
+      service: settings.service,
+      engine,
+      origin,
+      fetch: async (manifest, signal, held) =>
+        fetchFromOrigin(origin, engine, manifest, signal, held),
+      changed: options.changed,
+    }),
+  );
+  const monitor = owned.use(
+    createEngineMonitor(engine, (view) => {
+      weights.engineReports(view.load === null ? undefined : view.load.digest);
+    }),
+  );
+
+  return {
+    handlers: {},
+    get presence() {
+      const { served, rollout } = weights;
+      const { load, prefixes } = monitor.view;
+      return {
+        ready: served !== null && load !== null,
+        prefixes,
+        ...(served === null ? {} : { serving: served }),
+        ...(load === null ? {} : { load: loadReport(load) }),
+        ...(rollout === null ? {} : { rollout }),
+      };
+    },
+    get servedDigest() {
+      return weights.served?.digest;
+    },
+    allowsDigest: weights.allows,
+    start: async () => {
+      await monitor.start();
+      weights.start();
+    },
+    [Symbol.asyncDispose]: async () => owned[Symbol.asyncDispose](),
+  };
+};
--- a/packages/daemon/src/agentRole.ts
+++ b/packages/daemon/src/agentRole.ts
@@ -1,10 +1,79 @@
-import type { DaemonRoleFactory } from './daemonRole.js';
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { ResultError } from '@burdockrail/common/outcome.js';
+import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import type { AnnouncementBody } from '@burdockrail/membership/announcerState.js';
+import type { AgentSettings } from '@burdockrail/settings/settingsSchema.js';
+import { mergeHandlers } from '@burdockrail/transport/peerHandlers.js';
+import { createModelUpstream } from './agentModelUpstream.js';
+import { createPlainUpstream } from './agentPlainUpstream.js';
+import type { AgentUpstreamFactory } from './agentUpstream.js';
+import { createAttemptService, type AttemptService } from './attemptService.js';
+import { createAttemptUpstream } from './attemptUpstream.js';
+import type { DaemonContext, DaemonRoleFactory } from './daemonRole.js';
+import { createMembershipAnnouncer } from './membershipAnnouncer.js';
+
+const upstreamFactories: Readonly<Record<AgentSettings['upstream']['kind'], AgentUpstreamFactory>> =
+  { model: createModelUpstream, plain: createPlainUpstream };
+
+function agentSettings(context: DaemonContext): AgentSettings {
+  const settings = context.settings.agent;
+  if (settings === undefined) throw new ResultError(ResultCode.SettingsInvalid, 'agent: expected');
+  return settings;
+}
 
 /** Creates the role `agent`. */
-export const createAgentRole: DaemonRoleFactory = () => ({
-  handlers: {},
-  start: async () => Promise.resolve(),
-  drain: async () => Promise.resolve(),
-  groups: [],
-  [Symbol.asyncDispose]: async () => Promise.resolve(),
-});
+export const createAgentRole: DaemonRoleFactory = (context) => {
+  const settings = agentSettings(context);
+  const { identity } = context;
+  const owned = createDisposalStack();
+  let state: AnnouncementBody['state'] = 'present';
+
+  const describe = (): AnnouncementBody => ({
+    agent: identity.name,
+    incarnation: identity.incarnation,
+    dataCentre: context.settings.dataCentre,
+    region: context.settings.region,
+    address: context.advertised,
+    service: settings.service,
+    state,
+    ...upstream.presence,
+  });
+  const announcer = owned.use(createMembershipAnnouncer(context, describe));
+  const attemptUpstream = owned.use(
+    createAttemptUpstream(settings.upstream.url, context.settings.listen.host),
+  );
+  const upstream = owned.use(
+    upstreamFactories[settings.upstream.kind]({
+      context,
+      settings,
+      attempts: attemptUpstream,
+      changed: () => void announcer.announceNow(),
+      runningAttempts: () => attempts.running,
+    }),
+  );
+  const attempts: AttemptService = createAttemptService({
+    upstream: attemptUpstream,
+    allowsDigest: upstream.allowsDigest,
+    incarnation: identity.incarnation,
+    service: settings.service,
+    time: context.time,
+    log: context.log,
+    servedDigest: () => upstream.servedDigest,
+    isReady: () => upstream.presence.ready,
+  });
+
+  return {
+    handlers: mergeHandlers([attempts.handlers, upstream.handlers]),
+    start: async () => {
+      await upstream.start();
+      announcer.start();
+    },
+    drain: async () => {
+      state = 'leaving';
+      const drained = attempts.drain();
+      await Promise.all([announcer.announceNow(), drained]);
+    },
+    groups: [],
+    [Symbol.asyncDispose]: async () => owned[Symbol.asyncDispose](),
+  };
+};
--- /dev/null
+++ b/packages/daemon/src/engineClient.ts
@@ -0,0 +1,174 @@
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { ResultError } from '@burdockrail/common/outcome.js';
+import type { Digest } from '@burdockrail/common/digest.js';
+import { Pool, type Dispatcher } from 'undici';
+
+/** Connections that the agent keeps to its engine for orders and chunks. */
+const ENGINE_CONNECTIONS = 8;
+
+/** Bound on one question to the engine, in milliseconds. */
+const QUESTION_TIMEOUT_MILLISECONDS = 2_000;
+
+/** Bound on staging or reading back one chunk, in milliseconds. */
+const CHUNK_TIMEOUT_MILLISECONDS = 15_000;
+
+/** Bound on an order, in milliseconds; the engine answers when it has carried it out. */
+const ORDER_TIMEOUT_MILLISECONDS = 120_000;
+
+/** What an engine reports of itself; it lags behind the truth. */
+export interface EngineLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly capacity: number;
+  readonly cacheUse: number;
+  /** Digest of the weights that the engine serves; null when it serves none. */
+  readonly digest: Digest | null;
+  readonly adapters: readonly string[];
+}
+
+/** Changes of an engine's prefix cache; numbers that were skipped are lost. */
+export interface EngineEvents {
+  readonly next: number;
+  readonly events: readonly { readonly kind: 'stored' | 'evicted'; readonly prefix: string }[];
+}
+
+/** An order to an engine. */
+export interface EngineOrder {
+  readonly kind: 'load' | 'adapter' | 'version' | 'role';
+  readonly digest: Digest;
+  readonly size: number;
+  /** Count of staged chunks. */
+  readonly chunks: number;
+  readonly model: string;
+  readonly version: string;
+  readonly adapter?: string;
+  readonly fencing: number;
+}
+
+/** How an engine answered an order. */
+export type EngineOrderReply =
+  | { readonly kind: 'loaded'; readonly digest: Digest }
+  | { readonly kind: 'stale-fencing'; readonly highest: number };
+
+/** Administrative calls to a model engine; each rejects with a {@link ResultError}. */
+export interface EngineClient extends AsyncDisposable {
+  load(): Promise<EngineLoad>;
+  events(since: number): Promise<EngineEvents>;
+  stage(digest: Digest, index: number, bytes: Uint8Array): Promise<void>;
+  /** Reads a staged chunk; null when the engine does not hold it. */
+  readBack(digest: Digest, index: number): Promise<Buffer | null>;
+  /** Drops what is staged under a digest. */
+  drop(digest: Digest): Promise<void>;
+  order(order: EngineOrder): Promise<EngineOrderReply>;
+}
+
+interface EngineRequest {
+  readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE';
+  readonly path: string;
+  readonly body?: Uint8Array | string;
+  readonly contentType?: string;
+  readonly timeoutMilliseconds: number;
+}
+
+const HTTP_OK_BELOW = 300;
+const HTTP_NOT_FOUND = 404;
+const HTTP_CONFLICT = 409;
+
+function chunkPath(digest: Digest, index: number): string {
+  return `/admin/weights/${digest}/chunks/${index}`;
+}
+
+/**
+ * Creates a client of the engine at a base address.
+ *
+ * @param localAddress - IP number to connect from.
+ */
+export function createEngineClient(url: string, localAddress: string): EngineClient {
+  const base = new URL(url);
+  const pool = new Pool(base.origin, {
+    connections: ENGINE_CONNECTIONS,
+    connect: { localAddress },
+  });
+  const prefix = base.pathname.replace(/\/$/u, '');
+
+  const send = async (request: EngineRequest): Promise<Dispatcher.ResponseData> => {
+    try {
+      return await pool.request({
+        method: request.method,
+        path: `${prefix}${request.path}`,
+        body: request.body ?? null,
+        headers: request.contentType === undefined ? {} : { 'content-type': request.contentType },
+        signal: AbortSignal.timeout(request.timeoutMilliseconds),
+        headersTimeout: request.timeoutMilliseconds,
+      });
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      throw new ResultError(ResultCode.UpstreamFailed, reason);
+    }
+  };
+
+  const refuse = async (response: Dispatcher.ResponseData, what: string): Promise<never> => {
+    await response.body.dump();
+    const detail = `${what} was answered with status ${response.statusCode}`;
+    throw new ResultError(ResultCode.EngineRefusedOrder, detail);
+  };
+
+  const ask = async (path: string): Promise<unknown> => {
+    const timeoutMilliseconds = QUESTION_TIMEOUT_MILLISECONDS;
+    const response = await send({ method: 'GET', path, timeoutMilliseconds });
+    if (response.statusCode >= HTTP_OK_BELOW) return refuse(response, path);
+    return response.body.json();
+  };
+
+  return {
+    load: async () => (await ask('/load')) as EngineLoad,
+    events: async (since) => (await ask(`/events?since=${since}`)) as EngineEvents,
+    stage: async (digest, index, bytes) => {
+      const response = await send({
+        method: 'PUT',
+        path: chunkPath(digest, index),
+        body: bytes,
+        contentType: 'application/octet-stream',
+        timeoutMilliseconds: CHUNK_TIMEOUT_MILLISECONDS,
+      });
+      if (response.statusCode >= HTTP_OK_BELOW) await refuse(response, 'a chunk');
+      await response.body.dump();
+    },
+    readBack: async (digest, index) => {
+      const path = chunkPath(digest, index);
+      const timeoutMilliseconds = CHUNK_TIMEOUT_MILLISECONDS;
+      const response = await send({ method: 'GET', path, timeoutMilliseconds });
+      if (response.statusCode === HTTP_NOT_FOUND) {
+        await response.body.dump();
+        return null;
+      }
+      if (response.statusCode >= HTTP_OK_BELOW) return refuse(response, 'reading back');
+      return Buffer.from(await response.body.arrayBuffer());
+    },
+    drop: async (digest) => {
+      const path = `/admin/weights/${digest}`;
+      const timeoutMilliseconds = QUESTION_TIMEOUT_MILLISECONDS;
+      const response = await send({ method: 'DELETE', path, timeoutMilliseconds });
+      await response.body.dump();
+    },
+    order: async (order) => {
+      const response = await send({
+        method: 'POST',
+        path: '/admin/orders',
+        body: JSON.stringify(order),
+        contentType: 'application/json',
+        timeoutMilliseconds: ORDER_TIMEOUT_MILLISECONDS,
+      });
+      if (response.statusCode === HTTP_CONFLICT) {
+        const reply = (await response.body.json()) as { readonly highest?: number };
+        return { kind: 'stale-fencing', highest: reply.highest ?? 0 };
+      }
+      if (response.statusCode >= HTTP_OK_BELOW) return refuse(response, `order ${order.kind}`);
+      const reply = (await response.body.json()) as { readonly digest: Digest };
+      return { kind: 'loaded', digest: reply.digest };
+    },
+    [Symbol.asyncDispose]: async () => {
+      await pool.destroy();
+    },
+  };
+}
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -33,6 +33,46 @@
     level: 'warn',
     text: 'A configuration with a lower revision than the one in force was refused.',
   },
+  attemptRefused: {
+    number: 2100,
+    level: 'info',
+    text: 'The agent refused an attempt before it started.',
+  },
+  attemptFailed: {
+    number: 2101,
+    level: 'warn',
+    text: 'An attempt failed at the upstream.',
+  },
+  rolloutStarted: {
+    number: 5000,
+    level: 'info',
+    text: 'The agent begins to fetch the weights that the configuration names.',
+  },
+  rolloutFailed: {
+    number: 5001,
+    level: 'warn',
+    text: 'A rollout was interrupted; the agent tries again.',
+  },
+  weightsLive: {
+    number: 5002,
+    level: 'info',
+    text: 'The weights were verified as a whole and the engine serves them.',
+  },
+  weightsLost: {
+    number: 5003,
+    level: 'warn',
+    text: 'The engine does not serve the weights that were live.',
+  },
+  chunkRejected: {
+    number: 5004,
+    level: 'warn',
+    text: 'A chunk failed its digest; it was dropped and its source is avoided.',
+  },
+  orderRefused: {
+    number: 5005,
+    level: 'warn',
+    text: 'An order to the engine was refused because its fencing number is old.',
+  },
 } as const satisfies Readonly<Record<string, EventDescription>>;
 
 export type EventName = keyof typeof eventCatalogue;
