--- /dev/null
+++ b/packages/agreement/__tests__/listState.ts
@@ -0,0 +1,23 @@
+import type { ReplicatedState } from '../src/replicatedState.js';
+
+export type ListState = ReplicatedState<unknown, unknown, unknown, unknown>;
+
+/** A list of all commands; results and answers are its length. */
+export function createListState(record: (position: number, command: number) => void): ListState {
+  let commands: number[] = [];
+  return {
+    apply: (command) => {
+      commands.push(command as number);
+      record(commands.length, command as number);
+      return commands.length;
+    },
+    query: () => commands.length,
+    snapshot: () => [...commands],
+    restore: (snapshot) => {
+      commands = [...(snapshot as number[])];
+      commands.forEach((command, place) => {
+        record(place + 1, command);
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/agreement/src/replicaDispatch.ts
@@ -0,0 +1,85 @@
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import type { MemberId } from './groupMembership.js';
+import { becomeFollower, enterTerm, onVoteReply, onVoteRequest } from './replicaElection.js';
+import { driveMembership, noteIncarnation, onJoin } from './replicaMembership.js';
+import type { Append, AppendReply, Install, ReplicaMessage } from './replicaMessage.js';
+import { answerQueries } from './replicaQuery.js';
+import { onAppend, onAppendReply } from './replicaReplication.js';
+import { onInstall } from './replicaSnapshot.js';
+import { resetElectionDeadline, sendWhenStored, type ReplicaCore } from './replicaState.js';
+
+function followLeader(core: ReplicaCore, from: MemberId, term: number, now: Milliseconds): void {
+  if (core.role.kind !== 'follower' || core.role.leader !== from) becomeFollower(core, from);
+  if (term > core.term) {
+    if (core.groupId === null) core.term = term;
+    else enterTerm(core, term);
+  }
+  core.loyalUntil = now + core.timing.electionMilliseconds;
+  resetElectionDeadline(core, now);
+}
+
+function fromLeader(
+  core: ReplicaCore,
+  from: MemberId,
+  body: Append | Install,
+  now: Milliseconds,
+): void {
+  if (body.term < core.term) {
+    const { round, sentAt } = body;
+    const { term } = core;
+    sendWhenStored(core, from, {
+      kind: 'appendReply',
+      term,
+      accepted: false,
+      index: 0,
+      round,
+      sentAt,
+    });
+    return;
+  }
+  followLeader(core, from, body.term, now);
+  if (body.kind === 'append') onAppend(core, from, body);
+  else onInstall(core, from, body);
+}
+
+function toLeader(core: ReplicaCore, from: MemberId, reply: AppendReply, now: Milliseconds): void {
+  if (reply.term > core.term) {
+    becomeFollower(core, null);
+    enterTerm(core, reply.term);
+    return;
+  }
+  if (core.role.kind !== 'leader' || reply.term !== core.term) return;
+  onAppendReply(core, core.role, from, reply, now);
+  answerQueries(core, core.role);
+  driveMembership(core, core.role, now);
+}
+
+/** Takes a message of another replica; messages for other members or groups are dropped. */
+export function dispatch(core: ReplicaCore, message: ReplicaMessage, now: Milliseconds): void {
+  const { from, body } = message;
+  if (body.kind === 'join') {
+    onJoin(core, body.member);
+    return;
+  }
+  if (message.to !== core.self.id) return;
+  const isOtherGroup = message.groupId !== null && message.groupId !== core.groupId;
+  if (core.groupId !== null && isOtherGroup) return;
+  const isFromLeader = body.kind === 'append' || body.kind === 'install';
+  if (core.groupId === null && !isFromLeader) return;
+  noteIncarnation(core, from);
+  switch (body.kind) {
+    case 'append':
+    case 'install':
+      fromLeader(core, from, body, now);
+      return;
+    case 'appendReply':
+      toLeader(core, from, body, now);
+      return;
+    case 'voteRequest':
+      onVoteRequest(core, from, body, now);
+      return;
+    case 'voteReply':
+      onVoteReply(core, from, body, now);
+      return;
+  }
+}
--- /dev/null
+++ b/packages/agreement/src/storedReplica.ts
@@ -0,0 +1,34 @@
+import type { LogEntry } from './logEntry.js';
+import type { StoredRecord, StoredReplica } from './replicaEffect.js';
+
+function replaceEntries(stored: StoredReplica, added: readonly LogEntry[]): readonly LogEntry[] {
+  const first = added[0]?.index ?? Number.MAX_SAFE_INTEGER;
+  const kept = stored.entries.filter((entry) => entry.index < first);
+  const base = stored.snapshot.index;
+  return [...kept, ...added.filter((entry) => entry.index > base)];
+}
+
+/**
+ * Adds one record to what a replica has stored.
+ *
+ * @remarks
+ * The first record of every replica is a snapshot: a blank replica stores nothing else.
+ */
+export function applyStoredRecord(
+  stored: StoredReplica | null,
+  record: StoredRecord,
+): StoredReplica {
+  if (record.kind === 'snapshot') {
+    const { snapshot, entries, term, votedFor } = record;
+    return { snapshot, entries, term, votedFor, commitIndex: snapshot.index };
+  }
+  if (stored === null) throw new Error(`a record ${record.kind} comes before any snapshot`);
+  switch (record.kind) {
+    case 'vote':
+      return { ...stored, term: record.term, votedFor: record.votedFor };
+    case 'committed':
+      return { ...stored, commitIndex: Math.max(stored.commitIndex, record.index) };
+    case 'entries':
+      return { ...stored, entries: replaceEntries(stored, record.entries) };
+  }
+}
