--- a/packages/protocol/src/protocolConfiguration.ts
+++ b/packages/protocol/src/protocolConfiguration.ts
@@ -47,3 +47,20 @@
   readonly voters: readonly string[];
   readonly learners: readonly string[];
 }
+
+/** Order of an operator to form the quorum groups of a new fleet; sent to one control process. */
+export interface ClusterForm {
+  /**
+   * Form groups anew although replicas that held them before are gone, and give up what only they
+   * had stored.
+   */
+  readonly acceptLoss: boolean;
+}
+
+/** Answer to {@link ClusterForm}. */
+export interface ClusterFormReply {
+  /** Groups that this order formed. */
+  readonly formed: readonly string[];
+  /** Groups that had been formed before and were left as they are. */
+  readonly alreadyFormed: readonly string[];
+}
--- a/packages/protocol/src/protocolKinds.ts
+++ b/packages/protocol/src/protocolKinds.ts
@@ -5,6 +5,8 @@
   AttemptStart,
 } from './protocolAttempt.js';
 import type {
+  ClusterForm,
+  ClusterFormReply,
   CommittedConfiguration,
   ConfigurationApply,
   ConfigurationApplyReply,
@@ -38,6 +40,7 @@
   'membership.renew': CallShape<Renewal, RenewalReply>;
   'membership.update': CallShape<DirectoryUpdate, { readonly counter: number }>;
   'membership.list': CallShape<Record<string, never>, readonly Announcement[]>;
+  'cluster.form': CallShape<ClusterForm, ClusterFormReply>;
   'configuration.apply': CallShape<ConfigurationApply, ConfigurationApplyReply>;
   'configuration.current': CallShape<Record<string, never>, CommittedConfiguration | null>;
   'process.status': CallShape<Record<string, never>, ProcessStatus>;
