feat: harness for whole systems and fault proxy for their links

Cause: proofs and measurements need real processes whose links can be shaped and broken. Before: none. After: a layout starts daemons and stand-ins on loopback addresses, one IP number a machine; a TCP proxy shapes machine, region and origin links with turns between flows, cuts, corrupts, resets and duplicates. Ruled out: timers of each slice (one millisecond of error a slice); slices carry their planned times through one event queue instead, so rates hold when the loop is late.

--- /dev/null
+++ b/packages/faultproxy/bin/faultproxy.js
@@ -0,0 +1,4 @@
+import { runFaultProxyProcess } from '../dist/src/faultProxyProcess.js';
+
+await runFaultProxyProcess();
+process.exit(0);
--- /dev/null
+++ b/packages/harness/__tests__/system.spec.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict';
+import { existsSync } from 'node:fs';
+import { dirname } from 'node:path';
+import { describe, it } from 'node:test';
+import { startSystem } from '../src/system.js';
+import type { SystemLayout } from '../src/systemLayout.js';
+import { waitUntilTrue } from '../src/waitUntil.js';
+
+const layout: SystemLayout = {
+  dataCentres: [{ name: 'sul-lagoa', region: 'sul-lagoa' }],
+  controls: { 'sul-lagoa': 1 },
+  entries: { 'sul-lagoa': 2 },
+  services: [
+    {
+      name: 'ledger-ponte',
+      kind: 'plain',
+      home: 'sul-lagoa',
+      upstreams: { 'sul-lagoa': 1 },
+    },
+  ],
+  teams: [{ name: 'piers' }],
+  versions: [],
+};
+
+function exists(pid: number): boolean {
+  try {
+    process.kill(pid, 0);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+describe('startSystem', () => {
+  for (const links of [undefined, { clientMilliseconds: 1 }]) {
+    const way = links === undefined ? 'directly' : 'through the proxy';
+    it(`starts processes that find each other ${way} and ends them all`, async () => {
+      const system = await startSystem(links === undefined ? layout : { ...layout, links });
+      const { names } = system.processes;
+      const pids = names.map((name) => system.processes.process(name).pid);
+      const folder = dirname(system.processes.logPath('entry-sul-lagoa-1'));
+      const entry = system.machine('entry-sul-lagoa-2').advertise;
+      await waitUntilTrue(async () => (await system.operator.upstreams(entry)).length === 1, {
+        what: 'an upstream at the entry',
+      });
+      await system.processes.restart('ledger-ponte-sul-lagoa-1');
+      assert.equal(await system.processes.stop('entry-sul-lagoa-2'), 0);
+      await system[Symbol.asyncDispose]();
+      assert.deepEqual(pids.filter(exists), []);
+      assert.equal(existsSync(folder), false);
+    });
+  }
+});
--- /dev/null
+++ b/packages/harness/src/eventReader.ts
@@ -0,0 +1,33 @@
+/** One server-sent event. */
+export interface ServerSentEvent {
+  readonly id: string | null;
+  readonly event: string | null;
+  readonly data: string;
+}
+
+/** Splits the text of an event stream into events. */
+export interface EventReader {
+  /** Takes the next text and returns the events that it completes. */
+  push(text: string): readonly ServerSentEvent[];
+}
+
+function parseEvent(block: string): ServerSentEvent {
+  const fields: Record<string, string> = {};
+  for (const line of block.split('\n')) {
+    const colon = line.indexOf(':');
+    if (colon > 0) fields[line.slice(0, colon)] = line.slice(colon + 1).trim();
+  }
+  return { id: fields.id ?? null, event: fields.event ?? null, data: fields.data ?? '' };
+}
+
+/** Creates a reader for one stream. */
+export function createEventReader(): EventReader {
+  let rest = '';
+  return {
+    push: (text) => {
+      const blocks = (rest + text).split('\n\n');
+      rest = blocks.pop() ?? '';
+      return blocks.map(parseEvent);
+    },
+  };
+}
--- /dev/null
+++ b/packages/harness/src/system.ts
@@ -0,0 +1,129 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import { createFaultProxy, type FaultProxy } from '@burdockrail/faultproxy/faultProxy.js';
+import { startFaultProxyProcess } from '@burdockrail/faultproxy/faultProxyProcess.js';
+import {
+  addVersion,
+  createStandinClient,
+  type EngineClient,
+  type OriginClient,
+  type PlainClient,
+  type WeightStoreClient,
+} from '@burdockrail/standins/standinClient.js';
+import type { WeightManifest, WeightVersion } from '@burdockrail/standins/weightContent.js';
+import { request } from 'undici';
+import { createCallerClient, type CallerClient } from './callerClient.js';
+import { ownChild } from './daemonProcess.js';
+import { createOperatorClient, type OperatorClient } from './operatorClient.js';
+import type { PlacedMachine } from './settingsDocument.js';
+import { startStandins } from './standinProcesses.js';
+import { createSystemLinks, type SystemLinks } from './systemLinks.js';
+import type { SystemLayout } from './systemLayout.js';
+import { placeSystem, type SystemPlacement } from './systemPlacement.js';
+import { createSystemProcesses, type SystemProcesses } from './systemProcesses.js';
+
+/** A whole system of real processes; disposal ends what it started and removes its folder. */
+export interface System extends AsyncDisposable {
+  readonly layout: SystemLayout;
+  readonly machines: readonly PlacedMachine[];
+  readonly processes: SystemProcesses;
+  readonly links: SystemLinks;
+  readonly operator: OperatorClient;
+  readonly callers: CallerClient;
+  readonly origin: OriginClient;
+  readonly store: WeightStoreClient;
+  machine(name: string): PlacedMachine;
+  /** Machines that have a role, in the order of the layout. */
+  withRole(role: 'entry' | 'control' | 'agent'): readonly PlacedMachine[];
+  /** Machines whose agents belong to a service. */
+  agentsOf(service: string): readonly PlacedMachine[];
+  /** URL of an entry for callers. */
+  entryUrl(name: string): string;
+  engine(agent: string): EngineClient;
+  plain(agent: string): PlainClient;
+  /** Adds a version to the store and the origin; returns its digest. */
+  publish(version: WeightVersion): Promise<string>;
+  manifest(model: string, version: string): Promise<WeightManifest>;
+}
+
+async function startProxy(
+  placement: SystemPlacement,
+  layout: SystemLayout,
+): Promise<FaultProxy | undefined> {
+  if (placement.proxy === undefined) return undefined;
+  if (layout.links?.ownProcess === true) return startFaultProxyProcess(placement.proxy, ownChild);
+  return createFaultProxy(placement.proxy);
+}
+
+/** Starts all processes of a layout; resolves when each daemon says that it is ready. */
+export async function startSystem(layout: SystemLayout): Promise<System> {
+  const owned = createDisposalStack();
+  try {
+    return await assemble(layout, owned);
+  } catch (error) {
+    await owned[Symbol.asyncDispose]();
+    throw error;
+  }
+}
+
+async function assemble(
+  layout: SystemLayout,
+  owned: ReturnType<typeof createDisposalStack>,
+): Promise<System> {
+  const folder = await mkdtemp(join(tmpdir(), 'burdockrail-'));
+  owned.defer(async () => rm(folder, { recursive: true, force: true }));
+  const placement = await placeSystem(layout, folder);
+  const { machines, standins } = placement;
+  const proxy = await startProxy(placement, layout);
+  if (proxy !== undefined) owned.use(proxy);
+  const host = owned.use(
+    await startStandins({ versions: layout.versions, standins }, layout.standinProcesses ?? 0),
+  );
+  const processes = owned.use(await createSystemProcesses(placement, layout, folder));
+  const operator = owned.use(createOperatorClient(placement.callerHost));
+  const callers = owned.use(createCallerClient(placement.callerHost));
+  await Promise.all(machines.map(async ({ name }) => processes.start(name)));
+
+  const urlOf = (name: string): string => {
+    const url = host.urls[name];
+    if (url === undefined) throw new Error(`no stand-in is named ${name}`);
+    return url;
+  };
+  const machine = (name: string): PlacedMachine => {
+    const found = machines.find((candidate) => candidate.name === name);
+    if (found === undefined) throw new Error(`no machine is named ${name}`);
+    return found;
+  };
+  const manifest = async (model: string, version: string): Promise<WeightManifest> => {
+    const answer = await request(`${urlOf('store')}/models/${model}/versions/${version}/manifest`);
+    return (await answer.body.json()) as WeightManifest;
+  };
+  return {
+    layout,
+    machines,
+    processes,
+    links: createSystemLinks(proxy),
+    operator,
+    callers,
+    origin: createStandinClient(urlOf('origin')),
+    store: createStandinClient(urlOf('store')),
+    machine,
+    withRole: (role) => machines.filter(({ roles }) => roles.includes(role)),
+    agentsOf: (service) => machines.filter((candidate) => candidate.service?.name === service),
+    entryUrl: (name) => {
+      const { callerHttp } = machine(name);
+      if (callerHttp === undefined) throw new Error(`${name} is no entry`);
+      return `http://${callerHttp.host}:${callerHttp.port}`;
+    },
+    engine: (agent) => createStandinClient(urlOf(agent)),
+    plain: (agent) => createStandinClient(urlOf(agent)),
+    publish: async (version) => {
+      await addVersion(urlOf('store'), version);
+      return (await manifest(version.model, version.version)).digest;
+    },
+    manifest,
+    [Symbol.asyncDispose]: async () => owned[Symbol.asyncDispose](),
+  };
+}
--- /dev/null
+++ b/packages/harness/src/systemProcesses.ts
@@ -0,0 +1,88 @@
+import { mkdir, rm, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { startDaemonProcess, type DaemonProcess } from './daemonProcess.js';
+import { settingsDocument, type PlacedMachine } from './settingsDocument.js';
+import type { SystemPlacement } from './systemPlacement.js';
+import type { SystemLayout } from './systemLayout.js';
+
+/** The daemons of a system by the name of their machine. */
+export interface SystemProcesses extends AsyncDisposable {
+  /** The latest start of a machine's daemon. */
+  process(name: string): DaemonProcess;
+  start(name: string): Promise<DaemonProcess>;
+  /** Ends a daemon at once (SIGKILL). */
+  kill(name: string): Promise<void>;
+  /** Asks a daemon to drain and end (SIGTERM); resolves with its exit code. */
+  stop(name: string): Promise<number | string>;
+  freeze(name: string): void;
+  thaw(name: string): void;
+  /** Starts a daemon again under the same settings; one that runs is killed before. */
+  restart(name: string): Promise<DaemonProcess>;
+  /** Empties the data folder of a daemon that does not run. */
+  wipe(name: string): Promise<void>;
+  logPath(name: string): string;
+  readonly names: readonly string[];
+}
+
+/** Writes the settings of all machines; no daemon runs yet. */
+export async function createSystemProcesses(
+  placement: SystemPlacement,
+  layout: SystemLayout,
+  folder: string,
+): Promise<SystemProcesses> {
+  const { machines, urls } = placement;
+  const processes = new Map<string, DaemonProcess>();
+  const settingsPath = (name: string): string => join(folder, `${name}.yaml`);
+  const logPath = (name: string): string => join(folder, `${name}.log`);
+  const dataFolder = (name: string): string =>
+    machines.find((machine) => machine.name === name)?.dataFolder ?? join(folder, name);
+
+  const writeSettings = async (machine: PlacedMachine): Promise<void> => {
+    const text = settingsDocument(machine, machines, layout, urls);
+    await writeFile(settingsPath(machine.name), text);
+    if (machine.roles.includes('control')) await mkdir(machine.dataFolder, { recursive: true });
+  };
+  await Promise.all(machines.map(writeSettings));
+
+  const find = (name: string): DaemonProcess => {
+    const found = processes.get(name);
+    if (found === undefined) throw new Error(`no daemon was started on ${name}`);
+    return found;
+  };
+  const start = async (name: string): Promise<DaemonProcess> => {
+    const started = await startDaemonProcess(settingsPath(name), logPath(name));
+    processes.set(name, started);
+    return started;
+  };
+  const kill = async (name: string): Promise<void> => find(name)[Symbol.asyncDispose]();
+
+  return {
+    process: find,
+    start,
+    kill,
+    stop: async (name) => {
+      find(name).signal('SIGTERM');
+      return find(name).exited;
+    },
+    freeze: (name) => {
+      find(name).signal('SIGSTOP');
+    },
+    thaw: (name) => {
+      find(name).signal('SIGCONT');
+    },
+    restart: async (name) => {
+      await kill(name);
+      return start(name);
+    },
+    wipe: async (name) => {
+      if (find(name).running) throw new Error(`${name} runs; end it before its disk is wiped`);
+      await rm(dataFolder(name), { recursive: true, force: true });
+      await mkdir(dataFolder(name), { recursive: true });
+    },
+    logPath,
+    names: machines.map(({ name }) => name),
+    [Symbol.asyncDispose]: async () => {
+      await Promise.all([...processes.values()].map(async (entry) => entry[Symbol.asyncDispose]()));
+    },
+  };
+}
--- a/packages/standins/src/enginePrompt.ts
+++ b/packages/standins/src/enginePrompt.ts
@@ -3,6 +3,9 @@
 /** Characters of prompt text in one block of the prefix cache. */
 export const PREFIX_BLOCK_CHARACTERS = 256;
 
+/** Hexadecimal digits of a prefix's name. */
+const PREFIX_NAME_LENGTH = 16;
+
 /** Tokens of an answer when the request does not bound them. */
 const DEFAULT_ANSWER_TOKENS = 16;
 
@@ -15,18 +18,27 @@
   readonly stream?: boolean;
 }
 
-/** Text of the prompt; chat messages are joined as `role: content` lines. */
+/** Text of the prompt; chat messages are joined as lines of `role: content`. */
 export function promptText(body: CompletionBody): string {
   if (body.messages === undefined) return body.prompt ?? '';
-  return body.messages.map((message) => `${message.role}: ${message.content}\n`).join('');
+  return body.messages.map((message) => `${message.role}: ${message.content}`).join('\n');
 }
 
-/** Digests of the prefixes of 1, 2, 3... whole blocks of a prompt. */
-export function prefixDigests(text: string): readonly Digest[] {
+/**
+ * Names of the prefixes of 1, 2, 3... whole blocks of a prompt; each covers the name before it and
+ * one more block.
+ */
+export function prefixDigests(text: string): readonly string[] {
+  const names: string[] = [];
+  let previous = '';
   const blocks = Math.floor(text.length / PREFIX_BLOCK_CHARACTERS);
-  return Array.from({ length: blocks }, (_block, index) =>
-    digestOf(text.slice(0, (index + 1) * PREFIX_BLOCK_CHARACTERS)),
-  );
+  for (let block = 0; block < blocks; block += 1) {
+    const start = block * PREFIX_BLOCK_CHARACTERS;
+    const blockText = text.slice(start, start + PREFIX_BLOCK_CHARACTERS);
+    previous = digestOf(`${previous}\n${blockText}`).slice(0, PREFIX_NAME_LENGTH);
+    names.push(previous);
+  }
+  return names;
 }
 
 /** Number of tokens that a request is answered with. */
