feat(cli): plan, apply, form, rollout watch, status, outcome, events and report

Cause: operators had no way to see or change a running fleet.

An order whose answer is lost is sent again under its order id to the next control process, until the time is over; then the numbered result names the id to go on with. Plans are made against the highest revision that any control process knows, because a replica that is cut off may still know an older one. Sending cluster.form to several processes was ruled out: two could form two groups of one name.

Commands import their work when they run, so that help and usage errors stay quick.

Before: config print and check only.

--- a/packages/cli/__tests__/commandSession.ts
+++ b/packages/cli/__tests__/commandSession.ts
@@ -1,7 +1,9 @@
-import { spawnSync } from 'node:child_process';
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
 import { readFileSync, writeFileSync } from 'node:fs';
 import assert from 'node:assert/strict';
 import { dirname, join } from 'node:path';
+import { text } from 'node:stream/consumers';
 import { fileURLToPath } from 'node:url';
 
 /** Root of this package; the compiled tests stand two folders below it. */
@@ -20,23 +22,33 @@
 }
 
 /** Runs the command line as a process of its own and waits for its end. */
-export function runCommand(parameters: readonly string[], input = ''): CommandResult {
-  const result = spawnSync(process.execPath, [executable, ...parameters], {
+export async function runCommand(
+  parameters: readonly string[],
+  environment: Readonly<Record<string, string>> = {},
+): Promise<CommandResult> {
+  const child = spawn(process.execPath, [executable, ...parameters], {
     cwd: workspaceRoot,
-    encoding: 'utf8',
-    input,
-    env: { ...process.env, NO_COLOR: '1', COLUMNS: '100' },
+    stdio: ['ignore', 'pipe', 'pipe'],
+    env: { ...process.env, NO_COLOR: '1', COLUMNS: '100', ...environment },
   });
-  return {
-    standardOutput: result.stdout,
-    standardError: result.stderr,
-    exitCode: result.status,
-  };
+  const [standardOutput, standardError] = await Promise.all([
+    text(child.stdout),
+    text(child.stderr),
+    once(child, 'close'),
+  ]);
+  return { standardOutput, standardError, exitCode: child.exitCode };
 }
 
-/** Text of a session: each command with its output and exit code. */
-export function sessionOf(commands: readonly (readonly string[])[]): string {
-  return commands.map((parameters) => renderCommand(parameters, runCommand(parameters))).join('\n');
+/** Text of a session: each command with its output and exit code, one after the other. */
+export async function sessionOf(
+  commands: readonly (readonly string[])[],
+  environment: Readonly<Record<string, string>> = {},
+): Promise<string> {
+  const parts: string[] = [];
+  for (const parameters of commands) {
+    parts.push(renderCommand(parameters, await runCommand(parameters, environment)));
+  }
+  return parts.join('\n');
 }
 
 /** Text of one command within a session. */
--- a/packages/cli/__tests__/configProgram.spec.ts
+++ b/packages/cli/__tests__/configProgram.spec.ts
@@ -8,8 +8,8 @@
 const programs = 'packages/cli/__tests__/programs';
 
 describe('config print and check', () => {
-  it('print what the examples declare', () => {
-    const session = sessionOf([
+  it('print what the examples declare', async () => {
+    const session = await sessionOf([
       ['config', 'check', 'examples/jangadaVapor.ts'],
       ['config', 'print', 'examples/jangadaVapor.ts'],
       ['config', 'check', 'examples/urzadSzlifierstwa.ts', '--json'],
@@ -18,8 +18,8 @@
     assertGolden('examples', session);
   });
 
-  it('answer a wrong program with path, expectation and number', () => {
-    const session = sessionOf([
+  it('answer a wrong program with path, expectation and number', async () => {
+    const session = await sessionOf([
       ['config', 'check', `${programs}/faulty.mjs`],
       ['config', 'check', `${programs}/misspelt.mjs`],
       ['config', 'check', `${programs}/faulty.mjs`, '--json'],
@@ -32,25 +32,21 @@
     assertGolden('wrongPrograms', session);
   });
 
-  it('reads its own YAML back to the same digest', () => {
+  it('reads its own YAML back to the same digest', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'burdockrail-'));
     try {
       const path = join(folder, 'fleet.yaml');
-      writeFileSync(
-        path,
-        runCommand(['config', 'print', 'examples/jangadaVapor.ts']).standardOutput,
-      );
-      const again = runCommand(['config', 'check', path]).standardOutput;
-      assert.equal(
-        again,
-        runCommand(['config', 'check', 'examples/jangadaVapor.ts']).standardOutput,
-      );
+      const printed = await runCommand(['config', 'print', 'examples/jangadaVapor.ts']);
+      writeFileSync(path, printed.standardOutput);
+      const again = await runCommand(['config', 'check', path]);
+      const first = await runCommand(['config', 'check', 'examples/jangadaVapor.ts']);
+      assert.equal(again.standardOutput, first.standardOutput);
     } finally {
       rmSync(folder, { recursive: true });
     }
   });
 
-  it('finds the operator library for a program outside of the workspace', () => {
+  it('finds the operator library for a program outside of the workspace', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'burdockrail-'));
     try {
       const path = join(folder, 'fleet.mts');
@@ -62,7 +58,7 @@
         `export default defineFleet({ name, dataCentres, services: [], teams: [] });`,
       ].join('\n');
       writeFileSync(path, text);
-      const result = runCommand(['config', 'check', path]);
+      const result = await runCommand(['config', 'check', path]);
       assert.equal(result.standardError, '');
       assert.match(result.standardOutput, /^valid: fleet harbour/u);
     } finally {
--- /dev/null
+++ b/packages/cli/__tests__/fleetView.spec.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { describe, it } from 'node:test';
+import type { Announcement } from '@burdockrail/protocol/protocolMembership.js';
+import { assertGolden, runCommand, sessionOf } from './commandSession.js';
+import { createFakeFleet, type FakeFleet } from './fakeFleet.js';
+
+const program = 'packages/cli/__tests__/programs/harbour.mjs';
+const digest = 'ab'.repeat(32);
+
+function announcement(agent: string, dataCentre: string, change: object = {}): Announcement {
+  return {
+    agent,
+    incarnation: 'i1',
+    sequence: 1,
+    dataCentre,
+    region: 'coast',
+    address: { host: '127.0.0.1', port: 1 },
+    service: 'assistant',
+    state: 'present',
+    ready: false,
+    prefixes: [],
+    ...change,
+  };
+}
+
+const serving = { model: 'assistant', version: '1', digest, adapters: [] };
+const live = { ready: true, serving, sequence: 2 };
+const loading = { rollout: { digest, heldChunks: 3, chunks: 4 } };
+
+async function applied(): Promise<FakeFleet> {
+  const fleet = await createFakeFleet();
+  const parameters = ['-y', '--profile', fleet.profile];
+  const result = await runCommand(['config', 'apply', program, ...parameters]);
+  assert.equal(result.exitCode, 0, result.standardError);
+  return fleet;
+}
+
+describe('status', () => {
+  it('shows revisions, groups, upstreams and cut-off data centres', async () => {
+    await using fleet = await applied();
+    fleet.state.announcements = {
+      one: [announcement('agent-1', 'north', live), announcement('agent-2', 'north', loading)],
+      two: [
+        announcement('agent-1', 'north'),
+        announcement('agent-3', 'south', { state: 'leaving' }),
+      ],
+    };
+    const environment = { BURDOCKRAIL_PROFILE: fleet.profile };
+    assertGolden('status', await sessionOf([['status'], ['status', '--json']], environment));
+  });
+});
+
+describe('rollout watch', () => {
+  it('shows a bar for each data centre and ends when all are live', async () => {
+    await using fleet = await applied();
+    const north = [announcement('agent-1', 'north', live), announcement('agent-2', 'north', live)];
+    fleet.state.announcements = { one: [...north, announcement('agent-3', 'south', live)] };
+    const watch = ['rollout', 'watch', '--profile', fleet.profile];
+    const shown = await runCommand(watch);
+    assert.match(shown.standardOutput, /north \[#{24}\] 100% 2 of 2 live\n/u);
+    assert.match(shown.standardOutput, /all live after \d+\.\d s\n$/u);
+    fleet.state.announcements = { one: [...north, announcement('agent-3', 'south', loading)] };
+    const late = await runCommand([...watch, '--timeout', '1']);
+    assert.match(late.standardOutput, /south \[#{18}-{6}\] {2}75% 0 of 1 live\n/u);
+    assert.equal(
+      late.standardError,
+      '505 WeightsIncomplete: not live in time: assistant in south 0 of 1\n',
+    );
+    assert.equal(late.exitCode, 1);
+    const json = await runCommand([...watch, '--timeout', '1', '--json']);
+    const reading = JSON.parse(json.standardOutput.split('\n')[0] ?? '') as { done: boolean };
+    assert.equal(reading.done, false);
+  });
+});
+
+const metrics = [
+  '# TYPE burdockrail_request_seconds summary',
+  'burdockrail_request_seconds{team="guests",class="assistant",quantile="0.5"} 0.12',
+  'burdockrail_request_seconds{team="guests",class="assistant",quantile="0.95"} 0.8',
+  'burdockrail_request_seconds_count{team="guests",class="assistant"} 40',
+  'burdockrail_requests_total{team="guests",service="assistant",code="0",result="Ok"} 39',
+  'burdockrail_requests_total{team="guests",service="assistant",code="109",result="UpstreamFailed"} 1',
+].join('\n');
+
+describe('report and outcome', () => {
+  it('show what the entries answer', async () => {
+    const server = createServer((request, response) => {
+      const isMetrics = request.url === '/metrics';
+      const asked = `${request.url ?? ''} ${String(request.headers['burdockrail-team'])}`;
+      response.setHeader('burdockrail-result', '0');
+      response.setHeader('burdockrail-run', 'ran');
+      response.end(isMetrics ? metrics : `{"asked":"${asked}"}`);
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as AddressInfo;
+    const http = ['--http', `127.0.0.1:${port}`];
+    const outcome = ['outcome', 'deposit 7', '--service', 'till', '--team', 'desk', ...http];
+    const session = await sessionOf([
+      ['report', ...http],
+      ['report', ...http, '--json'],
+      outcome,
+      ['outcome', 'deposit 7', ...http],
+    ]);
+    server.close();
+    assertGolden('report', session.replaceAll(`127.0.0.1:${port}`, 'ENTRY'));
+  });
+});
+
+describe('events', () => {
+  it('pretty-prints a log and filters it', async () => {
+    const log = 'packages/cli/__tests__/programs/events.log';
+    const session = await sessionOf([
+      ['events', log],
+      ['events', log, '--level', 'warn'],
+      ['events', log, '--process', 'entry-1', '--event', '3000'],
+      ['events', log, '--event', '3000', '--json'],
+      ['events', 'missing.log'],
+    ]);
+    assertGolden('events', session);
+  });
+});
--- /dev/null
+++ b/packages/cli/__tests__/programs/harbourNext.mjs
@@ -0,0 +1,3 @@
+import { harbour } from './harbour.mjs';
+
+export default harbour('2');
--- a/packages/cli/src/commandTable.ts
+++ b/packages/cli/src/commandTable.ts
@@ -1,9 +1,25 @@
 import type { Command } from '@oclif/core/command';
+import { ClusterForm } from './commands/clusterForm.js';
+import { ConfigApply } from './commands/configApply.js';
 import { ConfigCheck } from './commands/configCheck.js';
+import { ConfigPlan } from './commands/configPlan.js';
 import { ConfigPrint } from './commands/configPrint.js';
+import { Events } from './commands/events.js';
+import { Outcome } from './commands/outcome.js';
+import { Report } from './commands/report.js';
+import { RolloutWatch } from './commands/rolloutWatch.js';
+import { Status } from './commands/status.js';
 
 /** All commands by their words, joined by colons. */
 export const commandTable: Readonly<Record<string, Command.Class>> = {
+  'cluster:form': ClusterForm,
+  'config:apply': ConfigApply,
   'config:check': ConfigCheck,
+  'config:plan': ConfigPlan,
   'config:print': ConfigPrint,
+  events: Events,
+  outcome: Outcome,
+  report: Report,
+  'rollout:watch': RolloutWatch,
+  status: Status,
 };
--- /dev/null
+++ b/packages/cli/src/operatorProfile.ts
@@ -0,0 +1,60 @@
+import { readFile } from 'node:fs/promises';
+import { fieldIssues } from '@burdockrail/common/fieldIssue.js';
+import { ResultError } from '@burdockrail/common/outcome.js';
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { parse } from 'yaml';
+import { z } from 'zod';
+import { IssuesError } from './commandFailure.js';
+import type { OperatorTargets } from './operatorTarget.js';
+
+const addressSchema = z
+  .strictObject({ host: z.union([z.ipv4(), z.ipv6()]), port: z.int().min(1).max(65535) })
+  .readonly();
+
+/**
+ * Schema of a profile: the `peers` of a process's settings, each entry with the address of its HTTP
+ * port besides.
+ */
+export const profileSchema = z
+  .strictObject({
+    peers: z
+      .array(
+        z
+          .strictObject({
+            name: z.string().min(1),
+            dataCentre: z.string().min(1),
+            roles: z.array(z.enum(['entry', 'control'])).min(1),
+            address: addressSchema,
+            http: addressSchema.optional(),
+          })
+          .readonly(),
+      )
+      .min(1)
+      .readonly(),
+  })
+  .readonly();
+
+/** Reads a profile file. */
+export async function readProfile(path: string): Promise<OperatorTargets> {
+  const document = await readDocument(path);
+  const checked = profileSchema.safeParse(document);
+  if (!checked.success) {
+    const issues = fieldIssues(ResultCode.ProfileInvalid, document, checked.error.issues);
+    throw new IssuesError(ResultCode.ProfileInvalid, issues, path);
+  }
+  const { peers } = checked.data;
+  return {
+    control: peers.filter((peer) => peer.roles.includes('control')),
+    entries: peers.filter((peer) => peer.roles.includes('entry')),
+    http: peers.flatMap((peer) => (peer.http === undefined ? [] : [peer.http])),
+  };
+}
+
+async function readDocument(path: string): Promise<unknown> {
+  try {
+    return parse(await readFile(path, 'utf8'));
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    throw new ResultError(ResultCode.ProfileInvalid, `${path}: ${reason}`);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/rolloutText.ts
@@ -0,0 +1,24 @@
+import type { DataCentreProgress, RolloutProgress, ServiceProgress } from './rolloutProgress.js';
+
+/** Width of a progress bar, in characters. */
+const BAR_CHARACTERS = 24;
+
+/** Lines of a rollout's progress: one for each service, one bar for each data centre below it. */
+export function rolloutLines(progress: RolloutProgress): readonly string[] {
+  return progress.services.flatMap(serviceLines);
+}
+
+function serviceLines({ service, model, version, dataCentres }: ServiceProgress): string[] {
+  const width = Math.max(...dataCentres.map(({ dataCentre }) => dataCentre.length));
+  const bars = dataCentres.map((dataCentre) => `  ${barLine(dataCentre, width)}`);
+  return [`${service}: ${model} ${version}`, ...bars];
+}
+
+function barLine(progress: DataCentreProgress, width: number): string {
+  const { dataCentre, expected, present, live, share } = progress;
+  const filled = Math.floor(share * BAR_CHARACTERS);
+  const bar = '#'.repeat(filled).padEnd(BAR_CHARACTERS, '-');
+  const percent = `${Math.floor(share * 100)}%`.padStart(4);
+  const absent = present < expected ? `, ${expected - present} absent` : '';
+  return `${dataCentre.padEnd(width)} [${bar}] ${percent} ${live} of ${expected} live${absent}`;
+}
