feat: swarm of weights with one origin copy, and plans to compare with

Cause: every agent read all chunks from the origin, N copies for N replicas. Leaders for each chunk follow from rendezvous hashing of the members, so one agent reads a chunk, one in each further region imports it, and neighbours of a data centre exchange the rest. Chunks are verified on arrival and again as the engine holds them; common chunks are copied, not fetched. Ruled out: counting chunks taken over from an idle leader as regular arrivals; the time to the next take-over then grew fourfold each time and the test of an idle leader did not finish in 60 s. Before: origin copies = N. After, in the unit test with 9 agents in 3 data centres: 1 copy exactly; a version that shares nine tenths reads at most 0.11 copies (6 tests with stand-ins in one process).

--- /dev/null
+++ b/packages/daemon/__tests__/weightsFleet.ts
@@ -0,0 +1,238 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import { createDisposalStack, type DisposalStack } from '@burdockrail/common/disposalStack.js';
+import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
+import { processTime } from '@burdockrail/common/timeSource.js';
+import type { Address, PeerIdentity } from '@burdockrail/protocol/protocolAddress.js';
+import type { CommittedConfiguration } from '@burdockrail/protocol/protocolConfiguration.js';
+import type { Announcement } from '@burdockrail/protocol/protocolMembership.js';
+import { settingsSchema } from '@burdockrail/settings/settingsSchema.js';
+import { createEngineServer, type EngineOptions } from '@burdockrail/standins/engineServer.js';
+import { createOriginServer, type OriginCounts } from '@burdockrail/standins/originServer.js';
+import { createWeightCatalogue } from '@burdockrail/standins/weightCatalogue.js';
+import type { WeightVersion } from '@burdockrail/standins/weightContent.js';
+import { createWeightStoreServer } from '@burdockrail/standins/weightStoreServer.js';
+import { createPeerClient } from '@burdockrail/transport/peerClient.js';
+import { createPeerServer } from '@burdockrail/transport/peerServer.js';
+import { start, stop } from 'nact';
+import type { AgentUpstream } from '../src/agentUpstream.js';
+import { createModelUpstream } from '../src/agentModelUpstream.js';
+import { createAttemptUpstream } from '../src/attemptUpstream.js';
+import { createConfigurationHolder } from '../src/configurationHolder.js';
+import type { DaemonContext } from '../src/daemonRole.js';
+
+const HOST = '127.0.0.1';
+const loopback: Address = { host: HOST, port: 0 };
+const WAIT_MILLISECONDS = 20_000;
+const POLL_MILLISECONDS = 20;
+const silentLog = { write: () => undefined };
+
+/** One agent of the fleet with its engine; both run in the process of the test. */
+export interface FleetAgent extends AsyncDisposable {
+  readonly name: string;
+  readonly upstream: AgentUpstream;
+  readonly engineUrl: string;
+  readonly offer: (committed: CommittedConfiguration) => void;
+}
+
+/** Agents with stand-ins for all that surrounds them. */
+export interface Fleet {
+  readonly agents: readonly FleetAgent[];
+  /** Puts weights into force, at all agents. */
+  readonly apply: (version: string) => void;
+  readonly digestOf: (version: string) => string;
+  readonly originBytes: (version: string) => Promise<number>;
+  readonly originUrl: string;
+  /** Makes the fleet forget an agent, as its lease does. */
+  readonly leave: (agent: FleetAgent) => Promise<void>;
+}
+
+/** Waits until a condition holds; fails after a bound. */
+export async function until(what: string, holds: () => boolean | Promise<boolean>): Promise<void> {
+  const limit = processTime.now() + WAIT_MILLISECONDS;
+  while (!(await holds())) {
+    if (processTime.now() > limit) throw new Error(`never came about: ${what}`);
+    await delay(POLL_MILLISECONDS);
+  }
+}
+
+/** Calls a control path of a stand-in. */
+export async function control(url: string, path: string, body: unknown): Promise<void> {
+  await fetch(`${url}/control/${path}`, { method: 'POST', body: JSON.stringify(body) });
+}
+
+function identityOf(name: string, dataCentre: string): PeerIdentity {
+  return { name, incarnation: `${name}-1`, dataCentre, roles: ['agent'] };
+}
+
+interface FleetOptions {
+  readonly versions: readonly WeightVersion[];
+  readonly dataCentres: number;
+  readonly perDataCentre: number;
+  readonly engine?: EngineOptions['settings'];
+  readonly weightBytesPerSecond?: number;
+}
+
+const MODEL = 'fogo';
+
+function document(version: string, dataCentres: number): string {
+  const names = Array.from({ length: dataCentres }, (_item, index) => `dc${index}`);
+  return JSON.stringify({
+    fleet: 'test',
+    dataCentres: names.map((name) => ({ name, region: name })),
+    services: [
+      {
+        name: 'model',
+        kind: 'model',
+        home: 'dc0',
+        upstreams: {},
+        weights: { model: MODEL, version },
+      },
+    ],
+    teams: [],
+  });
+}
+
+/** Starts a fleet whose agents have no weights yet. */
+export async function createFleet(owned: DisposalStack, options: FleetOptions): Promise<Fleet> {
+  const catalogue = createWeightCatalogue(options.versions);
+  const store = owned.use(await createWeightStoreServer({ address: loopback, catalogue }));
+  const origin = owned.use(await createOriginServer({ address: loopback, catalogue }));
+  const announcements = new Map<string, () => Announcement>();
+  let committed: CommittedConfiguration | null = null;
+  const registrar = owned.use(
+    await createPeerServer(loopback, identityOf('entry', 'dc0'), {
+      calls: {
+        'membership.list': async () =>
+          Promise.resolve([...announcements.values()].map((announce) => announce())),
+        'configuration.current': async () => Promise.resolve(committed),
+      },
+      streams: {},
+      notifications: {},
+    }),
+  );
+
+  const createAgent = async (name: string, dataCentre: string): Promise<FleetAgent> => {
+    const parts = createDisposalStack();
+    const engine = parts.use(
+      await createEngineServer({
+        address: loopback,
+        ...(options.engine === undefined ? {} : { settings: options.engine }),
+      }),
+    );
+    const settings = settingsSchema.parse({
+      name,
+      dataCentre,
+      region: dataCentre,
+      listen: { host: HOST, port: 1 },
+      peers: [
+        { name: 'entry', dataCentre, roles: ['entry', 'control'], address: registrar.address },
+      ],
+      agent: {
+        service: 'model',
+        upstream: { kind: 'model', url: engine.url },
+        weightStore: store.url,
+        origin: origin.url,
+        ...(options.weightBytesPerSecond === undefined
+          ? {}
+          : { weightBytesPerSecond: options.weightBytesPerSecond }),
+      },
+    });
+    const identity = identityOf(name, dataCentre);
+    const actors = start();
+    parts.defer(() => {
+      stop(actors);
+    });
+    const context: DaemonContext = {
+      settings,
+      identity,
+      advertised: { ...loopback },
+      client: parts.use(createPeerClient({ identity })),
+      time: processTime,
+      random: createSeededRandom(1),
+      log: silentLog,
+      actors,
+      configuration: createConfigurationHolder(silentLog),
+    };
+    if (settings.agent === undefined) throw new Error('no agent settings');
+    const upstream = parts.use(
+      createModelUpstream({
+        context,
+        settings: settings.agent,
+        attempts: parts.use(createAttemptUpstream(engine.url, HOST)),
+        changed: () => undefined,
+        runningAttempts: () => 0,
+      }),
+    );
+    const handlers = { calls: {}, streams: {}, notifications: {}, ...upstream.handlers };
+    const server = parts.use(await createPeerServer(loopback, identity, handlers));
+    Object.assign(context.advertised, server.address);
+    announcements.set(name, () => ({
+      agent: name,
+      incarnation: identity.incarnation,
+      sequence: 1,
+      dataCentre,
+      region: dataCentre,
+      address: server.address,
+      service: 'model',
+      state: 'present',
+      ...upstream.presence,
+    }));
+    await upstream.start();
+    return {
+      name,
+      upstream,
+      engineUrl: engine.url,
+      offer: (committed) => {
+        context.configuration.offer(committed);
+      },
+      [Symbol.asyncDispose]: async () => parts[Symbol.asyncDispose](),
+    };
+  };
+
+  const agents: FleetAgent[] = [];
+  for (let dataCentre = 0; dataCentre < options.dataCentres; dataCentre += 1) {
+    for (let place = 0; place < options.perDataCentre; place += 1) {
+      const name = `agent-${dataCentre}-${place}`;
+      agents.push(owned.use(await createAgent(name, `dc${dataCentre}`)));
+    }
+  }
+
+  return {
+    agents,
+    apply: (version) => {
+      const revision = (committed?.revision ?? 0) + 1;
+      const text = document(version, options.dataCentres);
+      const next: CommittedConfiguration = { revision, term: 1, digest: '', document: text };
+      committed = next;
+      for (const agent of agents) agent.offer(next);
+    },
+    digestOf: (version) => catalogue.find(MODEL, version)?.manifest.digest ?? '',
+    originUrl: origin.url,
+    originBytes: async (version) => {
+      const response = await fetch(`${origin.url}/control/counts`);
+      const counts = (await response.json()) as OriginCounts;
+      return counts.bytesByVersion[`${MODEL}/${version}`] ?? 0;
+    },
+    leave: async (agent) => {
+      announcements.delete(agent.name);
+      await agent[Symbol.asyncDispose]();
+    },
+  };
+}
+
+/** Waits until agents serve a version and their engines hold exactly its bytes. */
+export async function awaitLive(
+  fleet: Fleet,
+  version: string,
+  agents: readonly FleetAgent[] = fleet.agents,
+): Promise<void> {
+  const digest = fleet.digestOf(version);
+  await until(`${version} is live`, () =>
+    agents.every(({ upstream }) => upstream.presence.serving?.digest === digest),
+  );
+  for (const { engineUrl } of agents) {
+    const response = await fetch(`${engineUrl}/load`);
+    const load = (await response.json()) as { readonly digest: string };
+    if (load.digest !== digest) throw new Error(`the engine holds ${load.digest}`);
+  }
+}
--- a/packages/daemon/src/agentModelUpstream.ts
+++ b/packages/daemon/src/agentModelUpstream.ts
@@ -2,12 +2,16 @@
 import { ResultError } from '@burdockrail/common/outcome.js';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import type { AgentSettings } from '@burdockrail/settings/settingsSchema.js';
+import { createPacer } from '@burdockrail/rollout/rolloutPacer.js';
 import type { AgentUpstreamFactory } from './agentUpstream.js';
 import { createEngineClient } from './engineClient.js';
 import { createEngineMonitor, loadReport } from './engineMonitor.js';
 import { createWeightsController } from './weightsController.js';
-import { fetchFromOrigin } from './weightsFetch.js';
 import { createWeightsOrigin, type WeightsOrigin } from './weightsOrigin.js';
+import { createWeightsPeers } from './weightsPeers.js';
+import { runRollout, type RolloutParts } from './weightsRollout.js';
+import { createChunkStore } from './weightsStore.js';
+import { createWeightsUploads } from './weightsUploads.js';
 
 function originOf(settings: AgentSettings, localAddress: string): WeightsOrigin {
   const { weightStore, origin } = settings;
@@ -25,14 +29,25 @@
   const owned = createDisposalStack();
   const engine = owned.use(createEngineClient(settings.upstream.url, localAddress));
   const origin = owned.use(originOf(settings, localAddress));
+  const store = createChunkStore(engine);
+  const rate = (): number | undefined => settings.weightBytesPerSecond;
+  const parts: RolloutParts = {
+    context,
+    plan: settings.plan,
+    engine,
+    store,
+    peers: owned.use(createWeightsPeers(context)),
+    origin,
+    pacer: createPacer(rate),
+  };
   const weights = owned.use(
     createWeightsController({
       context,
       service: settings.service,
       engine,
       origin,
-      fetch: async (manifest, signal, held) =>
-        fetchFromOrigin(origin, engine, manifest, signal, held),
+      store,
+      stage: async (job) => runRollout(parts, job),
       changed: options.changed,
     }),
   );
@@ -43,7 +58,7 @@
   );
 
   return {
-    handlers: {},
+    handlers: createWeightsUploads(store, createPacer(rate), context.time),
     get presence() {
       const { served, rollout } = weights;
       const { load, prefixes } = monitor.view;
--- a/packages/daemon/src/weightsController.ts
+++ b/packages/daemon/src/weightsController.ts
@@ -3,14 +3,16 @@
 import { ResultError, toResultError } from '@burdockrail/common/outcome.js';
 import type { Digest } from '@burdockrail/common/digest.js';
 import type { Announcement, ServedVersion } from '@burdockrail/protocol/protocolMembership.js';
-import type { WeightManifest } from '@burdockrail/rollout/rolloutManifest.js';
+import type { WeightManifest } from '@burdockrail/protocol/protocolWeights.js';
 import { createController, type Controller } from './controller.js';
 import type { DaemonContext } from './daemonRole.js';
 import type { EngineClient, EngineOrder } from './engineClient.js';
 import { confirmConfiguration } from './weightsConfirmation.js';
-import { verifyStaged } from './weightsStaging.js';
+import type { RolloutJob } from './weightsRollout.js';
+import type { ChunkStore } from './weightsStore.js';
 import { sameContents, weightsTarget, type WeightsTarget } from './weightsTarget.js';
 import type { WeightsOrigin } from './weightsOrigin.js';
+import { findStaged } from './weightsVerifier.js';
 
 /** Wait before an interrupted rollout is tried again, in milliseconds. */
 const RETRY_MILLISECONDS = 500;
@@ -33,12 +35,8 @@
   engineReports(digest: Digest | null | undefined): void;
 }
 
-/** Fetches all chunks of a version to the engine's staging. */
-export type ChunkFetch = (
-  manifest: WeightManifest,
-  signal: AbortSignal,
-  held: (index: number) => void,
-) => Promise<void>;
+/** Brings a version to the engine's staging and verifies it there. */
+export type StageVersion = (job: RolloutJob) => Promise<void>;
 
 /** Options of {@link createWeightsController}. */
 export interface WeightsControllerOptions {
@@ -46,7 +44,8 @@
   readonly service: string;
   readonly engine: EngineClient;
   readonly origin: WeightsOrigin;
-  readonly fetch: ChunkFetch;
+  readonly store: ChunkStore;
+  readonly stage: StageVersion;
   /** Called when `served` or `rollout` begins, ends or changes. */
   readonly changed: () => void;
 }
@@ -71,13 +70,14 @@
 
 /** Creates the controller of one engine's weights. */
 export function createWeightsController(options: WeightsControllerOptions): WeightsController {
-  const { context, engine, origin } = options;
+  const { context, engine, origin, store } = options;
   const { log, time } = context;
   const allowed = new Set<Digest>();
   let served: ServedVersion | null = null;
   let rollout: RolloutProgress | null = null;
   let highestFencing = 0;
   let orderedAt = Number.NEGATIVE_INFINITY;
+  let isStagingUnknown = true;
   let unsubscribe: () => void = () => undefined;
 
   const setServed = (next: ServedVersion | null): void => {
@@ -108,22 +108,29 @@
     orderedAt = time.now();
   };
 
-  const stage = async (manifest: WeightManifest, signal: AbortSignal): Promise<void> => {
-    const held = new Set<number>();
-    const progress = (): void => {
-      rollout = {
-        digest: manifest.digest,
-        heldChunks: held.size,
-        chunks: manifest.chunks.length,
-      };
+  const stage = async (task: RolloutTask, manifest: WeightManifest): Promise<void> => {
+    const progressed = (heldChunks: number): void => {
+      rollout = { digest: manifest.digest, heldChunks, chunks: manifest.chunks.length };
     };
-    progress();
+    const { signal } = task.cancel;
+    store.open(manifest);
+    if (isStagingUnknown) await findStaged(engine, store, manifest, signal);
+    isStagingUnknown = false;
+    progressed(store.held(manifest.digest).size);
     options.changed();
-    await options.fetch(manifest, signal, (index) => {
-      held.add(index);
-      progress();
-    });
-    await verifyStaged(engine, manifest, signal);
+    await options.stage({ manifest, target: task.target.weights, signal, progressed });
+  };
+
+  /** Lets peers take chunks from an engine that was live before this process knew of it. */
+  const offerStaged = (manifest: WeightManifest, signal: AbortSignal): void => {
+    store.open(manifest);
+    findStaged(engine, store, manifest, signal).catch(() => undefined);
+  };
+
+  const dropOthers = async (digest: Digest): Promise<void> => {
+    for (const version of store.versions) {
+      if (version !== digest) await store.drop(version);
+    }
   };
 
   const bringLive = async (task: RolloutTask): Promise<void> => {
@@ -133,8 +140,11 @@
     const load = await engine.load();
     if (load.digest !== manifest.digest) {
       log.write('rolloutStarted', { model, version, digest: manifest.digest });
-      await stage(manifest, signal);
+      await stage(task, manifest);
       await order(task, manifest);
+      await dropOthers(manifest.digest);
+    } else {
+      offerStaged(manifest, signal);
     }
     rollout = null;
     setServed({ model, version, digest: manifest.digest, adapters: [] });
@@ -215,6 +225,10 @@
     engineReports: (digest) => {
       if (served === null || digest === served.digest) return;
       if (time.now() - orderedAt < REPORT_LAG_MILLISECONDS && digest !== undefined) return;
+      if (digest === undefined || digest === null) {
+        store.forgetStaged();
+        isStagingUnknown = true;
+      }
       lose(digest === undefined ? 'the engine does not answer' : 'the engine holds other weights');
       controller.send({ kind: 'lost' });
     },
--- a/packages/daemon/src/weightsOrigin.ts
+++ b/packages/daemon/src/weightsOrigin.ts
@@ -2,11 +2,8 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { ResultError } from '@burdockrail/common/outcome.js';
 import type { Digest } from '@burdockrail/common/digest.js';
-import {
-  checkManifest,
-  chunkRange,
-  type WeightManifest,
-} from '@burdockrail/rollout/rolloutManifest.js';
+import type { WeightManifest } from '@burdockrail/protocol/protocolWeights.js';
+import { checkManifest, chunkRange } from '@burdockrail/rollout/rolloutManifest.js';
 import { Agent, type Dispatcher } from 'undici';
 
 /** Bound on a question to the weight store, in milliseconds. */
--- /dev/null
+++ b/packages/protocol/src/protocolWeights.ts
@@ -0,0 +1,59 @@
+/** SHA-256 in lower-case hexadecimal, as in the package `common`. */
+type Digest = string;
+
+/** Contents of one version of a model's weights or of an adapter. */
+export interface WeightManifest {
+  readonly model: string;
+  readonly version: string;
+  /** Digest of all bytes in order. */
+  readonly digest: Digest;
+  /** Count of all bytes. */
+  readonly size: number;
+  /** Size of every chunk but the last, in bytes. */
+  readonly chunkSize: number;
+  /** Digests of the chunks in order. */
+  readonly chunks: readonly Digest[];
+}
+
+/** Asks an agent for a chunk by the digest of its bytes. */
+export interface ChunkRequest {
+  readonly chunk: Digest;
+}
+
+/**
+ * Bytes of a chunk, unverified by the receiver.
+ *
+ * @remarks
+ * An agent that does not hold the chunk answers with `ChunkNotHeld`, one whose upload queue is
+ * full with `UploadsBusy`.
+ */
+export interface ChunkReply {
+  readonly bytes: Uint8Array;
+  /** Bytes that wait to be uploaded by the sender, this chunk not among them. */
+  readonly queuedBytes: number;
+}
+
+/** Asks an agent which chunks of a version it holds, now and from now on. */
+export interface ChunkWatch {
+  readonly digest: Digest;
+}
+
+/** Chunks that became held, or at first all that are held. */
+export interface ChunksHeld {
+  readonly indices: readonly number[];
+}
+
+/** Asks an agent for a manifest that it knows. */
+export interface ManifestRequest {
+  readonly digest: Digest;
+}
+
+declare module './protocolKinds.js' {
+  interface PeerCalls {
+    'weights.chunk': CallShape<ChunkRequest, ChunkReply>;
+    'weights.manifest': CallShape<ManifestRequest, WeightManifest | null>;
+  }
+  interface PeerStreams {
+    'weights.watch': StreamShape<ChunkWatch, ChunksHeld>;
+  }
+}
--- /dev/null
+++ b/packages/rollout/src/rolloutLayout.ts
@@ -0,0 +1,39 @@
+import type { Address } from '@burdockrail/protocol/protocolAddress.js';
+
+/** An agent that takes part in the rollout of one version. */
+export interface RolloutMember {
+  readonly agent: string;
+  readonly address: Address;
+  readonly dataCentre: string;
+  readonly region: string;
+  /** True when its engine serves the version, so that it holds every chunk. */
+  readonly isComplete: boolean;
+}
+
+/** The members of a rollout as one of them sees it. */
+export interface RolloutLayout {
+  readonly self: RolloutMember;
+  /** All members, the agent itself among them, in order of their names. */
+  readonly members: readonly RolloutMember[];
+}
+
+/** How far apart two members are. */
+export type Distance = 'data-centre' | 'region' | 'beyond';
+
+/** Creates a layout; the order of the members given is of no consequence. */
+export function createLayout(self: RolloutMember, others: readonly RolloutMember[]): RolloutLayout {
+  const members = [self, ...others.filter(({ agent }) => agent !== self.agent)];
+  members.sort((left, right) => (left.agent < right.agent ? -1 : 1));
+  return { self, members };
+}
+
+/** Tells how far apart two members are. */
+export function distanceBetween(left: RolloutMember, right: RolloutMember): Distance {
+  if (left.dataCentre === right.dataCentre) return 'data-centre';
+  return left.region === right.region ? 'region' : 'beyond';
+}
+
+/** Finds a member by its name. */
+export function memberNamed(layout: RolloutLayout, agent: string): RolloutMember | undefined {
+  return layout.members.find((member) => member.agent === agent);
+}
--- a/packages/rollout/src/rolloutManifest.ts
+++ b/packages/rollout/src/rolloutManifest.ts
@@ -1,20 +1,7 @@
 import { digestOf, type Digest } from '@burdockrail/common/digest.js';
 import { failure, success, type Outcome } from '@burdockrail/common/outcome.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
-
-/** Contents of one version of a model's weights or of an adapter. */
-export interface WeightManifest {
-  readonly model: string;
-  readonly version: string;
-  /** Digest of all bytes in order. */
-  readonly digest: Digest;
-  /** Count of all bytes. */
-  readonly size: number;
-  /** Size of every chunk but the last, in bytes. */
-  readonly chunkSize: number;
-  /** Digests of the chunks in order. */
-  readonly chunks: readonly Digest[];
-}
+import type { WeightManifest } from '@burdockrail/protocol/protocolWeights.js';
 
 /** Position of a chunk in the version's bytes; `end` is exclusive. */
 export interface ChunkRange {
--- /dev/null
+++ b/packages/rollout/src/rolloutScheduler.ts
@@ -0,0 +1,179 @@
+import type { Digest } from '@burdockrail/common/digest.js';
+import type { SeededRandom } from '@burdockrail/common/seededRandom.js';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import { createSourceAvoidance, type FetchFailure } from './rolloutAvoidance.js';
+import { distanceBetween, memberNamed, type RolloutLayout } from './rolloutLayout.js';
+import { rolloutPlans, type ChunkSource, type PlanName, type RolloutPlan } from './rolloutPlan.js';
+import { createRolloutProgress, type RolloutProgress } from './rolloutProgress.js';
+
+/** Kinds of links that have a bound of their own. */
+type Lane = 'origin' | 'local' | 'outside';
+
+/** Fetches in progress at the same time on each lane. */
+const laneLimits: Readonly<Record<Lane, number>> = { origin: 2, local: 6, outside: 4 };
+
+/** Fetches in progress at the same time from one peer. */
+const PER_PEER_LIMIT = 2;
+
+/** Name of the origin among the avoided sources; no agent can have it. */
+const ORIGIN = '';
+
+/** One chunk to fetch from one source. */
+export interface FetchOrder {
+  readonly index: number;
+  readonly source: ChunkSource;
+  /** True when the fetch is the duty of another member that nothing was heard of. */
+  readonly isStepIn: boolean;
+}
+
+/** How a fetch ended. */
+export type FetchResult =
+  | { readonly kind: 'arrived'; readonly queuedBytes: number }
+  | { readonly kind: 'failed'; readonly failure: FetchFailure };
+
+/** Decides which chunks one agent fetches from where; has no clock and no connections. */
+export interface RolloutScheduler {
+  readonly progress: RolloutProgress;
+  /** Peers to ask which chunks they hold. */
+  readonly watched: ReadonlySet<string>;
+  setLayout(layout: RolloutLayout): void;
+  /** A watched peer holds further chunks. */
+  peerHolds(agent: string, indices: readonly number[]): void;
+  /** A peer is no longer watched; what it holds is unknown. */
+  readonly peerGone: (agent: string) => void;
+  /** Fetches to begin now; each has to be reported to {@link finished}. */
+  next(now: Milliseconds): readonly FetchOrder[];
+  finished(order: FetchOrder, result: FetchResult, now: Milliseconds): void;
+}
+
+/** Options of {@link createRolloutScheduler}. */
+export interface RolloutSchedulerOptions {
+  readonly plan: PlanName;
+  readonly chunks: readonly Digest[];
+  readonly layout: RolloutLayout;
+  readonly random: SeededRandom;
+}
+
+interface Candidate {
+  readonly index: number;
+  readonly sources: readonly ChunkSource[];
+  readonly isStepIn: boolean;
+  /** The lowest is fetched first. */
+  readonly rank: number;
+}
+
+function nameOf(source: ChunkSource): string {
+  return source.kind === 'origin' ? ORIGIN : source.agent;
+}
+
+/** A corrupt chunk from the origin was spoilt on its way; there is no other origin to turn to. */
+function failureOf(source: ChunkSource, failure: FetchFailure): FetchFailure {
+  return source.kind === 'origin' && failure === 'corrupt' ? 'unreachable' : failure;
+}
+
+/** Creates the scheduler of one agent and one version. */
+export function createRolloutScheduler(
+  options: RolloutSchedulerOptions,
+  now: Milliseconds,
+): RolloutScheduler {
+  const { chunks, random } = options;
+  const progress = createRolloutProgress(chunks.length, now);
+  const avoidance = createSourceAvoidance();
+  const holders = chunks.map(() => new Set<string>());
+  const pending = new Map<number, FetchOrder>();
+  const queuedBytes = new Map<string, number>();
+  let layout = options.layout;
+  let plan: RolloutPlan = rolloutPlans[options.plan](layout, chunks);
+
+  const laneOf = (source: ChunkSource): Lane => {
+    if (source.kind === 'origin') return 'origin';
+    const member = memberNamed(layout, source.agent);
+    const isLocal = member !== undefined && distanceBetween(layout.self, member) === 'data-centre';
+    return isLocal ? 'local' : 'outside';
+  };
+
+  const countPending = (matches: (source: ChunkSource) => boolean): number =>
+    [...pending.values()].filter(({ source }) => matches(source)).length;
+
+  const hasRoom = (source: ChunkSource): boolean => {
+    const lane = laneOf(source);
+    if (countPending((other) => laneOf(other) === lane) >= laneLimits[lane]) return false;
+    if (source.kind === 'origin') return true;
+    return countPending((other) => nameOf(other) === source.agent) < PER_PEER_LIMIT;
+  };
+
+  const candidateAt = (index: number, at: Milliseconds): Candidate | undefined => {
+    const known = [...(holders[index] ?? [])];
+    const usable = known.filter((agent) => !avoidance.isAvoided(agent, at));
+    const question = { index, holders: usable, elapsedBounds: 0 };
+    const isUsable = (source: ChunkSource): boolean => !avoidance.isAvoided(nameOf(source), at);
+    const elapsedBounds = progress.elapsedBounds(at);
+    const own = plan.sources(question).filter(isUsable);
+    const isStepIn = own.length === 0;
+    const all = isStepIn ? plan.sources({ ...question, elapsedBounds }).filter(isUsable) : own;
+    const sources = all.filter(hasRoom);
+    if (sources.length === 0) return undefined;
+    const rank = plan.rarestFirst ? known.length + random.next() : index;
+    return { index, sources, isStepIn, rank };
+  };
+
+  const bestCandidate = (at: Milliseconds): Candidate | undefined => {
+    let best: Candidate | undefined;
+    for (const index of progress.missing()) {
+      if (pending.has(index)) continue;
+      const candidate = candidateAt(index, at);
+      if (candidate === undefined) continue;
+      if (best === undefined || candidate.rank < best.rank) best = candidate;
+    }
+    return best;
+  };
+
+  const chooseSource = (sources: readonly ChunkSource[]): ChunkSource | undefined => {
+    const loadOf = (source: ChunkSource): number => queuedBytes.get(nameOf(source)) ?? 0;
+    const ranked = sources.map((source) => ({ source, load: loadOf(source), tie: random.next() }));
+    ranked.sort((left, right) => left.load - right.load || left.tie - right.tie);
+    return ranked[0]?.source;
+  };
+
+  return {
+    progress,
+    get watched() {
+      return plan.watched;
+    },
+    setLayout: (next) => {
+      layout = next;
+      plan = rolloutPlans[options.plan](layout, chunks);
+    },
+    peerHolds: (agent, indices) => {
+      for (const index of indices) holders[index]?.add(agent);
+    },
+    peerGone: (agent) => {
+      for (const held of holders) held.delete(agent);
+      queuedBytes.delete(agent);
+    },
+    next: (at) => {
+      const orders: FetchOrder[] = [];
+      for (;;) {
+        const candidate = bestCandidate(at);
+        const source = candidate === undefined ? undefined : chooseSource(candidate.sources);
+        if (candidate === undefined || source === undefined) return orders;
+        const order = { index: candidate.index, source, isStepIn: candidate.isStepIn };
+        pending.set(order.index, order);
+        orders.push(order);
+      }
+    },
+    finished: (order, result, at) => {
+      pending.delete(order.index);
+      const source = nameOf(order.source);
+      if (result.kind === 'arrived') {
+        if (order.isStepIn) progress.holdByStepIn(order.index, at);
+        else progress.hold(order.index, at);
+        avoidance.succeeded(source);
+        queuedBytes.set(source, result.queuedBytes);
+        return;
+      }
+      avoidance.failed(source, failureOf(order.source, result.failure), at);
+      if (result.failure === 'missing') holders[order.index]?.delete(source);
+    },
+  };
+}
