--- /dev/null
+++ b/packages/bench/src/measureProxy.ts
@@ -0,0 +1,121 @@
+import { once } from 'node:events';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import { processTime } from '@burdockrail/common/timeSource.js';
+import type { LinkListener, LinkMachine } from '@burdockrail/faultproxy/linkMachine.js';
+import { openShape } from '@burdockrail/faultproxy/linkShape.js';
+import { startFaultProxyProcess } from '@burdockrail/faultproxy/faultProxyProcess.js';
+import { freeAddress } from '@burdockrail/harness/addressPlan.js';
+import { ownChild } from '@burdockrail/harness/daemonProcess.js';
+import { createLatencyRecorder, type LatencySummary } from './latencySummary.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+const ROUND_TRIPS = 500;
+const WRITE_BYTES = 64 * 1024;
+
+/** What a path of connections carries. */
+export interface PathCost {
+  readonly bytesPerSecond: number;
+  readonly roundTripMilliseconds: LatencySummary;
+  /** Share of a core that the proxy's process used while bulk flowed; 0 without a proxy. */
+  readonly proxyCores: number;
+}
+
+/** Options of {@link measurePath}. */
+export interface PathOptions {
+  readonly machines: number;
+  readonly bytesPerMachine: number;
+  readonly proxied: boolean;
+  /** Rate of each machine's link; unshaped when absent. */
+  readonly machineBytesPerSecond?: number;
+}
+
+async function sendBulk(socket: Socket, bytes: number): Promise<void> {
+  const block = Buffer.alloc(WRITE_BYTES);
+  for (let sent = 0; sent < bytes; sent += block.length) {
+    if (!socket.write(block)) await once(socket, 'drain');
+  }
+}
+
+async function roundTrips(socket: Socket): Promise<LatencySummary> {
+  const recorder = createLatencyRecorder();
+  for (let number = 0; number < ROUND_TRIPS; number += 1) {
+    const startedAt = processTime.now();
+    socket.write('ping');
+    await once(socket, 'data');
+    recorder.record(processTime.now() - startedAt);
+  }
+  return recorder.summary();
+}
+
+/** Measures connections between pairs of machines, directly or through a proxy process. */
+export async function measurePath(options: PathOptions): Promise<PathCost> {
+  await using owned = createDisposalStack();
+  const { machines: count, machineBytesPerSecond: rate } = options;
+  const link =
+    rate === undefined ? {} : { egressBytesPerSecond: rate, ingressBytesPerSecond: rate };
+  const machines: LinkMachine[] = [];
+  const listeners: LinkListener[] = [];
+  let received = 0;
+  let allReceived: () => void = () => undefined;
+  const whole = new Promise<void>((resolve) => (allReceived = resolve));
+  for (let number = 1; number <= count; number += 1) {
+    const host = `127.8.1.${number}`;
+    const server = createServer((socket) => {
+      owned.defer(() => {
+        socket.destroy();
+      });
+      socket.setNoDelay(true);
+      socket.on('error', () => undefined);
+      socket.on('data', (bytes) => {
+        if (bytes.length <= 'ping'.length) socket.write(bytes);
+        else received += bytes.length;
+        if (received >= count * options.bytesPerMachine) allReceived();
+      });
+    });
+    server.listen(0, host);
+    await once(server, 'listening');
+    owned.defer(() => {
+      server.close();
+    });
+    const { port } = server.address() as AddressInfo;
+    const name = `machine-${number}`;
+    machines.push({ name, host, dataCentre: 'a', region: 'a', ...link });
+    listeners.push({ machine: name, listen: await freeAddress(host), target: { host, port } });
+  }
+  const description = { machines, listeners, shape: openShape };
+  const proxy = options.proxied
+    ? owned.use(await startFaultProxyProcess(description, ownChild))
+    : undefined;
+  const dial = async (listener: LinkListener, source: number): Promise<Socket> => {
+    const localAddress = machines[source % count]?.host ?? '';
+    const socket = connect({
+      ...(options.proxied ? listener.listen : listener.target),
+      localAddress,
+    });
+    owned.defer(() => {
+      socket.destroy();
+    });
+    socket.setNoDelay(true);
+    await once(socket, 'connect');
+    return socket;
+  };
+  const sockets = await Promise.all(
+    listeners.map(async (listener, index) => dial(listener, index + 1)),
+  );
+  const [first] = sockets;
+  if (first === undefined) throw new Error('no machines');
+  const roundTripMilliseconds = await roundTrips(first);
+  const before = await proxy?.counts();
+  const startedAt = processTime.now();
+  await Promise.all(sockets.map(async (socket) => sendBulk(socket, options.bytesPerMachine)));
+  await whole;
+  const elapsed = processTime.now() - startedAt;
+  const after = await proxy?.counts();
+  const used = (after?.processorMilliseconds ?? 0) - (before?.processorMilliseconds ?? 0);
+  return {
+    bytesPerSecond: (received / elapsed) * MILLISECONDS_PER_SECOND,
+    roundTripMilliseconds,
+    proxyCores: used / elapsed,
+  };
+}
--- a/packages/faultproxy/src/eventQueue.ts
+++ b/packages/faultproxy/src/eventQueue.ts
@@ -8,6 +8,9 @@
   clear(): void;
 }
 
+/** Time by which an action may run early, as timers do not wake up for less than a millisecond. */
+const EARLY_MILLISECONDS = 0.25;
+
 interface QueuedEvent {
   readonly due: Milliseconds;
   readonly sequence: number;
@@ -29,6 +32,7 @@
   const heap: QueuedEvent[] = [];
   let sequence = 0;
   let timer: NodeJS.Timeout | undefined;
+  let running = false;
 
   const push = (event: QueuedEvent): void => {
     let place = heap.length;
@@ -65,18 +69,21 @@
   };
 
   const run = (): void => {
+    clearTimeout(timer);
     timer = undefined;
-    const now = time.now();
-    for (let next = heap[0]; next !== undefined && next.due <= now; next = heap[0]) {
+    running = true;
+    const until = time.now() + EARLY_MILLISECONDS;
+    for (let next = heap[0]; next !== undefined && next.due <= until; next = heap[0]) {
       pop();
       next.action(next.due);
     }
+    running = false;
     schedule();
   };
 
   const schedule = (): void => {
     const next = heap[0];
-    if (timer !== undefined || next === undefined) return;
+    if (next === undefined) return;
     timer = setTimeout(run, Math.max(0, next.due - time.now()));
   };
 
@@ -85,10 +92,12 @@
       sequence += 1;
       const event = { due, sequence, action };
       push(event);
-      if (heap[0] === event) {
-        clearTimeout(timer);
-        timer = undefined;
+      if (running || heap[0] !== event) return;
+      if (due <= time.now() + EARLY_MILLISECONDS) {
+        run();
+        return;
       }
+      clearTimeout(timer);
       schedule();
     },
     clear: () => {
