feat(daemon): quorum groups on disk and in memory, cluster form, configuration relay

Cause: nothing hosted the replicated log, so no configuration could be accepted. Every process with a slot now hosts its replicas; one operator's order forms all groups; controls take configurations and entries pass them on to agents.

--- a/packages/agreement/src/replica.ts
+++ b/packages/agreement/src/replica.ts
@@ -8,7 +8,7 @@
 import type { ReplicaEffect } from './replicaEffect.js';
 import { askToJoin, driveMembership } from './replicaMembership.js';
 import type { ReplicaMessage } from './replicaMessage.js';
-import { answerQueries, hasLostQuorum, onQuery } from './replicaQuery.js';
+import { answerQueries, confirmedAt, hasLostQuorum, onQuery } from './replicaQuery.js';
 import { advanceCommit, appendOwn, broadcast, refuse, sendAppend } from './replicaReplication.js';
 import { adoptFounding } from './replicaSnapshot.js';
 import {
@@ -59,6 +59,8 @@
   /** Answers from the committed state of this replica alone, which may be out of date. */
   peek(query: unknown): unknown;
   status(): ReplicaStatus;
+  /** Time since this replica heard of a leader with a quorum, in milliseconds. */
+  confirmedAge(now: Milliseconds): Milliseconds;
 }
 
 function leaderOf(core: ReplicaCore): MemberId | null {
@@ -159,6 +161,10 @@
         adoptFounding(core, groupId, membership);
         resetElectionDeadline(core, now);
       }),
+    confirmedAge: (now) => {
+      const { role } = core;
+      return now - (role.kind === 'leader' ? confirmedAt(core, role, now) : core.leaderHeardAt);
+    },
     peek: (query) => core.state.query(query),
     status: () => ({
       role: statusRole(core),
--- a/packages/agreement/src/replicaCore.ts
+++ b/packages/agreement/src/replicaCore.ts
@@ -47,6 +47,7 @@
     electionDeadline: now,
     // A replica that restarts may have just promised a leader not to elect another.
     loyalUntil: now + options.timing.electionMilliseconds,
+    leaderHeardAt: Number.NEGATIVE_INFINITY,
     gone: new Set(),
     joiners: new Map(),
     nextJoinAt: now,
--- a/packages/agreement/src/replicaDispatch.ts
+++ b/packages/agreement/src/replicaDispatch.ts
@@ -14,6 +14,7 @@
     if (core.groupId === null) core.term = term;
     else enterTerm(core, term);
   }
+  core.leaderHeardAt = now;
   core.loyalUntil = now + core.timing.electionMilliseconds;
   resetElectionDeadline(core, now);
 }
--- a/packages/agreement/src/replicaQuery.ts
+++ b/packages/agreement/src/replicaQuery.ts
@@ -7,7 +7,7 @@
 import { leaseMilliseconds } from './replicaTiming.js';
 
 /** Time of sending of the latest messages that a quorum has answered. */
-function confirmedAt(core: ReplicaCore, role: LeaderRole, now: Milliseconds): Milliseconds {
+export function confirmedAt(core: ReplicaCore, role: LeaderRole, now: Milliseconds): Milliseconds {
   const reached = highestReached(quorumView(core), (id) =>
     id === core.self.id ? now : (role.progress.get(id)?.answeredSentAt ?? Number.NEGATIVE_INFINITY),
   );
--- a/packages/agreement/src/replicaReplication.ts
+++ b/packages/agreement/src/replicaReplication.ts
@@ -32,6 +32,9 @@
 /** Most entries in one message. */
 const ENTRIES_PER_MESSAGE = 128;
 
+/** Most entries on their way to one member; a silent member gets heartbeats only. */
+const ENTRIES_IN_FLIGHT = 1_024;
+
 /** What a new leader assumes of a member. */
 export function newProgress(core: ReplicaCore, now: Milliseconds): MemberProgress {
   return {
@@ -72,7 +75,10 @@
     sendSnapshot(core, role, to, now);
     return;
   }
-  const entries = core.log.entriesFrom(progress.nextIndex, ENTRIES_PER_MESSAGE);
+  const inFlight = previousIndex - progress.matchIndex;
+  const hasRoom = progress.matchIndex === 0 || inFlight < ENTRIES_IN_FLIGHT;
+  const limit = hasRoom ? ENTRIES_PER_MESSAGE : 0;
+  const entries = core.log.entriesFrom(progress.nextIndex, limit);
   progress.nextIndex += entries.length;
   sendNow(core, to, {
     kind: 'append',
--- a/packages/agreement/src/replicaState.ts
+++ b/packages/agreement/src/replicaState.ts
@@ -90,6 +90,8 @@
   electionDeadline: Milliseconds;
   /** Until then the replica does not help to elect another leader. */
   loyalUntil: Milliseconds;
+  /** Time of the last message of a leader. */
+  leaderHeardAt: Milliseconds;
   readonly gone: Set<MemberId>;
   /** Latest blank replica of each slot that asked to join. */
   readonly joiners: Map<string, Member>;
--- /dev/null
+++ b/packages/daemon/src/configurationSource.ts
@@ -0,0 +1,41 @@
+import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import type { CommittedConfiguration } from '@burdockrail/protocol/protocolConfiguration.js';
+import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
+import { createConfigurationRelay } from './configurationRelay.js';
+import { createConfigurationWatcher } from './configurationWatcher.js';
+import type { DaemonContext } from './daemonRole.js';
+import { FLEET_GROUP } from './groupName.js';
+import type { GroupProcess } from './groupProcess.js';
+
+/** Where a process has its configurations from, and to whom it passes them on. */
+export interface ConfigurationSource extends AsyncDisposable {
+  readonly handlers: Partial<PeerHandlers>;
+  start(): void;
+}
+
+/** Offers the committed configuration of this process's own replica of the fleet group. */
+export function offerOwnConfiguration(context: DaemonContext, groups: GroupProcess): void {
+  const current = groups.host(FLEET_GROUP)?.peek({ kind: 'current' });
+  if (current === undefined || current === null) return;
+  context.configuration.offer(current as CommittedConfiguration);
+}
+
+/** Creates the source: the own replica in a control, a relay in all other processes. */
+export function createConfigurationSource(
+  context: DaemonContext,
+  groups: GroupProcess,
+): ConfigurationSource {
+  const owned = createDisposalStack();
+  const isControl = context.settings.control !== undefined;
+  const watcher = isControl ? null : owned.use(createConfigurationWatcher(context));
+  const age = (): number =>
+    watcher?.ageMilliseconds ??
+    groups.host(FLEET_GROUP)?.ageMilliseconds ??
+    Number.POSITIVE_INFINITY;
+  const serves = isControl || context.settings.entry !== undefined;
+  return {
+    handlers: serves ? { streams: createConfigurationRelay(context, age) } : {},
+    start: () => watcher?.start(),
+    [Symbol.asyncDispose]: async () => owned[Symbol.asyncDispose](),
+  };
+}
--- a/packages/daemon/src/daemonMain.ts
+++ b/packages/daemon/src/daemonMain.ts
@@ -11,9 +11,12 @@
 import { mergeHandlers } from '@burdockrail/transport/peerHandlers.js';
 import { createPeerServer } from '@burdockrail/transport/peerServer.js';
 import { start, stop } from 'nact';
+import type { AnyReplicatedState } from '@burdockrail/agreement/replicaState.js';
 import { createConfigurationHolder } from './configurationHolder.js';
+import { createConfigurationSource, offerOwnConfiguration } from './configurationSource.js';
 import { daemonRoles } from './daemonRoles.js';
 import type { DaemonContext, DaemonRole } from './daemonRole.js';
+import { createGroupProcess } from './groupProcess.js';
 import { createProcessStatusHandlers } from './processStatus.js';
 
 /** Bytes of randomness in a process's incarnation. */
@@ -52,6 +55,16 @@
   };
 }
 
+/** Stands in for the ledger's state. */
+function createEmptyState(): AnyReplicatedState {
+  return {
+    apply: () => null,
+    query: () => null,
+    snapshot: () => null,
+    restore: () => undefined,
+  };
+}
+
 async function awaitSignal(): Promise<string> {
   return new Promise((resolve) => {
     for (const signal of ['SIGTERM', 'SIGINT'] as const) {
@@ -67,10 +80,23 @@
   await using client = context.client;
   await using owned = createDisposalStack();
   const roles: DaemonRole[] = [];
+  const groups = owned.use(
+    createGroupProcess({
+      context,
+      createLedgerState: createEmptyState,
+      onFleetApplied: () => {
+        offerOwnConfiguration(context, groups);
+      },
+    }),
+  );
+  const source = owned.use(createConfigurationSource(context, groups));
   for (const role of context.identity.roles) roles.push(owned.use(daemonRoles[role](context)));
-  const status = createProcessStatusHandlers(context, roles);
-  const handlers = mergeHandlers([status, ...roles.map((role) => role.handlers)]);
+  const status = createProcessStatusHandlers(context, [groups, ...roles]);
+  const parts = [status, groups.handlers, source.handlers];
+  const handlers = mergeHandlers([...parts, ...roles.map((role) => role.handlers)]);
   await using server = await createPeerServer(settings.listen, context.identity, handlers);
+  await groups.start();
+  source.start();
   await Promise.all(roles.map((role) => role.start()));
   context.log.write('processStarted', {
     incarnation: context.identity.incarnation,
--- /dev/null
+++ b/packages/daemon/src/groupProcess.ts
@@ -0,0 +1,135 @@
+import { join } from 'node:path';
+import { randomBytes } from 'node:crypto';
+import type { ReplicaMessage } from '@burdockrail/agreement/replicaMessage.js';
+import type { AnyReplicatedState } from '@burdockrail/agreement/replicaState.js';
+import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import { ResultError, type Outcome } from '@burdockrail/common/outcome.js';
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { createFleetRegister } from '@burdockrail/fleet/fleetRegister.js';
+import type { GroupReply } from '@burdockrail/protocol/protocolAgreement.js';
+import type { GroupStatus } from '@burdockrail/protocol/protocolConfiguration.js';
+import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
+import type { DaemonContext } from './daemonRole.js';
+import { createGroupFounding, type GroupFounding } from './groupFounding.js';
+import { createGroupHost, leaderSlot, type GroupHost } from './groupHost.js';
+import { FLEET_GROUP } from './groupName.js';
+import { groupNames, groupSlots } from './groupSlots.js';
+import { createMemoryStorage, type GroupStorage } from './storageGroup.js';
+import { openStorageLog } from './storageLog.js';
+
+const INCARNATION_BYTES = 4;
+const INCARNATION_TIME_DIGITS = 12;
+const HEXADECIMAL = 16;
+
+/** All replicas of quorum groups that this process holds. */
+export interface GroupProcess extends AsyncDisposable {
+  readonly handlers: Partial<PeerHandlers>;
+  readonly groups: readonly GroupStatus[];
+  /** Opens the storages and starts the replicas. */
+  start(): Promise<void>;
+  host(group: string): GroupHost | undefined;
+}
+
+/** A name of this start that is greater as a text than those of earlier starts. */
+function freshIncarnation(): string {
+  const time = Date.now().toString(HEXADECIMAL).padStart(INCARNATION_TIME_DIGITS, '0');
+  return `${time}${randomBytes(INCARNATION_BYTES).toString('hex')}`;
+}
+
+function replyOf(host: GroupHost, outcome: Outcome<unknown>): GroupReply {
+  if (outcome.kind === 'success') return { kind: 'result', value: outcome.value };
+  if (outcome.code === ResultCode.QuorumUnreachable) return { kind: 'unknown' };
+  return { kind: 'refused', code: outcome.code, leader: leaderSlot(host) };
+}
+
+/** Options of {@link createGroupProcess}. */
+export interface GroupProcessOptions {
+  readonly context: DaemonContext;
+  /** Creates the replicated state of a ledger group. */
+  readonly createLedgerState: () => AnyReplicatedState;
+  /** Called after the fleet's state took committed commands. */
+  readonly onFleetApplied: () => void;
+}
+
+/** Hosts a replica of each group in which the settings give this process a slot. */
+export function createGroupProcess(options: GroupProcessOptions): GroupProcess {
+  const { context } = options;
+  const { settings, log } = context;
+  const owned = createDisposalStack();
+  const hosts = new Map<string, GroupHost>();
+  const foundings = new Map<string, GroupFounding>();
+
+  const hostOf = (group: string): GroupHost => {
+    const host = hosts.get(group);
+    if (host === undefined) throw new ResultError(ResultCode.UnknownMessage, group);
+    return host;
+  };
+
+  const openStorage = async (group: string): Promise<GroupStorage> => {
+    const { control } = settings;
+    if (control === undefined) return createMemoryStorage(freshIncarnation());
+    return openStorageLog({
+      folder: join(control.dataFolder, group),
+      freshIncarnation: freshIncarnation(),
+      onTailCut: (soundBytes) => {
+        log.write('storageTailCut', { group, soundBytes });
+      },
+    });
+  };
+
+  const startGroup = async (group: string): Promise<void> => {
+    const slots = groupSlots(settings, group);
+    if (!slots.some((slot) => slot.name === settings.name)) return;
+    const isFleet = group === FLEET_GROUP;
+    const host = createGroupHost({
+      context,
+      group,
+      slots,
+      storage: await openStorage(group),
+      state: isFleet ? createFleetRegister() : options.createLedgerState(),
+      ...(isFleet ? { onApplied: options.onFleetApplied } : {}),
+    });
+    hosts.set(group, owned.use(host));
+    foundings.set(group, createGroupFounding(host));
+    if (isFleet) options.onFleetApplied();
+  };
+
+  return {
+    get groups() {
+      return [...hosts.values()].map((host) => host.status);
+    },
+    host: (group) => hosts.get(group),
+    start: async () => {
+      for (const group of groupNames(settings)) await startGroup(group);
+    },
+    handlers: {
+      calls: {
+        'group.propose': async ({ group, command }) => {
+          const host = hostOf(group);
+          return replyOf(host, await host.propose(command));
+        },
+        'group.query': async ({ group, query }) => {
+          const host = hostOf(group);
+          return replyOf(host, await host.query(query));
+        },
+        'group.inspect': async ({ group }) => {
+          const host = hostOf(group);
+          const { member, durable, replica } = host;
+          const { groupId } = replica;
+          return Promise.resolve({ member, durable, groupId, leader: leaderSlot(host) });
+        },
+        'group.found': async (request) => {
+          hostOf(request.group);
+          const founding = foundings.get(request.group);
+          return Promise.resolve(founding?.handle(request) ?? { accepted: false });
+        },
+      },
+      notifications: {
+        'agreement.message': ({ group, message }) => {
+          hosts.get(group)?.receive(message as ReplicaMessage);
+        },
+      },
+    },
+    [Symbol.asyncDispose]: async () => owned[Symbol.asyncDispose](),
+  };
+}
--- a/packages/daemon/src/processStatus.ts
+++ b/packages/daemon/src/processStatus.ts
@@ -4,7 +4,10 @@
 
 const MICROSECONDS_PER_MILLISECOND = 1_000;
 
-function processStatus(context: DaemonContext, roles: readonly DaemonRole[]): ProcessStatus {
+function processStatus(
+  context: DaemonContext,
+  holders: readonly Pick<DaemonRole, 'groups'>[],
+): ProcessStatus {
   const usage = process.cpuUsage();
   const committed = context.configuration.current?.committed;
   return {
@@ -14,7 +17,7 @@
     roles: context.identity.roles,
     revision: committed?.revision ?? 0,
     digest: committed?.digest ?? '',
-    groups: roles.flatMap((role) => role.groups),
+    groups: holders.flatMap((holder) => holder.groups),
     residentBytes: process.memoryUsage.rss(),
     processorMilliseconds: (usage.user + usage.system) / MICROSECONDS_PER_MILLISECOND,
     controlBytesSent: context.client.counters.sentBytes,
@@ -24,11 +27,11 @@
 /** Handlers that every process has, whatever its roles. */
 export function createProcessStatusHandlers(
   context: DaemonContext,
-  roles: readonly DaemonRole[],
+  holders: readonly Pick<DaemonRole, 'groups'>[],
 ): Partial<PeerHandlers> {
   return {
     calls: {
-      'process.status': async () => Promise.resolve(processStatus(context, roles)),
+      'process.status': async () => Promise.resolve(processStatus(context, holders)),
     },
   };
 }
--- a/packages/protocol/src/protocolConfiguration.ts
+++ b/packages/protocol/src/protocolConfiguration.ts
@@ -22,6 +22,16 @@
   | { readonly kind: 'accepted'; readonly revision: number; readonly digest: string }
   | { readonly kind: 'conflict'; readonly revision: number; readonly digest: string };
 
+/** An item of `configuration.watch`. */
+export type ConfigurationWatchItem =
+  | { readonly kind: 'committed'; readonly configuration: CommittedConfiguration }
+  /** Sent in between, so that watchers notice a source that has fallen silent or behind. */
+  | {
+      readonly kind: 'alive';
+      /** Time since a quorum of the fleet group confirmed what the source has, in milliseconds. */
+      readonly ageMilliseconds: number;
+    };
+
 /** What a process reports of itself to operators. */
 export interface ProcessStatus {
   readonly name: string;
--- a/packages/protocol/src/protocolKinds.ts
+++ b/packages/protocol/src/protocolKinds.ts
@@ -1,3 +1,15 @@
+import type {
+  AgreementMessage,
+  ClusterForm,
+  ClusterFormReply,
+  GroupFound,
+  GroupFoundReply,
+  GroupInspect,
+  GroupInspectReply,
+  GroupPropose,
+  GroupQuery,
+  GroupReply,
+} from './protocolAgreement.js';
 import type {
   AttemptFence,
   AttemptFenceReply,
@@ -10,6 +22,7 @@
   CommittedConfiguration,
   ConfigurationApply,
   ConfigurationApplyReply,
+  ConfigurationWatchItem,
   ProcessStatus,
 } from './protocolConfiguration.js';
 import type {
@@ -43,17 +56,23 @@
   'cluster.form': CallShape<ClusterForm, ClusterFormReply>;
   'configuration.apply': CallShape<ConfigurationApply, ConfigurationApplyReply>;
   'configuration.current': CallShape<Record<string, never>, CommittedConfiguration | null>;
+  'cluster.form': CallShape<ClusterForm, ClusterFormReply>;
+  'group.propose': CallShape<GroupPropose, GroupReply>;
+  'group.query': CallShape<GroupQuery, GroupReply>;
+  'group.inspect': CallShape<GroupInspect, GroupInspectReply>;
+  'group.found': CallShape<GroupFound, GroupFoundReply>;
   'process.status': CallShape<Record<string, never>, ProcessStatus>;
 }
 
 /** Streams between processes by kind. */
 export interface PeerStreams {
   'attempt.run': StreamShape<AttemptStart, AttemptItem>;
-  'configuration.watch': StreamShape<{ readonly knownRevision: number }, CommittedConfiguration>;
+  'configuration.watch': StreamShape<{ readonly knownRevision: number }, ConfigurationWatchItem>;
 }
 
 /** One-way messages between processes by kind. */
 export interface PeerNotifications {
+  'agreement.message': AgreementMessage;
   'membership.beat': RegistrarBeat;
   'process.leave': { readonly reason: string };
 }
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -73,6 +73,32 @@
     level: 'warn',
     text: 'An order to the engine was refused because its fencing number is old.',
   },
+  groupFounded: { number: 3002, level: 'info', text: 'A replica became a member of a new group.' },
+  groupRoleChanged: {
+    number: 3003,
+    level: 'info',
+    text: 'A replica took another part in its group.',
+  },
+  groupMembershipChanged: {
+    number: 3004,
+    level: 'info',
+    text: 'The members of a group changed.',
+  },
+  groupStorageFailed: {
+    number: 3005,
+    level: 'error',
+    text: 'A replica cannot store its log and stops taking part.',
+  },
+  storageTailCut: {
+    number: 3006,
+    level: 'warn',
+    text: 'An incomplete record at the end of a log was cut off.',
+  },
+  configurationSourceChanged: {
+    number: 3007,
+    level: 'info',
+    text: 'The process takes configurations from another source.',
+  },
 } as const satisfies Readonly<Record<string, EventDescription>>;
 
 export type EventName = keyof typeof eventCatalogue;
--- a/packages/transport/__tests__/peerConnection.spec.ts
+++ b/packages/transport/__tests__/peerConnection.spec.ts
@@ -27,7 +27,8 @@
   streams: {
     'configuration.watch': async (request, sink) => {
       for (let revision = 1; revision <= request.knownRevision; revision += 1) {
-        await sink.write({ revision, term: 1, digest: '', document: 'x'.repeat(10_000) });
+        const configuration = { revision, term: 1, digest: '', document: 'x'.repeat(10_000) };
+        await sink.write({ kind: 'committed', configuration });
       }
     },
   },
@@ -47,8 +48,9 @@
     );
     let last = 0;
     for await (const item of connection.stream('configuration.watch', { knownRevision: 500 }, {})) {
-      assert.equal(item.revision, last + 1);
-      last = item.revision;
+      assert.equal(item.kind, 'committed');
+      assert.equal(item.configuration.revision, last + 1);
+      last = item.configuration.revision;
     }
     assert.equal(last, 500);
   });
--- a/packages/transport/src/frameCodec.ts
+++ b/packages/transport/src/frameCodec.ts
@@ -11,9 +11,14 @@
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
 const decoder = new Decoder({ useRecords: false });
 
+/** Encodes one value as CBOR. */
+export function encodeBody(value: unknown): Buffer {
+  return encoder.encode(value);
+}
+
 /** Encodes one message as a length field and CBOR. */
 export function encodeFrame(message: unknown): Buffer {
-  const body = encoder.encode(message);
+  const body = encodeBody(message);
   const frame = Buffer.allocUnsafe(LENGTH_FIELD_BYTES + body.length);
   frame.writeUInt32BE(body.length, 0);
   body.copy(frame, LENGTH_FIELD_BYTES);
@@ -70,7 +75,8 @@
   };
 }
 
-function decodeBody(body: Buffer): unknown {
+/** Decodes one CBOR value; throws a {@link ResultError} with `MessageMalformed`. */
+export function decodeBody(body: Buffer): unknown {
   try {
     return decoder.decode(body);
   } catch (error) {
