--- a/packages/daemon/src/groupFormation.ts
+++ b/packages/daemon/src/groupFormation.ts
@@ -2,12 +2,8 @@
 import { ResultError } from '@burdockrail/common/outcome.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { FleetCommand, FleetQuery } from '@burdockrail/fleet/fleetRegister.js';
-import type {
-  ClusterForm,
-  ClusterFormReply,
-  FoundingMember,
-  GroupInspectReply,
-} from '@burdockrail/protocol/protocolAgreement.js';
+import type { FoundingMember, GroupInspectReply } from '@burdockrail/protocol/protocolAgreement.js';
+import type { ClusterForm, ClusterFormReply } from '@burdockrail/protocol/protocolConfiguration.js';
 import type { DaemonContext } from './daemonRole.js';
 import type { GroupClient } from './groupClient.js';
 import { FLEET_GROUP } from './groupName.js';
@@ -90,20 +86,20 @@
     await groups.propose(FLEET_GROUP, command, FLEET_MILLISECONDS);
   };
 
-  const form = async (group: string, acceptLoss: boolean): Promise<'formed' | 'already'> => {
+  const form = async (group: string, acceptLoss: boolean): Promise<keyof ClusterFormReply> => {
     const slots = groupSlots(settings, group);
     const replies = await Promise.all(slots.map(async (slot) => inspect(group, slot)));
-    if (replies.some((reply) => reply.groupId !== null)) return 'already';
+    if (replies.some((reply) => reply.groupId !== null)) return 'alreadyFormed';
     if (group !== FLEET_GROUP) await recordForming(group, acceptLoss);
     await found(group, replies);
     return 'formed';
   };
 
   return async ({ acceptLoss }) => {
-    const reply = { formed: [] as string[], already: [] as string[] };
+    const reply = { formed: [] as string[], alreadyFormed: [] as string[] };
     for (const group of groupNames(settings)) reply[await form(group, acceptLoss)].push(group);
     if (reply.formed.length === 0) {
-      throw new ResultError(ResultCode.GroupAlreadyFormed, reply.already.join(', '));
+      throw new ResultError(ResultCode.GroupAlreadyFormed, reply.alreadyFormed.join(', '));
     }
     return reply;
   };
--- a/packages/protocol/src/protocolAgreement.ts
+++ b/packages/protocol/src/protocolAgreement.ts
@@ -60,15 +60,3 @@
 export interface GroupFoundReply {
   readonly accepted: boolean;
 }
-
-/** Operator's order to form all groups. */
-export interface ClusterForm {
-  /** Also forms ledger groups that were formed before and lost all replicas. */
-  readonly acceptLoss: boolean;
-}
-
-/** Names of the groups that the order formed, and of those that existed. */
-export interface ClusterFormReply {
-  readonly formed: readonly string[];
-  readonly already: readonly string[];
-}
--- a/packages/protocol/src/protocolKinds.ts
+++ b/packages/protocol/src/protocolKinds.ts
@@ -1,7 +1,5 @@
 import type {
   AgreementMessage,
-  ClusterForm,
-  ClusterFormReply,
   GroupFound,
   GroupFoundReply,
   GroupInspect,
@@ -53,7 +51,6 @@
   'membership.renew': CallShape<Renewal, RenewalReply>;
   'membership.update': CallShape<DirectoryUpdate, { readonly counter: number }>;
   'membership.list': CallShape<Record<string, never>, readonly Announcement[]>;
-  'cluster.form': CallShape<ClusterForm, ClusterFormReply>;
   'configuration.apply': CallShape<ConfigurationApply, ConfigurationApplyReply>;
   'configuration.current': CallShape<Record<string, never>, CommittedConfiguration | null>;
   'cluster.form': CallShape<ClusterForm, ClusterFormReply>;
