feat(entry): non-repeatable requests under a claim, and their outcomes by key

Cause: such requests were refused; the session machine had no host. Ruled out: cancelling a claimed attempt when its caller leaves or its deadline passes (the outcome would be lost), and holding the answer until the ledger has stored it (the agent's word settles the claim if the entry dies in between). Before: LedgerUnreachable for all. After: two entries with one ledger run a deposit once and answer its resends alike; each kind of word of the agent about a broken attempt leads to the result that is sure; a question after an outcome settles an open claim but runs nothing. Conclusion: the entry waits for quorum groups to be hosted.

--- a/packages/daemon/__tests__/entryFixture.ts
+++ b/packages/daemon/__tests__/entryFixture.ts
@@ -3,8 +3,18 @@
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
 import { processTime } from '@burdockrail/common/timeSource.js';
 import type { FleetConfigurationInput } from '@burdockrail/fleet/fleetConfiguration.js';
+import { createLedgerState } from '@burdockrail/ledger/ledgerState.js';
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { ResultError } from '@burdockrail/common/outcome.js';
+import type { LedgerCommand, LedgerQuery } from '@burdockrail/protocol/protocolLedger.js';
+import type { GroupClient } from '../src/groupClient.js';
 import type { Address, PeerIdentity } from '@burdockrail/protocol/protocolAddress.js';
-import type { AttemptItem, AttemptStart } from '@burdockrail/protocol/protocolAttempt.js';
+import type {
+  AttemptFence,
+  AttemptFenceReply,
+  AttemptItem,
+  AttemptStart,
+} from '@burdockrail/protocol/protocolAttempt.js';
 import type { Announcement } from '@burdockrail/protocol/protocolMembership.js';
 import { settingsSchema } from '@burdockrail/settings/settingsSchema.js';
 import { createPeerClient } from '@burdockrail/transport/peerClient.js';
@@ -12,7 +22,7 @@
 import { start, stop } from 'nact';
 import { createConfigurationHolder } from '../src/configurationHolder.js';
 import type { DaemonContext } from '../src/daemonRole.js';
-import { createEntryRole } from '../src/entryRole.js';
+import { createEntryRoleWith } from '../src/entryRole.js';
 
 /** Sends the items of an attempt's answer. */
 export type FakeAttempt = (
@@ -58,10 +68,12 @@
 export async function createFakeAgent(
   name: string,
   run: FakeAttempt,
+  more: Partial<Announcement> = {},
+  fence: (order: AttemptFence) => AttemptFenceReply = () => ({ kind: 'fenced' }),
 ): Promise<AsyncDisposable & { readonly announcement: Announcement }> {
   const identity: PeerIdentity = { name, incarnation: '1', dataCentre: 'one', roles: ['agent'] };
   const server = await createPeerServer(loopback, identity, {
-    calls: {},
+    calls: { 'attempt.fence': async (order) => Promise.resolve(fence(order)) },
     streams: {
       'attempt.run': async (order, sink) => run(order, async (item) => sink.write(item)),
     },
@@ -79,14 +91,35 @@
       state: 'present',
       ready: true,
       prefixes: [],
+      ...more,
     },
     [Symbol.asyncDispose]: async () => server[Symbol.asyncDispose](),
   };
 }
 
+/** A quorum group of one, in this process. */
+export function createFakeGroups(): GroupClient {
+  const ledger = createLedgerState();
+  let index = 0;
+  return {
+    propose: async (_group, command) => {
+      index += 1;
+      return Promise.resolve(ledger.apply(command as LedgerCommand, { index, term: 1 }));
+    },
+    query: async (_group, query) => Promise.resolve(ledger.query(query as LedgerQuery)),
+  };
+}
+
+/** Groups that nobody answers for. */
+export const unreachableGroups: GroupClient = {
+  propose: async () => Promise.reject(new ResultError(ResultCode.QuorumUnreachable)),
+  query: async () => Promise.reject(new ResultError(ResultCode.QuorumUnreachable)),
+};
+
 /** An entry in this process with the given upstreams. */
 export async function startEntry(
   announcements: readonly Announcement[],
+  groups: GroupClient = createFakeGroups(),
 ): Promise<AsyncDisposable & { readonly url: string; readonly drain: () => Promise<void> }> {
   let http = '';
   const settings = settingsSchema.parse({
@@ -127,7 +160,7 @@
   };
   const document = canonicalJson(testFleet);
   context.configuration.offer({ revision: 1, term: 1, digest: digestOf(document), document });
-  const role = owned.use(createEntryRole(context));
+  const role = owned.use(createEntryRoleWith(context, { groups }));
   await role.start();
   const announce = role.handlers.calls?.['membership.announce'];
   for (const announcement of announcements) {
--- a/packages/daemon/src/entryExchange.ts
+++ b/packages/daemon/src/entryExchange.ts
@@ -6,6 +6,7 @@
 import { requestHeaderNames } from './requestIdentify.js';
 import { refused, type RefusedResult } from './requestTypes.js';
 import type { DaemonContext } from './daemonRole.js';
+import { OUTCOMES_PATH } from './entryOutcomes.js';
 import type { EntryPage } from './entryPages.js';
 import type { ExchangeHandler } from './entryServer.js';
 import type { RequestPath } from './requestPath.js';
@@ -18,6 +19,8 @@
   readonly settings: EntrySettings;
   readonly pages: Readonly<Record<string, EntryPage>>;
   readonly path: RequestPath;
+  /** Answers the question after the outcome of a non-repeatable request. */
+  readonly outcomes: (message: IncomingMessage, caller: RequestCaller) => Promise<void>;
   readonly isDraining: () => boolean;
 }
 
@@ -55,9 +58,11 @@
   return async (message, response) => {
     const caller = createRequestCaller(message, response, parts.context.time);
     try {
-      const page = parts.pages[(message.url ?? '').split('?')[0] ?? ''];
-      if (page === undefined) await handleRequest(parts, message, caller);
-      else page(caller);
+      const path = (message.url ?? '').split('?')[0] ?? '';
+      const page = parts.pages[path];
+      if (page !== undefined) page(caller);
+      else if (path.startsWith(OUTCOMES_PATH)) await parts.outcomes(message, caller);
+      else await handleRequest(parts, message, caller);
     } catch (error) {
       const { message: reason } = toResultError(error, ResultCode.InternalError);
       parts.context.log.write('requestFailed', { reason });
--- a/packages/daemon/src/entryRole.ts
+++ b/packages/daemon/src/entryRole.ts
@@ -4,12 +4,18 @@
 import { createUpstreamRouter } from '@burdockrail/routing/upstreamRouter.js';
 import { mergeHandlers } from '@burdockrail/transport/peerHandlers.js';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import type { FleetConfiguration } from '@burdockrail/fleet/fleetConfiguration.js';
+import type { IncomingMessage } from 'node:http';
+import type { RequestCaller } from './requestCaller.js';
+import { answerOutcomeQuestion } from './entryOutcomes.js';
 import type { DaemonContext, DaemonRole, DaemonRoleFactory } from './daemonRole.js';
 import { createExchangeHandler } from './entryExchange.js';
 import { createEntryPages } from './entryPages.js';
 import { createEntryServer, type EntryServer } from './entryServer.js';
 import type { EntryServices } from './entryServices.js';
+import { createBackgroundWork } from './entryBackground.js';
 import type { GroupClient } from './groupClient.js';
+import { createLedgerClient } from './ledgerClient.js';
 import { createMembership } from './membership.js';
 import { createEntryMetrics } from './metricsEntry.js';
 import { createAttemptRunner } from './requestAttempt.js';
@@ -18,20 +24,30 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { ResultError } from '@burdockrail/common/outcome.js';
 
-/** Stands in until quorum groups are hosted. */
-const unreachableGroups: GroupClient = {
-  propose: async () => Promise.reject(new ResultError(ResultCode.LedgerUnreachable)),
-  query: async () => Promise.reject(new ResultError(ResultCode.LedgerUnreachable)),
-};
-
 function entrySettings(context: DaemonContext): EntrySettings {
   const { entry } = context.settings;
   if (entry === undefined) throw new ResultError(ResultCode.SettingsInvalid, 'entry: missing');
   return entry;
 }
 
+/** Parts of the entry role that come from elsewhere. */
+export interface EntryRoleParts {
+  /** Quorum groups, for the claims of non-repeatable requests. */
+  readonly groups: GroupClient;
+}
+
+/** Stands in until quorum groups are hosted. */
+const unreachableGroups: GroupClient = {
+  propose: async () => Promise.reject(new ResultError(ResultCode.LedgerUnreachable)),
+  query: async () => Promise.reject(new ResultError(ResultCode.LedgerUnreachable)),
+};
+
 /** Creates the role `entry`. */
-export const createEntryRole: DaemonRoleFactory = (context): DaemonRole => {
+export const createEntryRole: DaemonRoleFactory = (context) =>
+  createEntryRoleWith(context, { groups: unreachableGroups });
+
+/** Creates the role `entry` with the given parts. */
+export function createEntryRoleWith(context: DaemonContext, parts: EntryRoleParts): DaemonRole {
   const settings = entrySettings(context);
   const owned = createDisposalStack();
   const membership = owned.use(createMembership(context));
@@ -41,7 +57,9 @@
     region: context.settings.region,
     time: context.time,
     directory: membership.directory,
-    groups: unreachableGroups,
+    client: context.client,
+    ledger: owned.use(createLedgerClient(parts.groups)),
+    background: createBackgroundWork(),
     router: createUpstreamRouter({ policy: 'affinity', random: context.random }),
     retryBudget: createRetryBudget(),
     attempts: createAttemptRunner({ client: context.client, watch }),
@@ -56,8 +74,11 @@
     metrics: services.metrics,
     isDraining,
   });
-  const path = createRequestPath(services, () => context.configuration.current?.fleet);
-  const handle = createExchangeHandler({ context, settings, pages, path, isDraining });
+  const currentFleet = (): FleetConfiguration | undefined => context.configuration.current?.fleet;
+  const path = createRequestPath(services, currentFleet);
+  const outcomes = async (message: IncomingMessage, caller: RequestCaller): Promise<void> =>
+    answerOutcomeQuestion(services, currentFleet(), message, caller);
+  const handle = createExchangeHandler({ context, settings, pages, path, outcomes, isDraining });
 
   return {
     handlers: mergeHandlers([membership.handlers]),
@@ -71,8 +92,9 @@
     drain: async () => {
       draining = true;
       const bound = setTimeout(context.settings.drainMilliseconds, undefined, { ref: false });
-      await Promise.race([server?.drain(), bound]);
+      const drained = server?.drain().then(async () => services.background.idle());
+      await Promise.race([drained, bound]);
     },
     [Symbol.asyncDispose]: async () => owned[Symbol.asyncDispose](),
   };
-};
+}
--- a/packages/daemon/src/entryServices.ts
+++ b/packages/daemon/src/entryServices.ts
@@ -2,7 +2,9 @@
 import type { RetryBudget } from '@burdockrail/limits/retryBudget.js';
 import type { UpstreamDirectory } from '@burdockrail/membership/upstreamDirectory.js';
 import type { UpstreamRouter } from '@burdockrail/routing/upstreamRouter.js';
-import type { GroupClient } from './groupClient.js';
+import type { BackgroundWork } from './entryBackground.js';
+import type { LedgerClient } from './ledgerClient.js';
+import type { PeerClient } from '@burdockrail/transport/peerClient.js';
 import type { EntryMetrics } from './metricsEntry.js';
 import type { AttemptRunner } from './requestAttempt.js';
 
@@ -12,7 +14,9 @@
   readonly region: string;
   readonly time: TimeSource;
   readonly directory: UpstreamDirectory;
-  readonly groups: GroupClient;
+  readonly client: PeerClient;
+  readonly ledger: LedgerClient;
+  readonly background: BackgroundWork;
   readonly router: UpstreamRouter;
   readonly retryBudget: RetryBudget;
   readonly attempts: AttemptRunner;
--- a/packages/daemon/src/requestAnswer.ts
+++ b/packages/daemon/src/requestAnswer.ts
@@ -9,7 +9,7 @@
   run: 'burdockrail-run',
   version: 'burdockrail-version',
   upstream: 'burdockrail-upstream',
-  request: 'burdockrail-request',
+  replayed: 'burdockrail-replayed',
   retryAfter: 'retry-after',
 } as const;
 
--- a/packages/daemon/src/requestAttempt.ts
+++ b/packages/daemon/src/requestAttempt.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { ResultCode, type RunState } from '@burdockrail/common/resultCode.js';
 import { ResultError, toResultError } from '@burdockrail/common/outcome.js';
-import type { Milliseconds, TimeSource } from '@burdockrail/common/timeSource.js';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import type { Address } from '@burdockrail/protocol/protocolAddress.js';
 import type {
   AttemptHead,
@@ -33,6 +33,8 @@
   /** What is known of the upstream having run the request. */
   readonly run: RunState;
   readonly detail: string;
+  /** False when nothing of the request left this process. */
+  readonly sent: boolean;
   /** The upstream died, or the connection to its agent was lost, while it ran the request. */
   readonly crash: 'none' | 'suspected' | 'certain';
 }
@@ -78,7 +80,11 @@
   detail: string,
   crash: AttemptFailure['crash'] = 'none',
 ): AttemptFailure {
-  return { kind: 'failed', code, run, detail, crash };
+  return { kind: 'failed', code, run, detail, crash, sent: true };
+}
+
+function unsent(detail: string): AttemptFailure {
+  return { ...failed(ResultCode.ConnectionLost, 'not-run', detail), sent: false };
 }
 
 /** The order to an agent for one attempt of a request. */
@@ -183,10 +189,10 @@
     run: async (plan, sink) => {
       const connection = client.to(plan.address);
       if (!(await connected(connection))) {
-        return failed(ResultCode.ConnectionLost, 'not-run', 'The agent cannot be reached.');
+        return unsent('The agent cannot be reached.');
       }
       if (plan.signal?.aborted === true) {
-        return failed(ResultCode.ConnectionLost, 'not-run', 'The caller has left.');
+        return unsent('The caller has left.');
       }
       const release = watch.hold(connection);
       try {
@@ -206,8 +212,3 @@
     },
   };
 }
-
-/** Time left until a deadline, never below zero. */
-export function timeLeft(deadlineAt: Milliseconds, time: TimeSource): number {
-  return Math.max(0, deadlineAt - time.now());
-}
--- a/packages/daemon/src/requestRelay.ts
+++ b/packages/daemon/src/requestRelay.ts
@@ -2,7 +2,7 @@
 import type { AttemptHead } from '@burdockrail/protocol/protocolAttempt.js';
 import { answerHeaderNames, errorDocument } from './requestAnswer.js';
 import type { AnswerHeaders, RequestCaller } from './requestCaller.js';
-import { refused, type RefusedResult } from './requestTypes.js';
+import type { RefusedResult } from './requestTypes.js';
 
 /** Largest answer that is held until it is whole, in bytes; larger ones are passed on in parts. */
 const MAXIMUM_HELD_BYTES = 8 * 1024 * 1024;
@@ -25,19 +25,16 @@
   end(): void;
 }
 
-/** Passes one upstream's answer on to the caller. */
-export interface AnswerRelay extends AnswerSink {
-  /** Ends an answer that has begun so that the caller sees it as cut. */
-  cut(result: RefusedResult): void;
+/** Headers of an upstream's answer without those of its connection. */
+export function keptHeaders(headers: AnswerHeaders): AnswerHeaders {
+  const kept = Object.entries(headers).filter(([name]) => !droppedHeaders.has(name.toLowerCase()));
+  return Object.fromEntries(kept);
 }
 
 /** Headers of an upstream's answer as the caller gets them. */
 export function relayedHeaders(head: AttemptHead, agent: string): AnswerHeaders {
-  const kept = Object.entries(head.headers).filter(
-    ([name]) => !droppedHeaders.has(name.toLowerCase()),
-  );
   return {
-    ...Object.fromEntries(kept),
+    ...keptHeaders(head.headers),
     [answerHeaderNames.result]: String(ResultCode.Ok),
     [answerHeaderNames.run]: 'ran',
     [answerHeaderNames.upstream]: agent,
@@ -54,9 +51,15 @@
   return contentType?.[1].startsWith('text/event-stream') === true;
 }
 
-/** Last notice of a cut answer: an event of its own in an event stream, nothing otherwise. */
-function cutNotice(streamed: boolean, result: RefusedResult): string {
-  return streamed ? `\n\nevent: error\ndata: ${errorDocument(result)}\n\n` : '';
+/**
+ * Last notice of a cut answer, as an event of its own.
+ *
+ * @remarks
+ * The connection breaks after it. A caller that reads an event stream learns the number; for any
+ * other answer of a length not told before, the break alone shows the cut.
+ */
+export function cutNotice(result: RefusedResult): string {
+  return `\n\nevent: error\ndata: ${errorDocument(result)}\n\n`;
 }
 
 /**
@@ -66,7 +69,7 @@
  * Event streams are passed on part by part. Other answers are held until they are whole, so that
  * one cut short can still be replaced by a retry or a numbered error.
  */
-export function createAnswerRelay(caller: RequestCaller, agent: string): AnswerRelay {
+export function createAnswerRelay(caller: RequestCaller, agent: string): AnswerSink {
   let present: AttemptHead | undefined;
   let held: Uint8Array[] | undefined = [];
   let heldBytes = 0;
@@ -99,14 +102,5 @@
       const body = Buffer.concat(held, heldBytes);
       caller.answer(present.status, relayedHeaders(present, agent), body);
     },
-    cut: (result) => {
-      const streamed = present !== undefined && isEventStream(present);
-      caller.cut(cutNotice(streamed, result));
-    },
   };
 }
-
-/** Result that tells a caller why its answer ends early. */
-export function cutResult(code: ResultCode, detail: string): RefusedResult {
-  return refused(code, 'ran', { detail });
-}
--- a/packages/daemon/src/requestRepeatable.ts
+++ b/packages/daemon/src/requestRepeatable.ts
@@ -1,9 +1,10 @@
 import { ResultCode, type RunState } from '@burdockrail/common/resultCode.js';
 import type { RetryBudget } from '@burdockrail/limits/retryBudget.js';
-import type { UpstreamView } from '@burdockrail/membership/upstreamDirectory.js';
 import type { EntryServices } from './entryServices.js';
 import { attemptStart, createAttemptId, type AttemptFailure } from './requestAttempt.js';
-import { createAnswerRelay, cutResult } from './requestRelay.js';
+import { callerCode, joinRuns, retryableCodes } from './requestCodes.js';
+import { createAnswerRelay, cutNotice } from './requestRelay.js';
+import { chooseUpstream } from './requestRoute.js';
 import { refused, type IdentifiedRequest, type RequestResult } from './requestTypes.js';
 
 /** What a repeatable request has been through. */
@@ -14,58 +15,6 @@
   readonly lastFailure?: AttemptFailure;
 }
 
-/** Failures after which another upstream may do better. */
-const retryableCodes: ReadonlySet<ResultCode> = new Set([
-  ResultCode.NoUpstream,
-  ResultCode.Overloaded,
-  ResultCode.UpstreamFailed,
-  ResultCode.AnswerIncomplete,
-  ResultCode.AnswerMismatched,
-  ResultCode.Draining,
-  ResultCode.VersionUnavailable,
-  ResultCode.AttemptNeverStarted,
-  ResultCode.InternalError,
-  ResultCode.WeightsIncomplete,
-  ResultCode.ConnectionLost,
-  ResultCode.UnknownMessage,
-]);
-
-/** Codes between processes that callers are told in their own terms. */
-const callerCodes: Readonly<Partial<Record<ResultCode, ResultCode>>> = {
-  [ResultCode.ConnectionLost]: ResultCode.UpstreamFailed,
-  [ResultCode.UnknownMessage]: ResultCode.UpstreamFailed,
-};
-
-/** Code that stands towards a caller for the failure of an attempt. */
-export function callerCode(code: ResultCode): ResultCode {
-  return callerCodes[code] ?? code;
-}
-
-/** What is known of a request after one more attempt. */
-export function joinRuns(left: RunState, right: RunState): RunState {
-  if (left === 'ran' || right === 'ran') return 'ran';
-  return left === 'unknown' || right === 'unknown' ? 'unknown' : 'not-run';
-}
-
-function chooseUpstream(
-  services: EntryServices,
-  request: IdentifiedRequest,
-  progress: RepeatableProgress,
-): UpstreamView | undefined {
-  const now = services.time.now();
-  return services.router.choose(
-    {
-      candidates: services.directory.upstreamsOf(request.service.name, now),
-      dataCentre: services.dataCentre,
-      region: services.region,
-      excluded: progress.excluded,
-      prefixes: request.prefixes,
-      ...(request.versionDigest === undefined ? {} : { versionDigest: request.versionDigest }),
-    },
-    now,
-  );
-}
-
 /** Result when no further upstream can be tried. */
 function nothingToTry(request: IdentifiedRequest, progress: RepeatableProgress): RequestResult {
   const { lastFailure } = progress;
@@ -103,7 +52,7 @@
   for (;;) {
     const now = services.time.now();
     if (now >= request.deadlineAt) return refused(ResultCode.DeadlineExceeded, progress.run);
-    const view = chooseUpstream(services, request, progress);
+    const view = chooseUpstream(services, request, progress.excluded);
     if (view === undefined) return nothingToTry(request, progress);
     if (!mayRetry(services.retryBudget, progress)) {
       const { detail } = progress.lastFailure ?? {};
@@ -137,7 +86,7 @@
     ended(blamed ? 'failed' : 'neutral', services.time.now());
     if (request.caller.begun) {
       const code = callerCode(outcome.code);
-      relay.cut(cutResult(code, outcome.detail));
+      request.caller.cut(cutNotice(refused(code, 'ran', { detail: outcome.detail })));
       return { kind: 'relayed', code, run: 'ran' };
     }
     progress = afterFailure(progress, agent, outcome);
--- a/packages/ledger/src/claimMachine.ts
+++ b/packages/ledger/src/claimMachine.ts
@@ -52,8 +52,11 @@
 const begun: PhaseHandlers<'begun'> = { begin: (session) => choose(session) };
 
 const choosing: PhaseHandlers<'choosing'> = {
-  chosen: (session, { attempt }, now) =>
-    attempt === null ? endWithoutRun(session, now) : claim(session, attempt, now),
+  chosen: (session, { attempt }, now) => {
+    const { digest } = session.request;
+    if (attempt === null || digest === null) return endWithoutRun(session, now);
+    return claim(session, attempt, digest, now);
+  },
 };
 
 /** Ends a session that had no answer of the ledger; a claim that it may have made is freed. */
@@ -170,6 +173,9 @@
   decided: (session, { result }, now, { since }) => {
     const isTimely = now - since <= DECLINE_TIMEOUT_MILLISECONDS;
     if (result.kind === 'declined' && isTimely) return finish(session, notRun(session));
+    if (result.kind === 'absent') {
+      return finish(session, refusal(ResultCode.ClaimNotFound, 'unknown'));
+    }
     return afterResult(session, result, now);
   },
   undecided: (session) => finish(session, refusal(ResultCode.LedgerUnreachable, 'unknown')),
--- a/packages/ledger/src/claimSession.ts
+++ b/packages/ledger/src/claimSession.ts
@@ -13,7 +13,8 @@
   readonly key: ClaimKey;
   /** True when the caller gave the key, so that earlier sendings may exist. */
   readonly keyed: boolean;
-  readonly digest: string;
+  /** Null for a question after the outcome, which never runs anything. */
+  readonly digest: string | null;
   readonly receivedAt: EpochMilliseconds;
 }
 
--- a/packages/ledger/src/claimTransitions.ts
+++ b/packages/ledger/src/claimTransitions.ts
@@ -67,9 +67,10 @@
 export function claim(
   session: ClaimSession,
   attempt: ClaimedAttempt,
+  digest: string,
   at: EpochMilliseconds,
 ): ClaimStep {
-  const { key, digest, receivedAt } = session.request;
+  const { key, receivedAt } = session.request;
   const command = { kind: 'claim', key, digest, attempt, receivedAt, at } as const;
   return moveTo(session, { kind: 'claiming', attempt }, { kind: 'propose', command });
 }
--- a/packages/ledger/src/ledgerCommands.ts
+++ b/packages/ledger/src/ledgerCommands.ts
@@ -36,7 +36,8 @@
   { record, full }: LedgerCase,
 ): LedgerResult | null {
   if (record === undefined) return full ? { kind: 'full' } : null;
-  if (record.digest !== command.digest) return { kind: 'body-differs' };
+  const differs = command.digest !== null && record.digest !== command.digest;
+  if (differs) return { kind: 'body-differs' };
   return record.state.kind === 'free' ? null : viewOf(record);
 }
 
@@ -72,10 +73,12 @@
 function decline(command: DeclineCommand, present: LedgerCase): LedgerDecision {
   const refused = refusal(command, present);
   if (refused !== null) return { result: refused };
+  const digest = present.record?.digest ?? command.digest;
+  if (digest === null) return { result: { kind: 'absent' } };
   return {
     result: { kind: 'declined' },
     record: {
-      digest: command.digest,
+      digest,
       state: { kind: 'free' },
       released: present.record?.released ?? [],
       declinedAt: Math.max(present.record?.declinedAt ?? 0, command.at),
--- a/packages/protocol/src/protocolLedger.ts
+++ b/packages/protocol/src/protocolLedger.ts
@@ -36,7 +36,8 @@
 export interface DeclineCommand {
   readonly kind: 'decline';
   readonly key: ClaimKey;
-  readonly digest: string;
+  /** Null when the sender only asks for the outcome and has no body to compare. */
+  readonly digest: string | null;
   readonly at: EpochMilliseconds;
 }
 
