feat: switch weights in turns with no request in progress, and load adapters

Cause: an engine may swap weights under running requests, and all upstreams of a service could be interrupted at once. Ruled out: refusing attempts during the switch, which fails them where a service has one upstream. Before: an order could meet running streams.

--- a/packages/daemon/__tests__/attemptService.spec.ts
+++ b/packages/daemon/__tests__/attemptService.spec.ts
@@ -7,6 +7,7 @@
 import { createDisposalStack, type DisposalStack } from '@burdockrail/common/disposalStack.js';
 import { processTime } from '@burdockrail/common/timeSource.js';
 import type { AttemptItem, AttemptStart } from '@burdockrail/protocol/protocolAttempt.js';
+import { createAttemptGate } from '../src/attemptGate.js';
 import { createAttemptService, type AttemptService } from '../src/attemptService.js';
 import { createAttemptUpstream } from '../src/attemptUpstream.js';
 
@@ -39,6 +40,7 @@
   const service = createAttemptService({
     upstream,
     allowsDigest: (digest) => digest === DIGEST,
+    gate: createAttemptGate(),
     incarnation: 'one',
     service: 'model',
     time: processTime,
--- a/packages/daemon/__tests__/weightsFleet.ts
+++ b/packages/daemon/__tests__/weightsFleet.ts
@@ -16,6 +16,7 @@
 import { start, stop } from 'nact';
 import type { AgentUpstream } from '../src/agentUpstream.js';
 import { createModelUpstream } from '../src/agentModelUpstream.js';
+import { createAttemptGate } from '../src/attemptGate.js';
 import { createAttemptUpstream } from '../src/attemptUpstream.js';
 import { createConfigurationHolder } from '../src/configurationHolder.js';
 import type { DaemonContext } from '../src/daemonRole.js';
@@ -38,7 +39,7 @@
 export interface Fleet {
   readonly agents: readonly FleetAgent[];
   /** Puts weights into force, at all agents. */
-  readonly apply: (version: string) => void;
+  readonly apply: (version: string, adapters?: readonly string[]) => void;
   readonly digestOf: (version: string) => string;
   readonly originBytes: (version: string) => Promise<number>;
   readonly originUrl: string;
@@ -74,7 +75,7 @@
 
 const MODEL = 'fogo';
 
-function document(version: string, dataCentres: number): string {
+function document(version: string, dataCentres: number, adapters: readonly string[]): string {
   const names = Array.from({ length: dataCentres }, (_item, index) => `dc${index}`);
   return JSON.stringify({
     fleet: 'test',
@@ -86,6 +87,7 @@
         home: 'dc0',
         upstreams: {},
         weights: { model: MODEL, version },
+        adapters: adapters.map((adapter) => ({ model: adapter, version: 'one' })),
       },
     ],
     teams: [],
@@ -160,7 +162,7 @@
         settings: settings.agent,
         attempts: parts.use(createAttemptUpstream(engine.url, HOST)),
         changed: () => undefined,
-        runningAttempts: () => 0,
+        gate: createAttemptGate(),
       }),
     );
     const handlers = { calls: {}, streams: {}, notifications: {}, ...upstream.handlers };
@@ -199,9 +201,9 @@
 
   return {
     agents,
-    apply: (version) => {
+    apply: (version, adapters = []) => {
       const revision = (committed?.revision ?? 0) + 1;
-      const text = document(version, options.dataCentres);
+      const text = document(version, options.dataCentres, adapters);
       const next: CommittedConfiguration = { revision, term: 1, digest: '', document: text };
       committed = next;
       for (const agent of agents) agent.offer(next);
--- a/packages/daemon/__tests__/weightsRollout.spec.ts
+++ b/packages/daemon/__tests__/weightsRollout.spec.ts
@@ -91,4 +91,21 @@
     await awaitLive(fleet, 'one');
     assert.equal(await fleet.originBytes('one'), SIZE);
   });
+
+  it('loads adapters after the weights that they belong to', async () => {
+    await using owned = createDisposalStack();
+    const adapter: WeightVersion = { ...one, model: 'nib', size: 4 * CHUNK };
+    const versions = [one, adapter];
+    const fleet = await createFleet(owned, { versions, dataCentres: 1, perDataCentre: 2 });
+    fleet.apply('one', ['nib']);
+    await awaitLive(fleet, 'one');
+    await until('the adapter is live', () =>
+      fleet.agents.every(({ upstream }) => upstream.presence.serving?.adapters.join(',') === 'nib'),
+    );
+    for (const { engineUrl } of fleet.agents) {
+      const response = await fetch(`${engineUrl}/load`);
+      const load = (await response.json()) as { readonly adapters: readonly string[] };
+      assert.deepEqual(load.adapters, ['nib']);
+    }
+  });
 });
--- a/packages/daemon/src/agentModelUpstream.ts
+++ b/packages/daemon/src/agentModelUpstream.ts
@@ -6,10 +6,13 @@
 import type { AgentUpstreamFactory } from './agentUpstream.js';
 import { createEngineClient } from './engineClient.js';
 import { createEngineMonitor, loadReport } from './engineMonitor.js';
+import { createWeightsBringUp } from './weightsBringUp.js';
 import { createWeightsController } from './weightsController.js';
+import { createWeightsOrders } from './weightsOrders.js';
 import { createWeightsOrigin, type WeightsOrigin } from './weightsOrigin.js';
 import { createWeightsPeers } from './weightsPeers.js';
 import { runRollout, type RolloutParts } from './weightsRollout.js';
+import { createWeightsServing } from './weightsServing.js';
 import { createChunkStore } from './weightsStore.js';
 import { createWeightsUploads } from './weightsUploads.js';
 
@@ -22,6 +25,16 @@
   return createWeightsOrigin({ weightStore, origin, localAddress });
 }
 
+/** Share of the rate for weights that is used while requests run. */
+const SHARE_BESIDE_REQUESTS = 0.85;
+
+/** Rate of weight traffic in each direction; undefined for no bound. */
+function weightRate(settings: AgentSettings, runningAttempts: number): number | undefined {
+  const rate = settings.weightBytesPerSecond;
+  if (rate === undefined || runningAttempts === 0) return rate;
+  return rate * SHARE_BESIDE_REQUESTS;
+}
+
 /** Creates the upstream of an agent that stands before a model engine. */
 export const createModelUpstream: AgentUpstreamFactory = (options) => {
   const { context, settings } = options;
@@ -30,8 +43,8 @@
   const engine = owned.use(createEngineClient(settings.upstream.url, localAddress));
   const origin = owned.use(originOf(settings, localAddress));
   const store = createChunkStore(engine);
-  const rate = (): number | undefined => settings.weightBytesPerSecond;
-  const parts: RolloutParts = {
+  const rate = (): number | undefined => weightRate(settings, options.gate.inside);
+  const rollout: RolloutParts = {
     context,
     plan: settings.plan,
     engine,
@@ -40,16 +53,22 @@
     origin,
     pacer: createPacer(rate),
   };
+  const serving = createWeightsServing(options.changed);
+  const { service } = settings;
+  const orders = createWeightsOrders(context, service, engine);
+  const bringUp = createWeightsBringUp({
+    context,
+    service,
+    engine,
+    origin,
+    store,
+    stage: async (job) => runRollout(rollout, job),
+    orders,
+    serving,
+    gate: options.gate,
+  });
   const weights = owned.use(
-    createWeightsController({
-      context,
-      service: settings.service,
-      engine,
-      origin,
-      store,
-      stage: async (job) => runRollout(parts, job),
-      changed: options.changed,
-    }),
+    createWeightsController({ context, service, bringUp, orders, serving }),
   );
   const monitor = owned.use(
     createEngineMonitor(engine, (view) => {
@@ -60,10 +79,10 @@
   return {
     handlers: createWeightsUploads(store, createPacer(rate), context.time),
     get presence() {
-      const { served, rollout } = weights;
+      const { served, rollout, isSwitching } = serving;
       const { load, prefixes } = monitor.view;
       return {
-        ready: served !== null && load !== null,
+        ready: served !== null && load !== null && !isSwitching,
         prefixes,
         ...(served === null ? {} : { serving: served }),
         ...(load === null ? {} : { load: loadReport(load) }),
@@ -71,9 +90,9 @@
       };
     },
     get servedDigest() {
-      return weights.served?.digest;
+      return serving.served?.digest;
     },
-    allowsDigest: weights.allows,
+    allowsDigest: serving.allows,
     start: async () => {
       await monitor.start();
       weights.start();
--- a/packages/daemon/src/agentRole.ts
+++ b/packages/daemon/src/agentRole.ts
@@ -7,6 +7,7 @@
 import { createModelUpstream } from './agentModelUpstream.js';
 import { createPlainUpstream } from './agentPlainUpstream.js';
 import type { AgentUpstreamFactory } from './agentUpstream.js';
+import { createAttemptGate } from './attemptGate.js';
 import { createAttemptService, type AttemptService } from './attemptService.js';
 import { createAttemptUpstream } from './attemptUpstream.js';
 import type { DaemonContext, DaemonRoleFactory } from './daemonRole.js';
@@ -38,6 +39,7 @@
     state,
     ...upstream.presence,
   });
+  const gate = createAttemptGate();
   const announcer = owned.use(createMembershipAnnouncer(context, describe));
   const attemptUpstream = owned.use(
     createAttemptUpstream(settings.upstream.url, context.settings.listen.host),
@@ -48,11 +50,12 @@
       settings,
       attempts: attemptUpstream,
       changed: () => void announcer.announceNow(),
-      runningAttempts: () => attempts.running,
+      gate,
     }),
   );
   const attempts: AttemptService = createAttemptService({
     upstream: attemptUpstream,
+    gate,
     allowsDigest: upstream.allowsDigest,
     incarnation: identity.incarnation,
     service: settings.service,
--- a/packages/daemon/src/agentUpstream.ts
+++ b/packages/daemon/src/agentUpstream.ts
@@ -2,6 +2,7 @@
 import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
 import type { AgentSettings } from '@burdockrail/settings/settingsSchema.js';
 import type { DaemonContext } from './daemonRole.js';
+import type { AttemptGate } from './attemptGate.js';
 import type { AttemptUpstream } from './attemptUpstream.js';
 
 /** What an agent announces of its upstream. */
@@ -28,8 +29,8 @@
   readonly attempts: AttemptUpstream;
   /** Called when the presence changed so that entries should know at once. */
   readonly changed: () => void;
-  /** Count of attempts in progress. */
-  readonly runningAttempts: () => number;
+  /** Gate that all attempts pass. */
+  readonly gate: AttemptGate;
 }
 
 /** Creates the upstream of an agent. */
--- a/packages/daemon/src/attemptAnswer.ts
+++ b/packages/daemon/src/attemptAnswer.ts
@@ -13,6 +13,9 @@
 /** Times that one stream is resumed before its attempt fails. */
 const MAXIMUM_RESUMES = 3;
 
+/** Lowest status with which an upstream reports a failure of its own. */
+const LOWEST_FAILURE_STATUS = 500;
+
 /** Statuses whose answers have no body. */
 const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
@@ -45,7 +48,12 @@
 }
 
 function checkIdentity(start: AttemptStart, response: Response): void {
-  if (headerOf(response, REQUEST_ID_HEADER) === start.attemptId) return;
+  const identity = headerOf(response, REQUEST_ID_HEADER);
+  if (identity === start.attemptId) return;
+  if (identity === undefined && response.statusCode >= LOWEST_FAILURE_STATUS) {
+    const detail = `the upstream answered with status ${response.statusCode}`;
+    throw new AttemptError(ResultCode.UpstreamFailed, 'unknown', detail);
+  }
   const detail = 'the answer does not carry the identity of the attempt';
   throw new AttemptError(ResultCode.AnswerMismatched, 'unknown', detail);
 }
--- a/packages/daemon/src/attemptService.ts
+++ b/packages/daemon/src/attemptService.ts
@@ -9,25 +9,28 @@
 import type { PeerHandlers, StreamSink } from '@burdockrail/transport/peerHandlers.js';
 import { upstreamAnswer, type AnswerSource } from './attemptAnswer.js';
 import { AttemptError, failedItem } from './attemptFailure.js';
+import type { AttemptGate } from './attemptGate.js';
 import { createAttemptTable, type AttemptTable } from './attemptTable.js';
 
 /** Time beyond its timeout for which a non-repeatable attempt is followed, in milliseconds. */
 const FOLLOWED_AFTER_TIMEOUT_MILLISECONDS = 60_000;
 
+/** Longest time for which an attempt waits while the weights are switched, in milliseconds. */
+const LONGEST_HOLD_MILLISECONDS = 5_000;
+
 /** Largest body of an answer that is kept for a later question, in bytes. */
 const MAXIMUM_KEPT_BODY_BYTES = 256 * 1024;
 
 /** Attempts of one agent. */
 export interface AttemptService {
   readonly handlers: Partial<PeerHandlers>;
-  /** Count of attempts in progress. */
-  readonly running: number;
   /** Refuses new attempts from now on and resolves when those in progress have ended. */
   drain(): Promise<void>;
 }
 
 /** Options of {@link createAttemptService}. */
 export interface AttemptServiceOptions extends AnswerSource {
+  readonly gate: AttemptGate;
   readonly incarnation: string;
   readonly service: string;
   readonly time: TimeSource;
@@ -82,6 +85,16 @@
   return null;
 }
 
+function shuttingDown(): AttemptError {
+  const detail = 'the agent is shutting down';
+  return new AttemptError(ResultCode.AttemptNeverStarted, 'not-run', detail);
+}
+
+function switching(): AttemptError {
+  const detail = 'the upstream is being switched to other weights';
+  return new AttemptError(ResultCode.AttemptNeverStarted, 'not-run', detail);
+}
+
 function timeoutError(start: AttemptStart): AttemptError {
   const detail = `no whole answer within ${start.timeoutMilliseconds} ms`;
   return new AttemptError(ResultCode.DeadlineExceeded, 'unknown', detail);
@@ -175,13 +188,8 @@
     await sink.write(failedItem(start.attemptId, error));
   };
 
-  const run = async (start: AttemptStart, sink: ItemSink, signal: AbortSignal): Promise<void> => {
-    if (draining) {
-      const detail = 'the agent is shutting down';
-      const error = new AttemptError(ResultCode.AttemptNeverStarted, 'not-run', detail);
-      return refuse(start, sink, error);
-    }
-    const refusal = refusalOf(options, start);
+  const begin = async (start: AttemptStart, sink: ItemSink, signal: AbortSignal): Promise<void> => {
+    const refusal = draining ? shuttingDown() : refusalOf(options, start);
     if (refusal !== null) return refuse(start, sink, refusal);
     const decision = table.start(start, options.time.now());
     if (decision.kind === 'refuse') {
@@ -192,6 +200,17 @@
     await track(isRepeatable ? runRepeatable(start, sink, signal) : runOnce(start, sink));
   };
 
+  const run = async (start: AttemptStart, sink: ItemSink, signal: AbortSignal): Promise<void> => {
+    if (draining) return refuse(start, sink, shuttingDown());
+    const wait = Math.min(start.timeoutMilliseconds / 2, LONGEST_HOLD_MILLISECONDS);
+    if (!(await options.gate.enter(wait))) return refuse(start, sink, switching());
+    try {
+      await begin(start, sink, signal);
+    } finally {
+      options.gate.leave();
+    }
+  };
+
   return {
     handlers: {
       streams: { 'attempt.run': async (start, sink, context) => run(start, sink, context.signal) },
@@ -200,9 +219,6 @@
           Promise.resolve(table.fence(request, options.time.now())),
       },
     },
-    get running() {
-      return running.size;
-    },
     drain: async () => {
       draining = true;
       await Promise.all(running);
--- a/packages/daemon/src/weightsController.ts
+++ b/packages/daemon/src/weightsController.ts
@@ -1,53 +1,34 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
-import { ResultError, toResultError } from '@burdockrail/common/outcome.js';
+import { toResultError } from '@burdockrail/common/outcome.js';
 import type { Digest } from '@burdockrail/common/digest.js';
-import type { Announcement, ServedVersion } from '@burdockrail/protocol/protocolMembership.js';
-import type { WeightManifest } from '@burdockrail/protocol/protocolWeights.js';
 import { createController, type Controller } from './controller.js';
 import type { DaemonContext } from './daemonRole.js';
-import type { EngineClient, EngineOrder } from './engineClient.js';
-import { confirmConfiguration } from './weightsConfirmation.js';
-import type { RolloutJob } from './weightsRollout.js';
-import type { ChunkStore } from './weightsStore.js';
+import type { WeightsBringUp } from './weightsBringUp.js';
+import type { WeightsOrders } from './weightsOrders.js';
+import type { WeightsServing } from './weightsServing.js';
 import { sameContents, weightsTarget, type WeightsTarget } from './weightsTarget.js';
-import type { WeightsOrigin } from './weightsOrigin.js';
-import { findStaged } from './weightsVerifier.js';
 
 /** Wait before an interrupted rollout is tried again, in milliseconds. */
 const RETRY_MILLISECONDS = 500;
 
-/** Time after an order during which the engine's lagging report may still name the old digest. */
-const REPORT_LAG_MILLISECONDS = 2_000;
+/** Time after an order during which a report may still name the old digest, in milliseconds. */
+const REPORT_LAG_MILLISECONDS = 1_000;
 
-/** Progress of the version that is being fetched. */
-export type RolloutProgress = NonNullable<Announcement['rollout']>;
-
-/** Brings the weights that the configuration names to one engine. */
+/** Keeps one engine at the weights that the configuration names. */
 export interface WeightsController extends AsyncDisposable {
-  /** Weights that the engine serves; null when none are live. */
-  readonly served: ServedVersion | null;
-  readonly rollout: RolloutProgress | null;
-  /** Tells whether answers of these weights may be given to callers. */
-  readonly allows: (digest: Digest) => boolean;
   start(): void;
   /** Takes the digest that the engine reports; undefined when it does not answer. */
   engineReports(digest: Digest | null | undefined): void;
 }
 
-/** Brings a version to the engine's staging and verifies it there. */
-export type StageVersion = (job: RolloutJob) => Promise<void>;
-
 /** Options of {@link createWeightsController}. */
 export interface WeightsControllerOptions {
   readonly context: DaemonContext;
   readonly service: string;
-  readonly engine: EngineClient;
-  readonly origin: WeightsOrigin;
-  readonly store: ChunkStore;
-  readonly stage: StageVersion;
-  /** Called when `served` or `rollout` begins, ends or changes. */
-  readonly changed: () => void;
+  readonly bringUp: WeightsBringUp;
+  readonly orders: WeightsOrders;
+  readonly serving: WeightsServing;
 }
 
 /** One attempt to reach a target. */
@@ -59,7 +40,6 @@
 interface WeightsState {
   readonly target: WeightsTarget | null;
   readonly task: RolloutTask | null;
-  readonly isLive: boolean;
 }
 
 type WeightsMessage =
@@ -70,90 +50,14 @@
 
 /** Creates the controller of one engine's weights. */
 export function createWeightsController(options: WeightsControllerOptions): WeightsController {
-  const { context, engine, origin, store } = options;
+  const { context, bringUp, orders, serving } = options;
   const { log, time } = context;
-  const allowed = new Set<Digest>();
-  let served: ServedVersion | null = null;
-  let rollout: RolloutProgress | null = null;
-  let highestFencing = 0;
-  let orderedAt = Number.NEGATIVE_INFINITY;
-  let isStagingUnknown = true;
+  let isReachable = false;
   let unsubscribe: () => void = () => undefined;
 
-  const setServed = (next: ServedVersion | null): void => {
-    served = next;
-    if (next !== null) allowed.add(next.digest);
-    options.changed();
-  };
-
-  const order = async (task: RolloutTask, manifest: WeightManifest): Promise<void> => {
-    const committed = await confirmConfiguration(context);
-    task.cancel.signal.throwIfAborted();
-    const target = weightsTarget({ ...requireConfiguration(context), committed }, options.service);
-    const fencing = target?.fencing ?? 0;
-    if (fencing < highestFencing) {
-      log.write('orderRefused', { fencing, highest: highestFencing });
-      throw new ResultError(ResultCode.StaleRevision);
-    }
-    highestFencing = fencing;
-    allowed.add(manifest.digest);
-    const reply = await engine.order(orderFor(manifest, served, fencing));
-    if (reply.kind === 'stale-fencing') {
-      log.write('orderRefused', { fencing, highest: reply.highest });
-      throw new ResultError(ResultCode.EngineRefusedOrder, `highest is ${reply.highest}`);
-    }
-    if (reply.digest !== manifest.digest) {
-      throw new ResultError(ResultCode.EngineRefusedOrder, `the engine holds ${reply.digest}`);
-    }
-    orderedAt = time.now();
-  };
-
-  const stage = async (task: RolloutTask, manifest: WeightManifest): Promise<void> => {
-    const progressed = (heldChunks: number): void => {
-      rollout = { digest: manifest.digest, heldChunks, chunks: manifest.chunks.length };
-    };
-    const { signal } = task.cancel;
-    store.open(manifest);
-    if (isStagingUnknown) await findStaged(engine, store, manifest, signal);
-    isStagingUnknown = false;
-    progressed(store.held(manifest.digest).size);
-    options.changed();
-    await options.stage({ manifest, target: task.target.weights, signal, progressed });
-  };
-
-  /** Lets peers take chunks from an engine that was live before this process knew of it. */
-  const offerStaged = (manifest: WeightManifest, signal: AbortSignal): void => {
-    store.open(manifest);
-    findStaged(engine, store, manifest, signal).catch(() => undefined);
-  };
-
-  const dropOthers = async (digest: Digest): Promise<void> => {
-    for (const version of store.versions) {
-      if (version !== digest) await store.drop(version);
-    }
-  };
-
-  const bringLive = async (task: RolloutTask): Promise<void> => {
-    const { signal } = task.cancel;
-    const { model, version, expectedDigest } = task.target.weights;
-    const manifest = await origin.manifest(model, version, expectedDigest, signal);
-    const load = await engine.load();
-    if (load.digest !== manifest.digest) {
-      log.write('rolloutStarted', { model, version, digest: manifest.digest });
-      await stage(task, manifest);
-      await order(task, manifest);
-      await dropOthers(manifest.digest);
-    } else {
-      offerStaged(manifest, signal);
-    }
-    rollout = null;
-    setServed({ model, version, digest: manifest.digest, adapters: [] });
-    log.write('weightsLive', { model, version, digest: manifest.digest });
-  };
-
   const run = async (task: RolloutTask): Promise<void> => {
     try {
-      await bringLive(task);
+      await bringUp.run(task.target, task.cancel.signal);
       controller.send({ kind: 'live', task });
     } catch (error) {
       if (task.cancel.signal.aborted) return;
@@ -165,10 +69,10 @@
   };
 
   const begin = (target: WeightsTarget | null): WeightsState => {
-    if (target === null) return { target, task: null, isLive: false };
+    if (target === null) return { target, task: null };
     const task = { target, cancel: new AbortController() };
     void run(task);
-    return { target, task, isLive: false };
+    return { target, task };
   };
 
   const takeConfiguration = (state: WeightsState, target: WeightsTarget | null): WeightsState => {
@@ -176,7 +80,7 @@
       return { ...state, target };
     }
     state.task?.cancel.abort();
-    rollout = null;
+    serving.setRollout(null);
     return begin(target);
   };
 
@@ -185,37 +89,36 @@
       case 'configuration':
         return takeConfiguration(state, message.target);
       case 'live':
-        return message.task === state.task ? { ...state, task: null, isLive: true } : state;
+        return message.task === state.task ? { ...state, task: null } : state;
       case 'failed':
         return message.task === state.task ? begin(state.target) : state;
       case 'lost':
-        return state.isLive ? begin(state.target) : state;
+        state.task?.cancel.abort();
+        return begin(state.target);
     }
   };
 
-  const initial: WeightsState = { target: null, task: null, isLive: false };
-  const controller: Controller<WeightsMessage> = createController(
+  const controller: Controller<WeightsMessage> = createController<WeightsState, WeightsMessage>(
     context.actors,
     'weights',
-    initial,
+    { target: null, task: null },
     step,
     log,
   );
 
-  const lose = (reason: string): void => {
-    if (served === null) return;
-    log.write('weightsLost', { digest: served.digest, reason });
-    setServed(null);
+  const isLagging = (): boolean => time.now() - orders.orderedAt < REPORT_LAG_MILLISECONDS;
+
+  const lose = (reported: Digest | null | undefined): void => {
+    bringUp.stagingLost();
+    log.write('weightsLost', {
+      digest: serving.served?.digest ?? null,
+      reported: reported ?? null,
+    });
+    serving.setServed(null);
+    controller.send({ kind: 'lost' });
   };
 
   return {
-    get served() {
-      return served;
-    },
-    get rollout() {
-      return rollout;
-    },
-    allows: (digest) => allowed.has(digest),
     start: () => {
       unsubscribe = context.configuration.subscribe((configuration) => {
         const target = weightsTarget(configuration, options.service);
@@ -223,14 +126,17 @@
       });
     },
     engineReports: (digest) => {
-      if (served === null || digest === served.digest) return;
-      if (time.now() - orderedAt < REPORT_LAG_MILLISECONDS && digest !== undefined) return;
-      if (digest === undefined || digest === null) {
-        store.forgetStaged();
-        isStagingUnknown = true;
+      const wasReachable = isReachable;
+      isReachable = digest !== undefined;
+      // An engine that was gone may have restarted without what was staged.
+      if (wasReachable && !isReachable) {
+        lose(digest);
+        return;
       }
-      lose(digest === undefined ? 'the engine does not answer' : 'the engine holds other weights');
-      controller.send({ kind: 'lost' });
+      const served = serving.served;
+      if (served === null || digest === undefined || digest === served.digest) return;
+      if (serving.isSwitching || isLagging()) return;
+      lose(digest);
     },
     [Symbol.asyncDispose]: async () => {
       unsubscribe();
@@ -239,27 +145,3 @@
     },
   };
 }
-
-function requireConfiguration(
-  context: DaemonContext,
-): NonNullable<DaemonContext['configuration']['current']> {
-  const current = context.configuration.current;
-  if (current === null) throw new ResultError(ResultCode.GroupNotFormed);
-  return current;
-}
-
-function orderFor(
-  manifest: WeightManifest,
-  served: ServedVersion | null,
-  fencing: number,
-): EngineOrder {
-  return {
-    kind: served?.model === manifest.model ? 'version' : 'load',
-    digest: manifest.digest,
-    size: manifest.size,
-    chunks: manifest.chunks.length,
-    model: manifest.model,
-    version: manifest.version,
-    fencing,
-  };
-}
--- a/packages/daemon/src/weightsRollout.ts
+++ b/packages/daemon/src/weightsRollout.ts
@@ -31,6 +31,9 @@
 /** Time between two questions for the members of the rollout, in milliseconds. */
 const MEMBERS_INTERVAL_MILLISECONDS = 1_000;
 
+/** Chunks that are copied from another version at the same time. */
+const PARALLEL_COPIES = 4;
+
 /** Parts of an agent that its rollouts share. */
 export interface RolloutParts {
   readonly context: DaemonContext;
@@ -115,10 +118,14 @@
 
 async function copyCommonChunks(parts: RolloutParts, job: RolloutJob): Promise<void> {
   const held = parts.store.held(job.manifest.digest);
-  for (const index of job.manifest.chunks.keys()) {
-    job.signal.throwIfAborted();
-    if (!held.has(index)) await parts.store.copy(job.manifest, index);
-  }
+  const indices = job.manifest.chunks.keys();
+  const copy = async (): Promise<void> => {
+    for (const index of indices) {
+      job.signal.throwIfAborted();
+      if (!held.has(index)) await parts.store.copy(job.manifest, index);
+    }
+  };
+  await Promise.all(Array.from({ length: PARALLEL_COPIES }, copy));
 }
 
 /** Takes one message into the scheduler. */
