feat(settings): checks between fields, defaults, and pages made from the code

Cause: settings that are right field by field could still be wrong as a whole (a process that its own peers do not list, the agent of a model without an origin), and this showed only at run time. The pages of events, results and settings would drift from the code.

A generator package was ruled out: the schemas' own JSON form holds all that the tables need.

Before: parse errors as one line of text.

--- a/packages/daemon/src/daemonMain.ts
+++ b/packages/daemon/src/daemonMain.ts
@@ -1,9 +1,10 @@
 import { randomBytes } from 'node:crypto';
-import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
+import { resultName } from '@burdockrail/common/resultCode.js';
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { processTime } from '@burdockrail/common/timeSource.js';
 import type { PeerIdentity, Role } from '@burdockrail/protocol/protocolAddress.js';
+import { settingsDefaultsYaml } from '@burdockrail/settings/settingsDefaults.js';
 import { readSettings } from '@burdockrail/settings/settingsFile.js';
 import type { Settings } from '@burdockrail/settings/settingsSchema.js';
 import { createEventLog } from '@burdockrail/telemetry/eventLog.js';
@@ -19,6 +20,8 @@
 import { createGroupProcess } from './groupProcess.js';
 import { createProcessStatusHandlers } from './processStatus.js';
 
+const USAGE = 'usage: burdockraild SETTINGS | --check-settings SETTINGS | --print-defaults\n';
+
 /** Bytes of randomness in a process's incarnation. */
 const INCARNATION_BYTES = 8;
 
@@ -110,15 +113,24 @@
   stop(context.actors);
 }
 
+function settingsPath(parameters: readonly string[]): string | undefined {
+  const paths = parameters[0] === '--check-settings' ? parameters.slice(1) : parameters;
+  return paths.length === 1 && !paths[0]?.startsWith('-') ? paths[0] : undefined;
+}
+
 /**
  * Runs the daemon with its command line.
  *
  * @returns the exit code of the process.
  */
 export async function runDaemon(parameters: readonly string[]): Promise<number> {
-  const path = parameters.at(-1);
+  if (parameters[0] === '--print-defaults') {
+    process.stdout.write(settingsDefaultsYaml());
+    return 0;
+  }
+  const path = settingsPath(parameters);
   if (path === undefined) {
-    process.stderr.write('usage: burdockraild [--check-settings] SETTINGS\n');
+    process.stderr.write(USAGE);
     return 2;
   }
   const settings = await readSettings(path);
@@ -126,7 +138,10 @@
     process.stderr.write(`${settings.code} ${resultName(settings.code)}: ${settings.detail}\n`);
     return 2;
   }
-  if (parameters.includes('--check-settings')) return ResultCode.Ok;
+  if (parameters[0] === '--check-settings') {
+    process.stdout.write(`valid: ${settings.value.name}, ${rolesOf(settings.value).join(', ')}\n`);
+    return 0;
+  }
   await serve(settings.value);
   return 0;
 }
--- a/packages/fleet/src/fleetConfiguration.ts
+++ b/packages/fleet/src/fleetConfiguration.ts
@@ -4,59 +4,72 @@
 const digest = z.string().regex(/^[0-9a-f]{64}$/u, 'expected a SHA-256 digest');
 
 /** Schema of a data centre. */
-export const dataCentreSchema = z.strictObject({ name, region: name }).readonly();
+export const dataCentreSchema = z
+  .strictObject({
+    name: name.describe('name of the data centre'),
+    region: name.describe('region; links between regions are thinner than those within one'),
+  })
+  .readonly();
 
 /** Schema of weights or of an adapter: a version of a model in the weight store. */
 export const versionSchema = z
-  .strictObject({ model: name, version: z.string().min(1), digest: digest.optional() })
+  .strictObject({
+    model: name.describe('name of the model or adapter'),
+    version: z.string().min(1).describe('version in the weight store'),
+    digest: digest
+      .optional()
+      .describe('SHA-256 of the whole; weights with another digest are refused'),
+  })
   .readonly();
 
 /** Schema of a route of a service. */
 export const routeSchema = z
   .strictObject({
-    method: z.enum(['GET', 'POST', 'PUT', 'DELETE']),
-    /** Path prefix below the service. */
-    path: z.string().startsWith('/'),
-    /** False for requests that may run at most once. */
-    repeatable: z.boolean(),
+    method: z.enum(['GET', 'POST', 'PUT', 'DELETE']).describe('HTTP method'),
+    path: z.string().startsWith('/').describe('path prefix below the service, whole segments'),
+    repeatable: z.boolean().describe('false for requests that may run at most once'),
   })
   .readonly();
 
 /** Schema of a service and its upstreams. */
 export const serviceSchema = z
   .strictObject({
-    name,
-    kind: z.enum(['model', 'plain']),
-    /** Data centre whose ledger decides on the non-repeatable requests of the service. */
-    home: name,
-    /** Expected count of upstreams by data centre. */
-    upstreams: z.record(name, z.int().min(0)).readonly(),
-    weights: versionSchema.optional(),
-    adapters: z.array(versionSchema).readonly().default([]),
-    /** Whether its upstreams refuse orders with an old fencing number by themselves. */
-    checksFencing: z.boolean().default(false),
-    routes: z.array(routeSchema).readonly().default([]),
+    name: name.describe('name of the service'),
+    kind: z.enum(['model', 'plain']).describe('model engines or plain HTTP services'),
+    home: name.describe(
+      'data centre whose ledger decides on the non-repeatable requests of the service',
+    ),
+    upstreams: z
+      .record(name, z.int().min(0))
+      .readonly()
+      .describe('expected count of upstreams by data centre'),
+    weights: versionSchema.optional().describe('weights that the upstreams serve; models need it'),
+    adapters: z.array(versionSchema).readonly().default([]).describe('adapters beside the weights'),
+    checksFencing: z
+      .boolean()
+      .default(false)
+      .describe('whether the upstreams refuse orders with an old fencing number by themselves'),
+    routes: z.array(routeSchema).readonly().default([]).describe('routes that are marked'),
   })
   .readonly();
 
 /** Schema of a team and its limits. */
 export const teamSchema = z
   .strictObject({
-    name,
-    /** Weight of the team when capacity is short. */
-    share: z.number().positive().default(1),
-    requestsPerSecond: z.number().positive().optional(),
-    concurrency: z.int().positive().optional(),
+    name: name.describe('name of the team'),
+    share: z.number().positive().default(1).describe('weight when capacity is short'),
+    requestsPerSecond: z.number().positive().optional().describe('bound on the rate of requests'),
+    concurrency: z.int().positive().optional().describe('bound on requests in progress'),
   })
   .readonly();
 
 /** Schema of the whole configuration of a fleet. */
 export const fleetConfigurationSchema = z
   .strictObject({
-    fleet: name,
-    dataCentres: z.array(dataCentreSchema).min(1).readonly(),
-    services: z.array(serviceSchema).readonly(),
-    teams: z.array(teamSchema).readonly(),
+    fleet: name.describe('name of the fleet'),
+    dataCentres: z.array(dataCentreSchema).min(1).readonly().describe('data centres of the fleet'),
+    services: z.array(serviceSchema).readonly().describe('services and their upstreams'),
+    teams: z.array(teamSchema).readonly().describe('teams that may send requests'),
   })
   .readonly();
 
--- /dev/null
+++ b/packages/settings/__tests__/settingsChecks.spec.ts
@@ -0,0 +1,141 @@
+import assert from 'node:assert/strict';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { describe, it } from 'node:test';
+import { formatFieldIssue } from '@burdockrail/common/fieldIssue.js';
+import { checkSettings } from '../src/settingsChecks.js';
+import { settingsDefaultsYaml } from '../src/settingsDefaults.js';
+import { parseSettings, readSettings } from '../src/settingsFile.js';
+
+const listen = { host: '10.0.0.1', port: 7100 };
+const self = { name: 'one', dataCentre: 'north', roles: ['entry', 'control'], address: listen };
+const other = {
+  name: 'two',
+  dataCentre: 'south',
+  roles: ['entry'],
+  address: { host: '10.0.0.2', port: 7100 },
+};
+const base = {
+  name: 'one',
+  dataCentre: 'north',
+  region: 'coast',
+  listen,
+  peers: [self, other],
+  entry: { http: { host: '10.0.0.1', port: 8080 } },
+  control: { dataFolder: 'data' },
+};
+const agent = {
+  name: 'agent-1',
+  dataCentre: 'north',
+  region: 'coast',
+  listen: { host: '10.0.0.9', port: 7100 },
+  peers: [self],
+  agent: { service: 'assistant', upstream: { kind: 'model', url: 'http://10.0.0.9:9000' } },
+};
+
+function linesOf(document: unknown): readonly string[] {
+  const check = checkSettings(document);
+  return check.kind === 'valid' ? [] : check.issues.map(formatFieldIssue);
+}
+
+describe('checkSettings', () => {
+  it('accepts right settings and fills in defaults', () => {
+    const check = checkSettings(base);
+    assert.equal(check.kind, 'valid');
+    assert.equal(check.settings.drainMilliseconds, 30_000);
+    assert.deepEqual(check.settings.log, { format: 'json', level: 'info' });
+  });
+
+  const cases: readonly [string, object, readonly string[]][] = [
+    [
+      'unknown keys and host names',
+      { ...base, drain: 5, listen: { host: 'localhost', port: 7100 } },
+      [
+        '420 SettingsFieldInvalid: listen.host: expected an IP number, found "localhost"',
+        '420 SettingsFieldInvalid: drain: expected no field of this name, found 5',
+      ],
+    ],
+    [
+      'an upstream by host name',
+      { ...agent, agent: { ...agent.agent, upstream: { kind: 'plain', url: 'http://engine:1' } } },
+      [
+        '420 SettingsFieldInvalid: agent.upstream.url: expected an IP number in place of a host name, found "http://engine:1"',
+      ],
+    ],
+    [
+      'a process without a role',
+      { ...base, entry: undefined, control: undefined, peers: [other] },
+      [
+        '421 SettingsNoRole: (root): expected at least one of the fields entry, control, agent, found none of them',
+      ],
+    ],
+    [
+      'peers without the process itself',
+      { ...base, peers: [other] },
+      [
+        '422 SettingsPeerMissing: peers[one]: expected this process with the roles entry, control, found nothing',
+      ],
+    ],
+    [
+      'peers that describe the process otherwise',
+      { ...base, peers: [{ ...self, dataCentre: 'south', roles: ['entry'] }, other] },
+      [
+        '426 SettingsPeerDiffers: peers[one].dataCentre: expected north, as this process has it, found south',
+        '426 SettingsPeerDiffers: peers[one].roles: expected entry,control, as this process has it, found entry',
+      ],
+    ],
+    [
+      'repeated names and addresses',
+      { ...base, entry: { http: listen }, peers: [self, other, { ...other, roles: ['control'] }] },
+      [
+        '423 SettingsNameRepeated: peers[two]: expected a name that no other peer has, found it 2 times',
+        '425 SettingsAddressRepeated: peers[two].address: expected another address than peers[two].address, found 10.0.0.2:7100',
+        '425 SettingsAddressRepeated: entry.http: expected another address than listen, found 10.0.0.1:7100',
+      ],
+    ],
+    [
+      'the agent of a model without sources, far from any entry',
+      { ...agent, dataCentre: 'west' },
+      [
+        '422 SettingsPeerMissing: peers: expected an entry of the data centre west, to which the agent announces itself, found ["one"]',
+        '424 SettingsSourceMissing: agent.weightStore: expected a URL, because the upstream is a model, found nothing',
+        '424 SettingsSourceMissing: agent.origin: expected a URL, because the upstream is a model, found nothing',
+      ],
+    ],
+  ];
+  for (const [name, document, expected] of cases) {
+    it(`refuses ${name}`, () => {
+      assert.deepEqual(linesOf(document), expected);
+    });
+  }
+});
+
+describe('settings files', () => {
+  it('resolve a relative data folder against the folder of the file', async () => {
+    const folder = await mkdtemp(join(tmpdir(), 'burdockrail-'));
+    try {
+      const path = join(folder, 'one.yaml');
+      await writeFile(path, JSON.stringify(base));
+      const read = await readSettings(path);
+      assert.equal(read.kind, 'success');
+      assert.equal(read.value.control?.dataFolder, join(folder, 'data'));
+    } finally {
+      await rm(folder, { recursive: true });
+    }
+  });
+
+  it('answer with a number when they are missing or no YAML', async () => {
+    const missing = await readSettings('/missing.yaml');
+    assert.equal(missing.kind === 'failure' && missing.code, 403);
+    const broken = parseSettings('name: [');
+    assert.equal(broken.kind === 'failure' && broken.code, 402);
+  });
+});
+
+describe('settingsDefaultsYaml', () => {
+  it('lists every default', () => {
+    assert.match(settingsDefaultsYaml(), /^ {2}plan: swarm$/mu);
+    assert.match(settingsDefaultsYaml(), /^drainMilliseconds: 30000$/mu);
+  });
+});
--- a/packages/settings/src/settingsFile.ts
+++ b/packages/settings/src/settingsFile.ts
@@ -1,10 +1,13 @@
 import { readFile } from 'node:fs/promises';
+import { dirname, resolve } from 'node:path';
+import { formatFieldIssue } from '@burdockrail/common/fieldIssue.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { failure, success, type Outcome } from '@burdockrail/common/outcome.js';
 import { parse } from 'yaml';
-import { settingsSchema, type Settings } from './settingsSchema.js';
+import { checkSettings } from './settingsChecks.js';
+import type { Settings } from './settingsSchema.js';
 
-/** Checks the text of a settings file. */
+/** Checks the text of a settings file; the detail of a failure has one line for each fault. */
 export function parseSettings(text: string): Outcome<Settings> {
   let document: unknown;
   try {
@@ -13,20 +16,29 @@
     const reason = error instanceof Error ? error.message : String(error);
     return failure(ResultCode.SettingsInvalid, `not YAML: ${reason}`);
   }
-  const checked = settingsSchema.safeParse(document);
-  if (checked.success) return success(checked.data);
-  const issues = checked.error.issues.map(
-    (issue) => `${issue.path.join('.') || '(root)'}: ${issue.message}`,
-  );
-  return failure(ResultCode.SettingsInvalid, issues.join('; '));
+  const check = checkSettings(document);
+  if (check.kind === 'valid') return success(check.settings);
+  const count = check.issues.length === 1 ? '1 fault' : `${check.issues.length} faults`;
+  const lines = check.issues.map((issue) => `  ${formatFieldIssue(issue)}`);
+  return failure(ResultCode.SettingsInvalid, [count, ...lines].join('\n'));
 }
 
-/** Reads and checks a settings file. */
+/** Reads and checks a settings file; a relative data folder starts at the folder of the file. */
 export async function readSettings(path: string): Promise<Outcome<Settings>> {
+  let text: string;
   try {
-    return parseSettings(await readFile(path, 'utf8'));
+    text = await readFile(path, 'utf8');
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
     return failure(ResultCode.SettingsUnreadable, reason);
   }
+  const parsed = parseSettings(text);
+  if (parsed.kind === 'failure') return parsed;
+  return success(withResolvedFolder(parsed.value, dirname(resolve(path))));
+}
+
+function withResolvedFolder(settings: Settings, base: string): Settings {
+  if (settings.control === undefined) return settings;
+  const dataFolder = resolve(base, settings.control.dataFolder);
+  return { ...settings, control: { ...settings.control, dataFolder } };
 }
