feat(transport): count sent bytes by family of message

Cause: the budget of 2 KB/s a node is for control alone, and the sum over sockets mixes it with weights and requests. Ruled out: separate connections by purpose, which doubles the sockets of each pair. After: process.status gives sentBytesByFamily, and controlBytesSent without weights and attempts; both sides of a connection count. Conclusion: docs/CAPACITY.md can be worked out by family.

--- a/packages/daemon/__tests__/entryFixture.ts
+++ b/packages/daemon/__tests__/entryFixture.ts
@@ -17,6 +17,7 @@
 } from '@burdockrail/protocol/protocolAttempt.js';
 import type { Announcement } from '@burdockrail/protocol/protocolMembership.js';
 import { settingsSchema } from '@burdockrail/settings/settingsSchema.js';
+import { createTrafficMeter } from '@burdockrail/transport/trafficMeter.js';
 import { createPeerClient } from '@burdockrail/transport/peerClient.js';
 import { createPeerServer } from '@burdockrail/transport/peerServer.js';
 import { start, stop } from 'nact';
@@ -152,6 +153,7 @@
     identity,
     advertised: loopback,
     client,
+    traffic: createTrafficMeter(),
     time: processTime,
     random: createSeededRandom(1),
     log,
--- a/packages/daemon/src/daemonMain.ts
+++ b/packages/daemon/src/daemonMain.ts
@@ -11,6 +11,7 @@
 import { createPeerClient } from '@burdockrail/transport/peerClient.js';
 import { mergeHandlers } from '@burdockrail/transport/peerHandlers.js';
 import { createPeerServer } from '@burdockrail/transport/peerServer.js';
+import { createTrafficMeter } from '@burdockrail/transport/trafficMeter.js';
 import { start, stop } from 'nact';
 import type { AnyReplicatedState } from '@burdockrail/agreement/replicaState.js';
 import { createConfigurationHolder } from './configurationHolder.js';
@@ -44,12 +45,14 @@
 
 function createContext(settings: Settings): DaemonContext {
   const identity = identityOf(settings);
+  const traffic = createTrafficMeter();
   const log = createEventLog({ process: settings.name, ...settings.log });
   return {
     settings,
     identity,
     advertised: settings.advertise ?? settings.listen,
-    client: createPeerClient({ identity, localHost: settings.listen.host }),
+    client: createPeerClient({ identity, localHost: settings.listen.host, meter: traffic }),
+    traffic,
     time: processTime,
     random: createSeededRandom(randomBytes(SEED_BYTES).readInt32BE(0)),
     log,
@@ -97,7 +100,12 @@
   const status = createProcessStatusHandlers(context, [groups, ...roles]);
   const parts = [status, groups.handlers, source.handlers];
   const handlers = mergeHandlers([...parts, ...roles.map((role) => role.handlers)]);
-  await using server = await createPeerServer(settings.listen, context.identity, handlers);
+  await using server = await createPeerServer(
+    settings.listen,
+    context.identity,
+    handlers,
+    context.traffic,
+  );
   await groups.start();
   source.start();
   await Promise.all(roles.map((role) => role.start()));
--- a/packages/daemon/src/daemonRole.ts
+++ b/packages/daemon/src/daemonRole.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from '@burdockrail/telemetry/eventLog.js';
 import type { PeerClient } from '@burdockrail/transport/peerClient.js';
 import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
+import type { TrafficMeter } from '@burdockrail/transport/trafficMeter.js';
 import type { ActorSystemRef } from 'nact';
 import type { ConfigurationHolder } from './configurationHolder.js';
 
@@ -16,6 +17,8 @@
   /** Address that other processes reach this one at. */
   readonly advertised: Address;
   readonly client: PeerClient;
+  /** Bytes that this process has sent to others, by family of message. */
+  readonly traffic: TrafficMeter;
   readonly time: TimeSource;
   readonly random: SeededRandom;
   readonly log: EventLog;
--- a/packages/daemon/src/processStatus.ts
+++ b/packages/daemon/src/processStatus.ts
@@ -4,10 +4,20 @@
 
 const MICROSECONDS_PER_MILLISECOND = 1_000;
 
+/** Families that carry requests and weights; all others are for control. */
+const payloadFamilies: ReadonlySet<string> = new Set(['attempt', 'weights']);
+
+function controlBytes(sentByFamily: Readonly<Record<string, number>>): number {
+  return Object.entries(sentByFamily)
+    .filter(([family]) => !payloadFamilies.has(family))
+    .reduce((sum, [, bytes]) => sum + bytes, 0);
+}
+
 function processStatus(
   context: DaemonContext,
   holders: readonly Pick<DaemonRole, 'groups'>[],
 ): ProcessStatus {
+  const { sentByFamily: sentBytesByFamily } = context.traffic;
   const usage = process.cpuUsage();
   const committed = context.configuration.current?.committed;
   return {
@@ -20,7 +30,8 @@
     groups: holders.flatMap((holder) => holder.groups),
     residentBytes: process.memoryUsage.rss(),
     processorMilliseconds: (usage.user + usage.system) / MICROSECONDS_PER_MILLISECOND,
-    controlBytesSent: context.client.counters.sentBytes,
+    controlBytesSent: controlBytes(sentBytesByFamily),
+    sentBytesByFamily,
   };
 }
 
--- a/packages/protocol/src/protocolConfiguration.ts
+++ b/packages/protocol/src/protocolConfiguration.ts
@@ -43,7 +43,10 @@
   readonly groups: readonly GroupStatus[];
   readonly residentBytes: number;
   readonly processorMilliseconds: number;
+  /** Bytes sent to other processes since the start, weights and attempts left out. */
   readonly controlBytesSent: number;
+  /** Bytes sent to other processes since the start, by family of message. */
+  readonly sentBytesByFamily: Readonly<Record<string, number>>;
 }
 
 /** One replica's view of its quorum group. */
--- a/packages/transport/src/peerClient.ts
+++ b/packages/transport/src/peerClient.ts
@@ -11,6 +11,7 @@
   type PeerConnection,
 } from './peerConnection.js';
 import type { PeerHandlers } from './peerHandlers.js';
+import type { TrafficMeter } from './trafficMeter.js';
 
 /** Time after which an attempt to connect is given up, in milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
@@ -35,6 +36,8 @@
   readonly localHost?: string;
   /** Handlers for messages that the other side sends on these connections. */
   readonly handlers?: PeerHandlers;
+  /** Counts what this client sends. */
+  readonly meter?: TrafficMeter;
 }
 
 const noHandlers: PeerHandlers = { calls: {}, streams: {}, notifications: {} };
@@ -58,7 +61,12 @@
     socket.once('close', () => {
       clearTimeout(timer);
     });
-    return createPeerConnection(socket, options.identity, options.handlers ?? noHandlers);
+    return createPeerConnection(
+      socket,
+      options.identity,
+      options.handlers ?? noHandlers,
+      options.meter,
+    );
   };
 
   const to = (address: Address): PeerConnection => {
--- a/packages/transport/src/peerConnection.ts
+++ b/packages/transport/src/peerConnection.ts
@@ -13,6 +13,7 @@
 } from '@burdockrail/protocol/protocolKinds.js';
 import { createFrameReader, encodeFrame } from './frameCodec.js';
 import { FrameKind, isPeerFrame, type PeerFrame } from './peerFrame.js';
+import type { TrafficMeter } from './trafficMeter.js';
 import type { PeerContext, PeerHandlers, StreamSink } from './peerHandlers.js';
 
 /** Bound on one call or stream. */
@@ -66,11 +67,15 @@
 ) => Promise<void>;
 type AnyNotificationHandler = (message: unknown, context: PeerContext) => void;
 
-/** Runs the frame protocol on a connected socket. */
+/** Kind under which frames that belong to no message are counted. */
+const CONNECTION_KIND = 'connection';
+
+/** Runs the frame protocol on a connected socket; the meter counts what this side sends. */
 export function createPeerConnection(
   socket: Socket,
   identity: PeerIdentity,
   handlers: PeerHandlers,
+  meter?: TrafficMeter,
 ): PeerConnection {
   const reader = createFrameReader();
   const calls = new Map<number, PendingCall>();
@@ -86,9 +91,11 @@
   });
   peer.catch(() => undefined);
 
-  const send = (frame: PeerFrame): boolean => {
+  const send = (frame: PeerFrame, kind: string): boolean => {
     if (socket.destroyed || socket.writableEnded) return false;
-    return socket.write(encodeFrame(frame));
+    const bytes = encodeFrame(frame);
+    meter?.add(kind, bytes.length);
+    return socket.write(bytes);
   };
 
   const contextFor = (controller: AbortController): PeerContext => ({
@@ -96,9 +103,9 @@
     signal: controller.signal,
   });
 
-  const sendError = (id: number, error: unknown): void => {
+  const sendError = (id: number, kind: string, error: unknown): void => {
     const result = toResultError(error, ResultCode.InternalError);
-    send([FrameKind.Error, id, result.code, result.message]);
+    send([FrameKind.Error, id, result.code, result.message], kind);
   };
 
   const runCall = async (id: number, kind: string, request: unknown): Promise<void> => {
@@ -107,9 +114,9 @@
     running.set(id, controller);
     try {
       if (handler === undefined) throw new ResultError(ResultCode.UnknownMessage, kind);
-      send([FrameKind.Reply, id, await handler(request, contextFor(controller))]);
+      send([FrameKind.Reply, id, await handler(request, contextFor(controller))], kind);
     } catch (error) {
-      sendError(id, error);
+      sendError(id, kind, error);
     } finally {
       running.delete(id);
     }
@@ -122,16 +129,16 @@
     const sink: StreamSink<unknown> = {
       write: async (item) => {
         if (controller.signal.aborted) throw new ResultError(ResultCode.ConnectionLost);
-        const ready = send([FrameKind.StreamItem, id, item]);
+        const ready = send([FrameKind.StreamItem, id, item], kind);
         if (!ready && !socket.destroyed) await once(socket, 'drain', { signal: controller.signal });
       },
     };
     try {
       if (handler === undefined) throw new ResultError(ResultCode.UnknownMessage, kind);
       await handler(request, sink, contextFor(controller));
-      send([FrameKind.StreamEnd, id]);
+      send([FrameKind.StreamEnd, id], kind);
     } catch (error) {
-      sendError(id, error);
+      sendError(id, kind, error);
     } finally {
       running.delete(id);
     }
@@ -204,7 +211,7 @@
       resolve();
     });
   });
-  send([FrameKind.Hello, identity]);
+  send([FrameKind.Hello, identity], CONNECTION_KIND);
 
   const call = async (kind: string, request: unknown, options: CallOptions): Promise<unknown> => {
     const id = nextId++;
@@ -220,7 +227,7 @@
         reject(error);
       };
       const cancel = (error: ResultError): void => {
-        send([FrameKind.Cancel, id]);
+        send([FrameKind.Cancel, id], kind);
         fail(error);
       };
       const onAbort = (): void => {
@@ -240,7 +247,7 @@
           resolve(reply);
         },
       });
-      send([FrameKind.Call, id, kind, request]);
+      send([FrameKind.Call, id, kind, request], kind);
     });
   };
 
@@ -278,7 +285,7 @@
         : setTimeout(() => {
             end(new ResultError(ResultCode.CallTimedOut, kind));
           }, options.timeoutMilliseconds);
-    send([FrameKind.StreamOpen, id, kind, request]);
+    send([FrameKind.StreamOpen, id, kind, request], kind);
     let complete = false;
     try {
       for (;;) {
@@ -298,7 +305,7 @@
       streams.delete(id);
       clearTimeout(timer);
       options.signal?.removeEventListener('abort', onAbort);
-      if (!complete) send([FrameKind.Cancel, id]);
+      if (!complete) send([FrameKind.Cancel, id], kind);
     }
   }
 
@@ -311,7 +318,7 @@
     call: call as PeerConnection['call'],
     stream: stream as PeerConnection['stream'],
     notify: (kind, message) => {
-      send([FrameKind.Notification, kind, message]);
+      send([FrameKind.Notification, kind, message], kind);
     },
     destroy: () => {
       socket.destroy();
--- a/packages/transport/src/peerServer.ts
+++ b/packages/transport/src/peerServer.ts
@@ -3,6 +3,7 @@
 import type { Address, PeerIdentity } from '@burdockrail/protocol/protocolAddress.js';
 import { createPeerConnection, type PeerConnection } from './peerConnection.js';
 import type { PeerHandlers } from './peerHandlers.js';
+import type { TrafficMeter } from './trafficMeter.js';
 
 /** Accepts connections of other processes. */
 export interface PeerServer extends AsyncDisposable {
@@ -16,10 +17,11 @@
   listen: Address,
   identity: PeerIdentity,
   handlers: PeerHandlers,
+  meter?: TrafficMeter,
 ): Promise<PeerServer> {
   const connections = new Set<PeerConnection>();
   const server = createServer((socket) => {
-    const connection = createPeerConnection(socket, identity, handlers);
+    const connection = createPeerConnection(socket, identity, handlers, meter);
     connections.add(connection);
     void connection.closed.then(() => connections.delete(connection));
   });
