--- a/packages/cli/__tests__/fakeFleet.ts
+++ b/packages/cli/__tests__/fakeFleet.ts
@@ -99,6 +99,7 @@
         residentBytes: 80 * MEBIBYTE,
         processorMilliseconds: 1_000,
         controlBytesSent: 2_000,
+        sentBytesByFamily: { membership: 2_000 },
       }),
   };
 }
--- a/packages/cli/src/fleetStatus.ts
+++ b/packages/cli/src/fleetStatus.ts
@@ -7,7 +7,10 @@
 export interface ProcessView {
   readonly name: string;
   readonly dataCentre: string | null;
-  readonly status: Omit<ProcessStatus, 'groups' | 'name' | 'dataCentre'> | null;
+  readonly status: Omit<
+    ProcessStatus,
+    'groups' | 'name' | 'dataCentre' | 'sentBytesByFamily'
+  > | null;
   /** Why the process did not answer. */
   readonly failure: string | null;
 }
--- a/packages/daemon/__tests__/weightsFleet.ts
+++ b/packages/daemon/__tests__/weightsFleet.ts
@@ -11,6 +11,7 @@
 import { createWeightCatalogue } from '@burdockrail/standins/weightCatalogue.js';
 import type { WeightVersion } from '@burdockrail/standins/weightContent.js';
 import { createWeightStoreServer } from '@burdockrail/standins/weightStoreServer.js';
+import { createTrafficMeter } from '@burdockrail/transport/trafficMeter.js';
 import { createPeerClient } from '@burdockrail/transport/peerClient.js';
 import { createPeerServer } from '@burdockrail/transport/peerServer.js';
 import { start, stop } from 'nact';
@@ -149,6 +150,7 @@
       identity,
       advertised: { ...loopback },
       client: parts.use(createPeerClient({ identity })),
+      traffic: createTrafficMeter(),
       time: processTime,
       random: createSeededRandom(1),
       log: silentLog,
