feat(daemon): ledger groups hold claims

Cause: the groups ran with an empty state. A founded replica also stands for election at once, because no leader can exist: before, the first configuration after the forming waited 1 to 2 s.

--- a/packages/agreement/src/replica.ts
+++ b/packages/agreement/src/replica.ts
@@ -159,7 +159,8 @@
       run(() => {
         if (core.groupId !== null || !isVoter(membership, core.self.id)) return;
         adoptFounding(core, groupId, membership);
-        resetElectionDeadline(core, now);
+        // Nobody leads a new group, so there is no leader to wait for.
+        core.electionDeadline = now + core.random.next() * core.timing.heartbeatMilliseconds;
       }),
     confirmedAge: (now) => {
       const { role } = core;
--- a/packages/daemon/src/daemonMain.ts
+++ b/packages/daemon/src/daemonMain.ts
@@ -5,6 +5,7 @@
 import { processTime } from '@burdockrail/common/timeSource.js';
 import type { PeerIdentity, Role } from '@burdockrail/protocol/protocolAddress.js';
 import { settingsDefaultsYaml } from '@burdockrail/settings/settingsDefaults.js';
+import { createLedgerState } from '@burdockrail/ledger/ledgerState.js';
 import { readSettings } from '@burdockrail/settings/settingsFile.js';
 import type { Settings } from '@burdockrail/settings/settingsSchema.js';
 import { createEventLog } from '@burdockrail/telemetry/eventLog.js';
@@ -61,16 +62,6 @@
   };
 }
 
-/** Stands in for the ledger's state. */
-function createEmptyState(): AnyReplicatedState {
-  return {
-    apply: () => null,
-    query: () => null,
-    snapshot: () => null,
-    restore: () => undefined,
-  };
-}
-
 async function awaitSignal(): Promise<string> {
   return new Promise((resolve) => {
     for (const signal of ['SIGTERM', 'SIGINT'] as const) {
@@ -89,7 +80,7 @@
   const groups = owned.use(
     createGroupProcess({
       context,
-      createLedgerState: createEmptyState,
+      createLedgerState: () => createLedgerState() as AnyReplicatedState,
       onFleetApplied: () => {
         offerOwnConfiguration(context, groups);
       },
