--- /dev/null
+++ b/packages/bench/src/measureSummary.ts
@@ -0,0 +1,129 @@
+import type { Role } from '@burdockrail/protocol/protocolAddress.js';
+import { linkRates, rolloutLimits, type RolloutLimits } from './measureLimits.js';
+import type { MeasureOptions, PlanName } from './measureOptions.js';
+import type { MeasuredRun } from './measureRun.js';
+import type { RoleUsage, UsageReport } from './measureUsage.js';
+
+/** Medians over the rounds of one plan at one count of replicas. */
+export interface MeasureSummary {
+  readonly plan: PlanName;
+  readonly replicas: number;
+  readonly rounds: number;
+  /** Time until the last replica was live. */
+  readonly secondsToLive: number;
+  /** Time until half of the replicas were live. */
+  readonly medianSecondsToLive: number;
+  readonly limitSeconds: number;
+  readonly limitBound: RolloutLimits['bound'];
+  readonly ratioToLimit: number;
+  readonly originCopies: number;
+  /** Copies that came into a region from others: the mean and the highest region. */
+  readonly interRegionCopies: number;
+  readonly highestRegionCopies: number;
+  /** p95 of live requests with the rollout over that without; null without live load. */
+  readonly liveP95Ratio: number | null;
+  readonly liveFailed: number;
+  readonly liveMixed: number;
+  /** Replicas that were not live within the bound, in the worst round. */
+  readonly missing: number;
+  readonly seconds: readonly number[];
+}
+
+/** Middle of a list; the mean of the two middles of an even one. */
+export function median(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  const upper = sorted[Math.floor(sorted.length / 2)] ?? NaN;
+  if (sorted.length % 2 === 1) return upper;
+  return ((sorted[sorted.length / 2 - 1] ?? NaN) + upper) / 2;
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+function p95Ratio(run: MeasuredRun): number | null {
+  if (run.live === undefined) return null;
+  return run.live.during.total.p95 / run.live.alone.total.p95;
+}
+
+/** Limits of one run: only chunks that are new have to travel. */
+export function limitsOf(options: MeasureOptions): RolloutLimits {
+  const newBytes = options.weightBytes * (1 - options.sharedChunks);
+  const rates = linkRates(options.weightBytes, options.windowSeconds);
+  return rolloutLimits(newBytes, options.dataCentres, rates);
+}
+
+/** Joins the rounds of one plan at one count of replicas. */
+export function summarise(options: MeasureOptions, runs: readonly MeasuredRun[]): MeasureSummary {
+  const first = runs[0];
+  if (first === undefined) throw new Error('nothing was measured');
+  const limits = limitsOf(options);
+  const last = runs.map(({ rollout }) => rollout.secondsToLive.at(-1) ?? Infinity);
+  const copies = runs.map(({ rollout }) => Object.values(rollout.copiesByRegion));
+  const ratios = runs.map(p95Ratio).filter((ratio) => ratio !== null);
+  const secondsToLive = median(last);
+  return {
+    plan: first.plan,
+    replicas: first.replicas,
+    rounds: runs.length,
+    secondsToLive,
+    medianSecondsToLive: median(runs.map(({ rollout }) => median(rollout.secondsToLive))),
+    limitSeconds: limits.seconds,
+    limitBound: limits.bound,
+    ratioToLimit: secondsToLive / limits.seconds,
+    originCopies: median(runs.map(({ rollout }) => rollout.originCopies)),
+    interRegionCopies: median(copies.map(mean)),
+    highestRegionCopies: median(copies.map((each) => Math.max(...each))),
+    liveP95Ratio: ratios.length === 0 ? null : median(ratios),
+    liveFailed: runs.reduce((sum, { live }) => sum + (live?.during.failed ?? 0), 0),
+    liveMixed: runs.reduce((sum, { live }) => sum + (live?.during.mixed ?? 0), 0),
+    missing: Math.max(...runs.map(({ rollout }) => rollout.missing)),
+    seconds: last,
+  };
+}
+
+function usageLine(role: Role, usage: RoleUsage): string {
+  const core = `${(usage.cores * 100).toFixed(1)}% of a core`;
+  const memory = `${(usage.residentBytes / 1e6).toFixed(0)} MB`;
+  return `${role} x${usage.processes}: ${core}, ${memory}, ${(usage.sentBytesPerSecond / 1e3).toFixed(2)} KB/s sent`;
+}
+
+function usageLines(title: string, report: UsageReport): readonly string[] {
+  const roles = Object.entries(report.roles) as readonly (readonly [Role, RoleUsage])[];
+  const busy = `${(report.machineBusy * 100).toFixed(0)}% of all cores busy`;
+  return [
+    `  ${title}: proxy ${(report.proxyCores * 100).toFixed(0)}% of a core, ${busy}`,
+    ...roles.map(([role, usage]) => `    ${usageLine(role, usage)}`),
+  ];
+}
+
+function liveLines(run: MeasuredRun): readonly string[] {
+  if (run.live === undefined) return [];
+  const { alone, during } = run.live;
+  const line = (
+    title: string,
+    { total, firstByte, failed, mixed, failures }: typeof alone,
+  ): string =>
+    `  live ${title}: ${total.count} right, p50 ${total.p50.toFixed(0)} ms, p95 ${total.p95.toFixed(0)} ms, ` +
+    `first byte p95 ${firstByte.p95.toFixed(0)} ms, ${failed} failed ${JSON.stringify(failures)}, ${mixed} mixed`;
+  return [line('alone ', alone), line('during', during)];
+}
+
+/** Lines for people about one run. */
+export function runLines(options: MeasureOptions, run: MeasuredRun): readonly string[] {
+  const limits = limitsOf(options);
+  const { rollout } = run;
+  const last = rollout.secondsToLive.at(-1) ?? Infinity;
+  const regions = Object.entries(rollout.copiesByRegion).map(
+    ([region, copies]) => `${region} ${copies.toFixed(3)}`,
+  );
+  return [
+    `${run.plan} N=${run.replicas}: last live ${last.toFixed(2)} s, median ${median(rollout.secondsToLive).toFixed(2)} s ` +
+      `(limit ${limits.seconds.toFixed(2)} s by ${limits.bound}), missing ${rollout.missing}`,
+    `  origin ${rollout.originCopies.toFixed(3)} copies (limit ${limits.originCopies}), ` +
+      `from other regions into ${regions.join(', ')} (limit ${limits.interRegionCopies.toFixed(3)} on average)`,
+    ...liveLines(run),
+    ...usageLines('at rest', run.quietUsage),
+    ...usageLines('rollout', run.rolloutUsage),
+  ];
+}
--- a/packages/bench/src/quickstartMain.ts
+++ b/packages/bench/src/quickstartMain.ts
@@ -1,3 +1,4 @@
+import { endOnSignals } from '@burdockrail/harness/daemonProcess.js';
 import {
   describeFailure,
   formCluster,
@@ -69,6 +70,7 @@
 
 /** Runs the quickstart with its command line; resolves with the exit code. */
 export async function runQuickstart(parameters: readonly string[]): Promise<number> {
+  endOnSignals();
   const json = parameters.includes('--json');
   const startedAt = processTime.now();
   const say: Narrator = (line) => {
--- a/packages/harness/src/daemonProcess.ts
+++ b/packages/harness/src/daemonProcess.ts
@@ -43,6 +43,15 @@
   child.once('exit', () => runningChildren.delete(child));
 }
 
+/** Has SIGINT and SIGTERM end this process in a way that ends its children too. */
+export function endOnSignals(): void {
+  for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+    process.once(signal, () => {
+      process.exit(1);
+    });
+  }
+}
+
 function parseEvent(line: string): LoggedEvent | undefined {
   if (!line.startsWith('{')) return undefined;
   try {
--- a/packages/standins/src/engineAdmin.ts
+++ b/packages/standins/src/engineAdmin.ts
@@ -26,7 +26,9 @@
     if (!state.settings.swapsWhileRunning) await state.batch.pause();
     try {
       await delay(state.settings.loadMilliseconds);
-      return state.weights.load(order);
+      const digest = state.weights.load(order);
+      state.counts.loadedAt[digest] ??= Date.now();
+      return digest;
     } finally {
       state.batch.resume();
     }
--- a/packages/standins/src/engineFaults.ts
+++ b/packages/standins/src/engineFaults.ts
@@ -30,6 +30,8 @@
   prefixBlocksMissed: number;
   readonly runsByKey: Record<string, number>;
   readonly answersByDigest: Record<string, number>;
+  /** Time of day at which each digest was first loaded, in milliseconds since 1970. */
+  readonly loadedAt: Record<string, number>;
   readonly orders: { readonly kind: string; readonly digest: string; readonly fencing: number }[];
 }
 
@@ -48,6 +50,7 @@
     prefixBlocksMissed: 0,
     runsByKey: {},
     answersByDigest: {},
+    loadedAt: {},
     orders: [],
   };
 }
