feat(bench): measurement of rollouts against the limits of the links

Cause: time to N replicas and origin bytes are what the users weigh; neither could be measured. Found on the way: the stand-in named the weights of a request's arrival in its head, although a sequence that waited through an order ran under the new ones (quickstart: 1 of 49 answers seen as mixed). It now names what the sequence began under; the test for it failed before. Agents are not covered by this against an engine that swaps while sequences run (setting swapsWhileRunning).

--- a/packages/bench/src/quickstartFleet.ts
+++ b/packages/bench/src/quickstartFleet.ts
@@ -10,6 +10,9 @@
 const WEIGHT_BYTES = 4 * 1024 * 1024;
 const CHUNK_BYTES = 64 * 1024;
 
+/** Rate of the quickstart's origin, slow enough for the progress to be seen. */
+const ORIGIN_BYTES_PER_SECOND = 4 * 1024 * 1024;
+
 const MODEL = 'fogo-llm';
 const SERVICE = 'ledger-ponte';
 const TEAM = 'piers';
@@ -69,5 +72,6 @@
       sharedWith: { version: '1', share: 0.5 },
     },
   ],
+  originBytesPerSecond: ORIGIN_BYTES_PER_SECOND,
   standinProcesses: 1,
 };
--- a/packages/bench/src/quickstartSteps.ts
+++ b/packages/bench/src/quickstartSteps.ts
@@ -13,6 +13,8 @@
 const PROGRESS_MILLISECONDS = 200;
 const REQUESTS_PER_SECOND = 60;
 const LOAD_SEED = 7;
+/** Time for which requests flow before and after the change, in milliseconds. */
+const STEADY_MILLISECONDS = 1_000;
 const ANSWER_TOKENS = 12;
 
 /** Writes a line for people. */
@@ -120,7 +122,9 @@
     },
   });
   try {
+    await delay(STEADY_MILLISECONDS);
     await rollOut(system, '2', say);
+    await delay(STEADY_MILLISECONDS);
   } finally {
     stop.abort();
     await load.finished;
--- a/packages/faultproxy/src/linkFlow.ts
+++ b/packages/faultproxy/src/linkFlow.ts
@@ -9,7 +9,7 @@
 const WINDOW_BYTES = 128 * 1024;
 
 /** Time that one slice may occupy the slowest link of its path, in milliseconds. */
-const SLICE_MILLISECONDS = 5;
+const SLICE_MILLISECONDS = 2;
 
 const SMALLEST_SLICE_BYTES = 1_024;
 const LARGEST_SLICE_BYTES = 64 * 1024;
--- a/packages/standins/__tests__/engineServer.spec.ts
+++ b/packages/standins/__tests__/engineServer.spec.ts
@@ -96,4 +96,30 @@
     assert.ok(text.startsWith('id: 2\n'));
     assert.ok(text.endsWith('data: [DONE]\n\n'));
   });
+
+  it('names the weights that a sequence begins under, not those of its arrival', async () => {
+    const settings = { capacity: 1, loadMilliseconds: 50 };
+    await using server = await createEngineServer({ address, settings });
+    const contents = ['1', '2'].map((name) => createWeightContent({ ...version, version: name }));
+    for (const content of contents) await stage(server.url, content, -1);
+    const [before, after] = contents;
+    assert.ok(before !== undefined && after !== undefined);
+    await load(server.url, before, 1);
+    const send = async () =>
+      request(`${server.url}/v1/completions`, {
+        method: 'POST',
+        body: JSON.stringify({ prompt: 'hello', max_tokens: 20, stream: true }),
+      });
+    const running = await send();
+    const loaded = load(server.url, after, 2);
+    const waiting = await send();
+    await loaded;
+    const digests = [before, after].map(({ manifest }) => manifest.digest);
+    for (const [index, answer] of [running, waiting].entries()) {
+      const digest = digests[index] ?? '';
+      assert.equal(answer.headers['x-weights-digest'], digest);
+      const named = (await answer.body.text()).match(/"weights":"[0-9a-f]+"/gu) ?? [];
+      assert.deepEqual([...new Set(named)], [`"weights":"${digest}"`]);
+    }
+  });
 });
--- a/packages/standins/src/engineCompletions.ts
+++ b/packages/standins/src/engineCompletions.ts
@@ -26,7 +26,8 @@
   readonly shownPromptDigest: Digest;
   readonly prefixes: readonly Digest[];
   readonly priority: number;
-  readonly digestAtStart: Digest;
+  /** Weights that the sequence began under; set when a slot is free for it. */
+  digestAtStart: Digest;
   readonly stallAfter: number;
   readonly cutAfter: number;
 }
@@ -68,16 +69,19 @@
   });
 }
 
-function countRun(state: EngineState, exchange: StandinExchange, completion: Completion): void {
+function countRun(state: EngineState, exchange: StandinExchange): void {
   const { counts } = state;
   const key = headerOf(exchange.request, 'x-test-key');
   counts.runs += 1;
   if (key !== undefined) counts.runsByKey[key] = (counts.runsByKey[key] ?? 0) + 1;
-  const digest = completion.digestAtStart;
-  counts.answersByDigest[digest] = (counts.answersByDigest[digest] ?? 0) + 1;
 }
 
-function usePrefixes(state: EngineState, completion: Completion): number {
+/** Begins a sequence under the weights of this moment; returns the time of its prompt. */
+function beginSequence(state: EngineState, completion: Completion): number {
+  const digest = state.weights.digest ?? 'none';
+  completion.digestAtStart = digest;
+  const { answersByDigest } = state.counts;
+  answersByDigest[digest] = (answersByDigest[digest] ?? 0) + 1;
   const missing = state.cache.use(completion.prefixes, processTime.now());
   state.counts.prefixBlocks += completion.prefixes.length;
   state.counts.prefixBlocksMissed += missing;
@@ -111,7 +115,7 @@
     id: completion.id,
     priority: completion.priority,
     length: completion.length,
-    prefill: () => usePrefixes(state, completion),
+    prefill: () => beginSequence(state, completion),
     onToken: () => {
       state.counts.tokens += 1;
     },
@@ -135,6 +139,7 @@
 }
 
 function sendStreamHead(response: ServerResponse, completion: Completion): void {
+  if (response.destroyed) return;
   response.writeHead(200, {
     'content-type': 'text/event-stream',
     'cache-control': 'no-store',
@@ -197,13 +202,16 @@
     };
     state.streams.set(id, stream);
     completions.set(id, completion);
-    sendStreamHead(response, completion);
     stream.join(response, -1);
     state.batch.add({
       id,
       priority: completion.priority,
       length: completion.length,
-      prefill: () => usePrefixes(state, completion),
+      prefill: () => {
+        const milliseconds = beginSequence(state, completion);
+        sendStreamHead(response, completion);
+        return milliseconds;
+      },
       onToken: (index) => {
         pushToken(state, completion, stream, index);
       },
@@ -233,7 +241,7 @@
         return;
       }
       const completion = describe(exchange, body);
-      countRun(state, exchange, completion);
+      countRun(state, exchange);
       if (crashesOn(promptText(body))) {
         await crash();
         return;
