feat(transport): checksum of each frame

Cause: the fault proxy's changed bytes could turn one number into another inside a frame that is still CBOR: a log entry, a claim, an attempt. Chunks have their digests; nothing else had a check. Ruled out: relying on TCP's 16 bits; TLS, which is not asked for and costs each small process its keys.

--- a/packages/transport/src/frameCodec.ts
+++ b/packages/transport/src/frameCodec.ts
@@ -1,10 +1,17 @@
+import { crc32 } from 'node:zlib';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { ResultError } from '@burdockrail/common/outcome.js';
 import { Decoder, Encoder } from 'cbor-x';
 
-/** Size of the length field before each frame, in bytes. */
+/** Size of the length field at the start of each frame, in bytes. */
 const LENGTH_FIELD_BYTES = 4;
 
+/** Size of the CRC-32 of the body, which follows the length, in bytes. */
+const CHECKSUM_FIELD_BYTES = 4;
+
+/** Bytes before the body of a frame. */
+const HEADER_BYTES = LENGTH_FIELD_BYTES + CHECKSUM_FIELD_BYTES;
+
 /** Largest frame that a process accepts, in bytes. */
 export const MAXIMUM_FRAME_BYTES = 64 * 1024 * 1024;
 
@@ -16,12 +23,19 @@
   return encoder.encode(value);
 }
 
-/** Encodes one message as a length field and CBOR. */
+/**
+ * Encodes one message as length, checksum and CBOR.
+ *
+ * @remarks
+ * The checksum of TCP misses some of the changes that a broken device on the way makes; a changed
+ * number in a claim or a log entry would still be CBOR.
+ */
 export function encodeFrame(message: unknown): Buffer {
   const body = encodeBody(message);
-  const frame = Buffer.allocUnsafe(LENGTH_FIELD_BYTES + body.length);
+  const frame = Buffer.allocUnsafe(HEADER_BYTES + body.length);
   frame.writeUInt32BE(body.length, 0);
-  body.copy(frame, LENGTH_FIELD_BYTES);
+  frame.writeUInt32BE(crc32(body), LENGTH_FIELD_BYTES);
+  body.copy(frame, HEADER_BYTES);
   return frame;
 }
 
@@ -35,8 +49,8 @@
  * Creates a reader for one connection.
  *
  * @remarks
- * Throws a {@link ResultError} with `MessageMalformed` when a frame is too large or is not CBOR;
- * the connection is then of no further use.
+ * Throws a {@link ResultError} with `MessageMalformed` when a frame is too large, fails its checksum
+ * or is not CBOR; the connection is then of no further use.
  */
 export function createFrameReader(maximumFrameBytes: number = MAXIMUM_FRAME_BYTES): FrameReader {
   let parts: Buffer[] = [];
@@ -48,7 +62,7 @@
     if (length > maximumFrameBytes) {
       throw new ResultError(ResultCode.MessageMalformed, `a frame of ${length} bytes is too large`);
     }
-    return LENGTH_FIELD_BYTES + length;
+    return HEADER_BYTES + length;
   };
 
   return {
@@ -65,7 +79,7 @@
         }
         wanted = frameLength(buffer);
         if (buffer.length < wanted) break;
-        messages.push(decodeBody(buffer.subarray(LENGTH_FIELD_BYTES, wanted)));
+        messages.push(decodeFrame(buffer.subarray(0, wanted)));
         buffer = buffer.subarray(wanted);
       }
       parts = buffer.length === 0 ? [] : [buffer];
@@ -76,7 +90,16 @@
 }
 
 /** Decodes one CBOR value; throws a {@link ResultError} with `MessageMalformed`. */
-export function decodeBody(body: Buffer): unknown {
+export function decodeFrame(frame: Buffer): unknown {
+  const body = frame.subarray(HEADER_BYTES);
+  if (crc32(body) !== frame.readUInt32BE(LENGTH_FIELD_BYTES)) {
+    throw new ResultError(ResultCode.MessageMalformed, 'a frame fails its checksum');
+  }
+  return decodeBody(body);
+}
+
+/** Decodes one value from CBOR; throws a {@link ResultError} with `MessageMalformed`. */
+export function decodeBody(body: Uint8Array): unknown {
   try {
     return decoder.decode(body);
   } catch (error) {
