feat(cli): golden session against a running fleet

Cause: the command line had been tried against fakes only.

The whole session (plan before forming, form twice, apply, conflict, resent order, rollout, status) runs against three entries that are control replicas and four agents. It showed two faults: a plan before forming ended after 6 s with NotLeader; it now says GroupNotFormed at once, because every process that answers has an unformed replica. And a resent order that others have superseded said only its own revision; it now says what is in force besides.

One answer about the configuration is enough, because replicas answer only what a quorum confirms; asking for the highest of all answers made a dead process cost its whole timeout.

--- /dev/null
+++ b/packages/cli/__tests__/liveSession.spec.ts
@@ -0,0 +1,102 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { describe, it } from 'node:test';
+import { waitForRevision, waitUntilServing } from '@burdockrail/harness/systemOperation.js';
+import { startSystem, type System } from '@burdockrail/harness/system.js';
+import type { SystemLayout } from '@burdockrail/harness/systemLayout.js';
+import { assertGolden, sessionOf } from './commandSession.js';
+
+const first = 'packages/cli/__tests__/programs/harbour.mjs';
+const next = 'packages/cli/__tests__/programs/harbourNext.mjs';
+const WEIGHT_BYTES = 1_000_000;
+const CHUNK_BYTES = 100_000;
+
+/** The system that the program harbour.mjs describes. */
+const layout: SystemLayout = {
+  dataCentres: [
+    { name: 'north', region: 'coast' },
+    { name: 'south', region: 'bay' },
+  ],
+  controls: { north: 2, south: 1 },
+  entries: { north: 2, south: 1 },
+  controlsAreEntries: true,
+  services: [
+    {
+      name: 'assistant',
+      kind: 'model',
+      home: 'north',
+      upstreams: { north: 2, south: 1 },
+      weights: { model: 'assistant', version: '1' },
+    },
+    { name: 'till', kind: 'plain', home: 'north', upstreams: { north: 1 } },
+  ],
+  teams: [{ name: 'guests' }],
+  versions: [
+    { model: 'assistant', version: '1', size: WEIGHT_BYTES, chunkSize: CHUNK_BYTES },
+    { model: 'assistant', version: '2', size: WEIGHT_BYTES, chunkSize: CHUNK_BYTES },
+  ],
+};
+
+async function writeProfile(system: System, folder: string): Promise<string> {
+  const peers = system.withRole('entry').map(({ name, dataCentre, roles, advertise, http }) => ({
+    name,
+    dataCentre,
+    roles,
+    address: advertise,
+    http,
+  }));
+  const path = join(folder, 'profile.yaml');
+  await writeFile(path, JSON.stringify({ peers }));
+  return path;
+}
+
+/** Replaces what differs from run to run: who leads, terms, memory and times. */
+function settled(session: string): string {
+  return session
+    .replace(/#[\w.-]+/gu, '#INCARNATION')
+    .replace(/^( {2}[\w.]+: )\S+, term \d+, committed \d+$/gmu, '$1LEADER, term N, committed N')
+    .replace(/\d+ MiB$/gmu, 'N MiB')
+    .replace(/\d+\.\d s/gu, 'N s')
+    .replace(/^revision \d+, N s\n(?:assistant: .*\n(?: {2}\w+ +\[.*\n)+)+/gmu, '')
+    .replace(/(?<=\d {2}|assistant \d {2,})[0-9a-f]{12}(?=\s)/gu, 'DIGEST');
+}
+
+describe('a session with a running fleet', () => {
+  it('forms, applies, watches, asks and applies again', async () => {
+    const folder = await mkdtemp(join(tmpdir(), 'burdockrail-'));
+    await using system = await startSystem(layout);
+    try {
+      const environment = { BURDOCKRAIL_PROFILE: await writeProfile(system, folder) };
+      const order = ['--yes', '--order-id'];
+      const started = await sessionOf(
+        [
+          ['config', 'plan', first],
+          ['cluster', 'form'],
+          ['cluster', 'form'],
+          ['config', 'apply', first, ...order, 'order-1'],
+          ['rollout', 'watch', '--timeout', '60'],
+        ],
+        environment,
+      );
+      await waitForRevision(system, 1);
+      const asked = await sessionOf(
+        [
+          ['config', 'apply', next, ...order, 'order-2', '--expect-revision', '0'],
+          ['config', 'apply', next, ...order, 'order-3'],
+          ['config', 'apply', first, ...order, 'order-1', '--expect-revision', '0'],
+        ],
+        environment,
+      );
+      await waitForRevision(system, 2);
+      await waitUntilServing(system, 'assistant');
+      const shown = await sessionOf(
+        [['rollout', 'watch', '--timeout', '60'], ['status']],
+        environment,
+      );
+      assertGolden('live', settled([started, asked, shown].join('\n')));
+    } finally {
+      await rm(folder, { recursive: true });
+    }
+  });
+});
--- a/packages/cli/src/configurationApplication.ts
+++ b/packages/cli/src/configurationApplication.ts
@@ -5,7 +5,7 @@
 import type { FleetConfiguration } from '@burdockrail/fleet/fleetConfiguration.js';
 import { readConfigurationInForce } from './configurationInForce.js';
 import { sendOrder } from './configurationOrder.js';
-import { planConfiguration, planLines } from './configurationPlan.js';
+import { formatRevision, planConfiguration, planLines } from './configurationPlan.js';
 import type { OperatorClient } from './operatorClient.js';
 import type { OperatorTarget } from './operatorTarget.js';
 
@@ -64,6 +64,10 @@
   const reply = await sendOrder(client, control, order, processTime, timeoutMilliseconds);
   if (reply.kind === 'conflict') throw conflict(expectedRevision, reply);
   print(`accepted: revision ${reply.revision}, digest ${reply.digest}`);
+  // The first answer to a resent order may be older than what others have applied since.
+  if (inForce !== null && inForce.revision > reply.revision) {
+    print(`the order was accepted before; in force is ${formatRevision(inForce)}`);
+  }
   return { applied: true, revision: reply.revision, digest: reply.digest, orderId };
 }
 
--- a/packages/cli/src/configurationInForce.ts
+++ b/packages/cli/src/configurationInForce.ts
@@ -3,7 +3,7 @@
 import { checkFleetDocument } from '@burdockrail/fleet/fleetChecks.js';
 import type { FleetConfiguration } from '@burdockrail/fleet/fleetConfiguration.js';
 import type { CommittedConfiguration } from '@burdockrail/protocol/protocolConfiguration.js';
-import { allFailed, type OperatorClient } from './operatorClient.js';
+import type { OperatorClient } from './operatorClient.js';
 import type { OperatorTarget } from './operatorTarget.js';
 
 /** A committed configuration with its document decoded. */
@@ -17,19 +17,32 @@
  * Asks control processes for the configuration in force; `null` when there was none yet.
  *
  * @remarks
- * All are asked, and the highest revision counts: a replica that is cut off or has just restarted
- * may still know an older one.
+ * All are asked at the same time and the first answer counts, because a replica answers only what
+ * a quorum confirms. So a process that is down or cut off costs no time.
  */
 export async function readConfigurationInForce(
   client: OperatorClient,
   control: readonly OperatorTarget[],
 ): Promise<ConfigurationInForce | null> {
-  const answers = await client.callAll(control, 'configuration.current', {});
-  const replies = answers.flatMap((answer) => (answer.kind === 'answered' ? [answer.reply] : []));
-  if (replies.length === 0) throw allFailed(answers);
-  const committed = replies.filter((reply) => reply !== null);
-  const highest = committed.sort((left, right) => right.revision - left.revision)[0];
-  return highest === undefined ? null : decode(highest);
+  const pending = client.callAny(control, 'configuration.current', {});
+  const checked = refuseUnformed(client, control).then(async () => pending);
+  const committed = await Promise.race([pending, checked]);
+  return committed === null ? null : decode(committed);
+}
+
+// Without a group nobody can confirm anything, and the question would only time out.
+async function refuseUnformed(
+  client: OperatorClient,
+  control: readonly OperatorTarget[],
+): Promise<void> {
+  const answers = await client.callAll(control, 'process.status', {});
+  const roles = answers.flatMap((answer) =>
+    answer.kind === 'answered'
+      ? answer.reply.groups.filter(({ group }) => group === 'fleet').map(({ role }) => role)
+      : [],
+  );
+  if (roles.length === 0 || roles.some((role) => role !== 'unformed')) return;
+  throw new ResultError(ResultCode.GroupNotFormed, 'run `burdockrail cluster form` once');
 }
 
 function decode({ revision, digest, document }: CommittedConfiguration): ConfigurationInForce {
--- a/packages/cli/src/fleetStatus.ts
+++ b/packages/cli/src/fleetStatus.ts
@@ -92,7 +92,9 @@
     const best = replicas.reduce((left, right) =>
       authority(right) > authority(left) ? right : left,
     );
-    const { term, commitIndex, leader, voters, learners, member } = best;
+    const { term, commitIndex, leader, member } = best;
+    const voters = [...best.voters].sort();
+    const learners = [...best.learners].sort();
     const view = { group, term, commitIndex, leader, voters, learners };
     return [{ ...view, seenBy: member, replicas: replicas.length }];
   });
--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -8,8 +8,21 @@
 /** Bytes of randomness in the incarnation of a command. */
 const INCARNATION_BYTES = 8;
 
-/** Time for one call to one process, in milliseconds. */
-export const CALL_TIMEOUT_MILLISECONDS = 3_000;
+/** Time for a call that a process answers from what it has at hand, in milliseconds. */
+const LOCAL_TIMEOUT_MILLISECONDS = 3_000;
+
+/**
+ * Time for a call that needs a quorum, in milliseconds; longer than a control process itself waits,
+ * so that its numbered answer arrives.
+ */
+const QUORUM_TIMEOUT_MILLISECONDS = 7_000;
+
+/** Kinds of calls that need a quorum. */
+const quorumCalls: ReadonlySet<CallKind> = new Set([
+  'configuration.apply',
+  'configuration.current',
+  'cluster.form',
+]);
 
 /** Answer of one process to a question that was put to several. */
 export type TargetAnswer<Reply> =
@@ -24,6 +37,12 @@
     request: PeerCalls[Kind]['request'],
     timeoutMilliseconds?: number,
   ): Promise<PeerCalls[Kind]['reply']>;
+  /** First answer of any target, asked at the same time; rejects when none answers. */
+  callAny<Kind extends CallKind>(
+    targets: readonly OperatorTarget[],
+    kind: Kind,
+    request: PeerCalls[Kind]['request'],
+  ): Promise<PeerCalls[Kind]['reply']>;
   /** Answers of all targets, asked at the same time. */
   callAll<Kind extends CallKind>(
     targets: readonly OperatorTarget[],
@@ -43,7 +62,8 @@
     },
   });
   const call: OperatorClient['call'] = async (target, kind, request, timeoutMilliseconds) => {
-    const options = { timeoutMilliseconds: timeoutMilliseconds ?? CALL_TIMEOUT_MILLISECONDS };
+    const usual = quorumCalls.has(kind) ? QUORUM_TIMEOUT_MILLISECONDS : LOCAL_TIMEOUT_MILLISECONDS;
+    const options = { timeoutMilliseconds: timeoutMilliseconds ?? usual };
     return peers.to(target.address).call(kind, request, options);
   };
   const ask = async <Kind extends CallKind>(
@@ -59,6 +79,17 @@
   };
   return {
     call,
+    callAny: async (targets, kind, request) => {
+      const answers = targets.map(async (target) => ask(target, kind, request));
+      const replies = answers.map(async (pending) => {
+        const answer = await pending;
+        if (answer.kind === 'failed') throw answer.error;
+        return { reply: answer.reply };
+      });
+      const first = await Promise.any(replies).catch(() => undefined);
+      if (first === undefined) throw allFailed(await Promise.all(answers));
+      return first.reply;
+    },
     callAll: async (targets, kind, request) =>
       Promise.all(targets.map(async (target) => ask(target, kind, request))),
     [Symbol.asyncDispose]: async () => peers[Symbol.asyncDispose](),
