perf(rollout): begin at once, read ahead and keep to a window of early chunks

Cause: traces of 12 agents at W = 20 s (16 MB, 256 chunks, load average 20) showed 0.4 to 1.0 s between the start and the first fetch, spent asking the empty engine for each chunk, first chunks after 0.5 s because 24 reads shared the origin, and 0.3 to 0.5 s after the last chunk, spent reading back chunks that came out of order. Transfers themselves ran at the links' rate. Now 16 chunks are probed first, four members read at once, one read at a time, and chunks of a window come before later ones, read back eight ahead.

--- a/packages/daemon/src/weightsVerifier.ts
+++ b/packages/daemon/src/weightsVerifier.ts
@@ -6,6 +6,9 @@
 import type { EngineClient } from './engineClient.js';
 import type { ChunkStore } from './weightsStore.js';
 
+/** Chunks that are read back at the same time. */
+const PARALLEL_READS = 8;
+
 /** Times that a chunk is read back before the engine's copy counts as wrong. */
 const READS_PER_CHUNK = 2;
 
@@ -48,16 +51,26 @@
   };
   signal.addEventListener('abort', onAbort);
   const whole = createHash('sha256');
+  const ahead = new Map<number, Promise<Buffer | null>>();
+  const readAhead = (from: number): void => {
+    const held = store.held(manifest.digest);
+    for (let index = from; index < from + PARALLEL_READS && held.has(index); index += 1) {
+      if (!ahead.has(index)) ahead.set(index, engineHolds(engine, manifest, index));
+    }
+  };
   try {
     for (let index = 0; index < manifest.chunks.length;) {
       signal.throwIfAborted();
-      if (!store.held(manifest.digest).has(index)) {
+      readAhead(index);
+      const reading = ahead.get(index);
+      if (reading === undefined) {
         await new Promise<void>((resolve) => {
           wake = resolve;
         });
         continue;
       }
-      const bytes = await engineHolds(engine, manifest, index);
+      const bytes = await reading;
+      ahead.delete(index);
       if (bytes === null) {
         store.discard(manifest.digest, index);
         lost(index);
@@ -69,30 +82,26 @@
   } finally {
     signal.removeEventListener('abort', onAbort);
     release();
+    await Promise.allSettled(ahead.values());
   }
   if (whole.digest('hex') === manifest.digest) return;
   throw new ResultError(ResultCode.WeightsIncomplete, 'the whole digest differs');
 }
 
-/** Chunks that are looked for at the same time. */
-const PARALLEL_READS = 8;
+/** Chunks that are looked at first; when the engine holds none of them, it is taken as empty. */
+const PROBED_CHUNKS = 16;
 
-/**
- * Finds which chunks of a version the engine holds already.
- *
- * @remarks
- * An agent that restarted, or whose engine did, does not know; every chunk found is verified.
- */
-export async function findStaged(
+async function findAmong(
   engine: EngineClient,
   store: ChunkStore,
   manifest: WeightManifest,
+  indices: Iterator<number>,
   signal: AbortSignal,
 ): Promise<void> {
-  const indices = manifest.chunks.keys();
   const search = async (): Promise<void> => {
-    for (const index of indices) {
+    for (let next = indices.next(); next.done !== true; next = indices.next()) {
       signal.throwIfAborted();
+      const index = next.value;
       if (store.held(manifest.digest).has(index)) continue;
       const bytes = await engine.readBack(manifest.digest, index);
       if (bytes !== null && isChunk(manifest, index, bytes)) store.found(manifest, index);
@@ -100,3 +109,24 @@
   };
   await Promise.all(Array.from({ length: PARALLEL_READS }, search));
 }
+
+/**
+ * Finds which chunks of a version the engine holds already.
+ *
+ * @remarks
+ * An agent that restarted, or whose engine did, does not know; every chunk found is verified. An
+ * empty engine is the usual case and must not cost a question for each chunk.
+ */
+export async function findStaged(
+  engine: EngineClient,
+  store: ChunkStore,
+  manifest: WeightManifest,
+  signal: AbortSignal,
+): Promise<void> {
+  const count = manifest.chunks.length;
+  const stride = Math.max(1, Math.floor(count / PROBED_CHUNKS));
+  const probed = [...manifest.chunks.keys()].filter((index) => index % stride === 0);
+  await findAmong(engine, store, manifest, probed.values(), signal);
+  if (store.held(manifest.digest).size === 0) return;
+  await findAmong(engine, store, manifest, manifest.chunks.keys(), signal);
+}
--- a/packages/rollout/src/planOrigin.ts
+++ b/packages/rollout/src/planOrigin.ts
@@ -5,6 +5,7 @@
   return {
     watched: new Set(),
     sources: () => [{ kind: 'origin' }],
+    readsAtOnce: true,
     rarestFirst: false,
   };
 }
--- a/packages/rollout/src/planParent.ts
+++ b/packages/rollout/src/planParent.ts
@@ -19,11 +19,17 @@
   );
   const parent = ordered[parentPosition(ordered.indexOf(layout.self))]?.agent;
   if (parent === undefined) {
-    return { watched: new Set(), sources: () => [{ kind: 'origin' }], rarestFirst: false };
+    return {
+      watched: new Set(),
+      sources: () => [{ kind: 'origin' }],
+      readsAtOnce: true,
+      rarestFirst: false,
+    };
   }
   return {
     watched: new Set([parent]),
     sources: ({ holders }) => (holders.includes(parent) ? [{ kind: 'peer', agent: parent }] : []),
+    readsAtOnce: true,
     rarestFirst: false,
   };
 }
--- a/packages/rollout/src/planSwarm.ts
+++ b/packages/rollout/src/planSwarm.ts
@@ -1,4 +1,4 @@
-import type { Digest } from '@burdockrail/common/digest.js';
+import { digestOf, type Digest } from '@burdockrail/common/digest.js';
 import { distanceBetween, memberNamed, type RolloutLayout } from './rolloutLayout.js';
 import { createRolloutOrder, memberNumber, pairScore, type RolloutOrder } from './rolloutOrder.js';
 import type { ChunkSource, RolloutPlan, SourceQuestion } from './rolloutPlan.js';
@@ -9,6 +9,9 @@
 /** Neighbours that are chosen because they hold every chunk. */
 const COMPLETE_NEIGHBOURS = 4;
 
+/** Members that read from the origin at once. */
+const FIRST_READERS = 4;
+
 /** What an agent does for one chunk besides taking it from its neighbours. */
 type Duty =
   | { readonly kind: 'none' }
@@ -89,6 +92,7 @@
 
   return {
     watched,
+    readsAtOnce: order.rank(digestOf(chunks.join(''))) < FIRST_READERS,
     rarestFirst: true,
     sources: (question) => {
       const local = question.holders.filter((agent) => localPeers.has(agent));
--- a/packages/rollout/src/rolloutPlan.ts
+++ b/packages/rollout/src/rolloutPlan.ts
@@ -27,6 +27,11 @@
   readonly watched: ReadonlySet<string>;
   /** Sources that may be used now, all equally good; empty when the chunk has to wait. */
   sources(question: SourceQuestion): readonly ChunkSource[];
+  /**
+   * Whether the agent reads from the origin at once. The others wait until a first chunk arrived or
+   * a short time passed, so that the first chunks are not slowed down by the reads of all members.
+   */
+  readonly readsAtOnce: boolean;
   /** Whether chunks are fetched rarest first; otherwise in their order. */
   readonly rarestFirst: boolean;
 }
--- a/packages/rollout/src/rolloutProgress.ts
+++ b/packages/rollout/src/rolloutProgress.ts
@@ -16,6 +16,8 @@
 export interface RolloutProgress {
   readonly heldCount: number;
   readonly isComplete: boolean;
+  /** The lowest index that is missing; the count of chunks when none is. */
+  readonly firstMissing: number;
   holds(index: number): boolean;
   /** Records a chunk that arrived or was found. */
   hold(index: number, now: Milliseconds): void;
@@ -34,6 +36,7 @@
   const held = new Set<number>();
   const missing = new Set<number>(Array.from({ length: chunkCount }, (_chunk, index) => index));
   let lastArrival = now;
+  let lowest = 0;
   let longestGap = 0;
   let hasArrived = false;
 
@@ -50,6 +53,10 @@
     get isComplete() {
       return missing.size === 0;
     },
+    get firstMissing() {
+      while (held.has(lowest)) lowest += 1;
+      return lowest;
+    },
     holds: (index) => held.has(index),
     hold: (index, at) => {
       if (!missing.delete(index)) return;
@@ -66,7 +73,9 @@
       lastArrival = at - bound();
     },
     lose: (index) => {
-      if (held.delete(index)) missing.add(index);
+      if (!held.delete(index)) return;
+      missing.add(index);
+      lowest = Math.min(lowest, index);
     },
     missing: () => [...missing],
     elapsedBounds: (at) => Math.floor((at - lastArrival) / bound()),
--- a/packages/rollout/src/rolloutScheduler.ts
+++ b/packages/rollout/src/rolloutScheduler.ts
@@ -10,11 +10,23 @@
 type Lane = 'origin' | 'local' | 'outside';
 
 /** Fetches in progress at the same time on each lane. */
-const laneLimits: Readonly<Record<Lane, number>> = { origin: 2, local: 6, outside: 4 };
+const laneLimits: Readonly<Record<Lane, number>> = { origin: 1, local: 6, outside: 4 };
+
+/** Time for which a member that does not read at once waits for a first chunk, in milliseconds. */
+const READ_WAIT_MILLISECONDS = 500;
 
 /** Fetches in progress at the same time from one peer. */
 const PER_PEER_LIMIT = 2;
 
+/**
+ * Share of the chunks, from the first missing one on, that is fetched before all others. The engine
+ * is checked in the order of the chunks, so an early chunk that comes last delays the end.
+ */
+const WINDOW_SHARE = 0.25;
+
+/** Fewest chunks of that window, so that peers have enough different ones to exchange. */
+const MINIMUM_WINDOW = 64;
+
 /** Name of the origin among the avoided sources; no agent can have it. */
 const ORIGIN = '';
 
@@ -82,6 +94,7 @@
   const holders = chunks.map(() => new Set<string>());
   const pending = new Map<number, FetchOrder>();
   const queuedBytes = new Map<string, number>();
+  const window = Math.max(MINIMUM_WINDOW, Math.ceil(chunks.length * WINDOW_SHARE));
   let layout = options.layout;
   let plan: RolloutPlan = rolloutPlans[options.plan](layout, chunks);
 
@@ -102,18 +115,27 @@
     return countPending((other) => nameOf(other) === source.agent) < PER_PEER_LIMIT;
   };
 
+  const mayRead = (at: Milliseconds): boolean =>
+    plan.readsAtOnce || progress.heldCount > 0 || at - now >= READ_WAIT_MILLISECONDS;
+
+  const rarity = (index: number, holderCount: number): number => {
+    const isLate = index >= progress.firstMissing + window;
+    return holderCount + random.next() + (isLate ? chunks.length : 0);
+  };
+
   const candidateAt = (index: number, at: Milliseconds): Candidate | undefined => {
     const known = [...(holders[index] ?? [])];
     const usable = known.filter((agent) => !avoidance.isAvoided(agent, at));
     const question = { index, holders: usable, elapsedBounds: 0 };
-    const isUsable = (source: ChunkSource): boolean => !avoidance.isAvoided(nameOf(source), at);
+    const isUsable = (source: ChunkSource): boolean =>
+      !avoidance.isAvoided(nameOf(source), at) && (source.kind === 'peer' || mayRead(at));
     const elapsedBounds = progress.elapsedBounds(at);
     const own = plan.sources(question).filter(isUsable);
     const isStepIn = own.length === 0;
     const all = isStepIn ? plan.sources({ ...question, elapsedBounds }).filter(isUsable) : own;
     const sources = all.filter(hasRoom);
     if (sources.length === 0) return undefined;
-    const rank = plan.rarestFirst ? known.length + random.next() : index;
+    const rank = plan.rarestFirst ? rarity(index, known.length) : index;
     return { index, sources, isStepIn, rank };
   };
 
