feat(bench): load tool with open-loop arrivals by team and class

Cause: limits, fairness and routing need a load that is fixed by a seed and does not wait. Reports times by team and class, attempts per model request and prefix hits from the engines' own counts.

--- /dev/null
+++ b/packages/bench/bin/load.js
@@ -0,0 +1,3 @@
+import { runLoadTool } from '../dist/src/loadMain.js';
+
+process.exitCode = await runLoadTool(process.argv.slice(2));
--- a/packages/bench/src/measureLayout.ts
+++ b/packages/bench/src/measureLayout.ts
@@ -1,4 +1,5 @@
-import type { CountByDataCentre, SystemLayout } from '@burdockrail/harness/systemLayout.js';
+import type { SystemLayout } from '@burdockrail/harness/systemLayout.js';
+import { evenCounts } from './evenCounts.js';
 import { linkRates } from './measureLimits.js';
 import type { MeasureOptions, PlanName } from './measureOptions.js';
 
@@ -11,15 +12,6 @@
 /** Chunks of the version before the measured one, when the two have nothing in common. */
 const FIRST_VERSION_CHUNKS = 4;
 
-function evenCounts(names: readonly string[], total: number): CountByDataCentre {
-  return Object.fromEntries(
-    names.map((name, index) => [
-      name,
-      Math.floor((total + names.length - 1 - index) / names.length),
-    ]),
-  );
-}
-
 /** Layout of one run: each data centre is a region of its own. */
 export function measureLayout(
   options: MeasureOptions,
--- a/packages/bench/src/quickstartSteps.ts
+++ b/packages/bench/src/quickstartSteps.ts
@@ -143,6 +143,7 @@
     const unclean = names.filter((_name, index) => codes[index] !== 0);
     if (unclean.length > 0) say(`not ended cleanly: ${unclean.join(', ')}`);
     clean &&= unclean.length === 0;
+    say(`${names.length} processes with the role ${role} have ended`);
   }
   say(`all processes ended${clean ? ' cleanly' : ''}`);
   return clean;
--- a/packages/standins/src/engineCompletions.ts
+++ b/packages/standins/src/engineCompletions.ts
@@ -235,6 +235,7 @@
   return {
     complete: async (exchange) => {
       const body = (await readJson(exchange.request)) as CompletionBody;
+      state.counts.requests += 1;
       const refused = refusal();
       if (refused !== undefined) {
         sendJson(exchange.response, refused.status, { error: refused.error });
--- a/packages/standins/src/engineFaults.ts
+++ b/packages/standins/src/engineFaults.ts
@@ -18,6 +18,8 @@
 
 /** What an engine was asked for; outlasts its crashes. */
 export interface EngineCounts {
+  /** Completion requests, refused ones among them. */
+  requests: number;
   runs: number;
   finished: number;
   cancelled: number;
@@ -38,6 +40,7 @@
 /** Creates counts of an engine that was never asked for anything. */
 export function createEngineCounts(): EngineCounts {
   return {
+    requests: 0,
     runs: 0,
     finished: 0,
     cancelled: 0,
