--- a/packages/cli/src/commands/clusterForm.ts
+++ b/packages/cli/src/commands/clusterForm.ts
@@ -2,7 +2,7 @@
 import { RemoteCommand } from '../remoteCommand.js';
 
 /** Time for the replicas to reach each other and form their groups, in milliseconds. */
-const FORM_TIMEOUT_MILLISECONDS = 20_000;
+const FORM_TIMEOUT_MILLISECONDS = 60_000;
 
 /** Forms the quorum groups of a new fleet. */
 export class ClusterForm extends RemoteCommand {
--- a/scripts/docs.mjs
+++ b/scripts/docs.mjs
@@ -46,19 +46,20 @@
 
 async function resultsPage() {
   const { ResultCode, resultDescriptions } = await load('common', 'resultCode');
+  const { resultAdvice } = await load('common', 'resultAdvice');
   const codes = Object.values(ResultCode).filter((code) => typeof code === 'number');
   const rows = codes
     .sort((left, right) => left - right)
     .map((code) => {
       const { httpStatus, text } = resultDescriptions[code];
-      return [code, ResultCode[code], httpStatus, text];
+      return [code, ResultCode[code], httpStatus, text, resultAdvice[code]];
     });
   return [
     '# Results',
     NOTE,
-    'Every answer of the system carries a number: callers find it in the header `Burdockrail-Result`, beside `Burdockrail-Run` (`ran`, `not-run`, `unknown`); the command line writes `NUMBER Name: detail`. What each asks of an operator stands in [OPERATING.md](OPERATING.md).',
+    'Every answer of the system carries a number: callers find it in the header `Burdockrail-Result`, beside `Burdockrail-Run` (`ran`, `not-run`, `unknown`); the command line writes `NUMBER Name: detail`. The last column says what each asks of the operator on call; the procedures stand in [OPERATING.md](OPERATING.md).',
     'Numbers: 1xx requests, 2xx claims of non-repeatable requests, 3xx agreement and configuration changes, 4xx fleet programs, settings and the command line, 5xx weights, 6xx connections between processes.',
-    table(['number', 'name', 'HTTP status', 'meaning'], rows),
+    table(['number', 'name', 'HTTP status', 'meaning', 'what to do'], rows),
   ];
 }
 
