fix(daemon): bound the drain of every role and tell how the process ended

Cause: drainMilliseconds bounded only the entry. An agent whose upstream never answers a non-repeatable request kept its process for ever; nothing wrote the events 1002 and 1003 of the catalogue, and a port in use ended in a bare stack trace.

Before: drain of a role that never becomes idle never ended (daemonDrain.spec fails without the bound). After: it ends at the bound with event 1005; a second process on the same address ends with exit code 1 and event 1003 with result and reason; an ordered end writes 1002.

--- a/packages/daemon/src/daemonMain.ts
+++ b/packages/daemon/src/daemonMain.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from 'node:crypto';
-import { resultName } from '@burdockrail/common/resultCode.js';
+import { toResultError } from '@burdockrail/common/outcome.js';
+import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { processTime } from '@burdockrail/common/timeSource.js';
@@ -8,7 +9,7 @@
 import { createLedgerState } from '@burdockrail/ledger/ledgerState.js';
 import { readSettings } from '@burdockrail/settings/settingsFile.js';
 import type { Settings } from '@burdockrail/settings/settingsSchema.js';
-import { createEventLog } from '@burdockrail/telemetry/eventLog.js';
+import { createEventLog, type EventLog } from '@burdockrail/telemetry/eventLog.js';
 import { createPeerClient } from '@burdockrail/transport/peerClient.js';
 import { mergeHandlers } from '@burdockrail/transport/peerHandlers.js';
 import { createPeerServer } from '@burdockrail/transport/peerServer.js';
@@ -17,6 +18,7 @@
 import type { AnyReplicatedState } from '@burdockrail/agreement/replicaState.js';
 import { createConfigurationHolder } from './configurationHolder.js';
 import { createConfigurationSource, offerOwnConfiguration } from './configurationSource.js';
+import { drainRoles } from './daemonDrain.js';
 import { daemonRoles } from './daemonRoles.js';
 import type { DaemonContext, DaemonRole } from './daemonRole.js';
 import { createGroupProcess } from './groupProcess.js';
@@ -44,10 +46,9 @@
   };
 }
 
-function createContext(settings: Settings): DaemonContext {
+function createContext(settings: Settings, log: EventLog): DaemonContext {
   const identity = identityOf(settings);
   const traffic = createTrafficMeter();
-  const log = createEventLog({ process: settings.name, ...settings.log });
   return {
     settings,
     identity,
@@ -72,8 +73,8 @@
   });
 }
 
-async function serve(settings: Settings): Promise<void> {
-  const context = createContext(settings);
+async function serve(settings: Settings, log: EventLog): Promise<void> {
+  const context = createContext(settings, log);
   await using client = context.client;
   await using owned = createDisposalStack();
   const roles: DaemonRole[] = [];
@@ -108,7 +109,7 @@
   });
   const signal = await awaitSignal();
   context.log.write('processStopping', { signal });
-  await Promise.all(roles.map((role) => role.drain()));
+  await drainRoles(roles, settings.drainMilliseconds, context.log);
   stop(context.actors);
 }
 
@@ -141,6 +142,14 @@
     process.stdout.write(`valid: ${settings.value.name}, ${rolesOf(settings.value).join(', ')}\n`);
     return 0;
   }
-  await serve(settings.value);
-  return 0;
+  const log = createEventLog({ process: settings.value.name, ...settings.value.log });
+  try {
+    await serve(settings.value, log);
+    log.write('processStopped');
+    return 0;
+  } catch (error) {
+    const { code, message } = toResultError(error, ResultCode.InternalError);
+    log.write('processFailed', { code, result: resultName(code), reason: message });
+    return 1;
+  }
 }
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -20,6 +20,11 @@
   processStopping: { number: 1001, level: 'info', text: 'The process drains and then ends.' },
   processStopped: { number: 1002, level: 'info', text: 'The process has ended in order.' },
   processFailed: { number: 1003, level: 'error', text: 'The process cannot go on.' },
+  drainCutOff: {
+    number: 1005,
+    level: 'warn',
+    text: 'The time for draining is over; work in progress is cut off.',
+  },
   controllerFailed: { number: 1004, level: 'error', text: 'A controller failed on a message.' },
   entryListening: { number: 2000, level: 'info', text: 'The entry takes requests of callers.' },
   requestFailed: { number: 2001, level: 'error', text: 'A request failed unexpectedly.' },
