--- a/packages/daemon/src/agentModelUpstream.ts
+++ b/packages/daemon/src/agentModelUpstream.ts
@@ -3,6 +3,7 @@
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import type { AgentSettings } from '@burdockrail/settings/settingsSchema.js';
 import { createPacer } from '@burdockrail/rollout/rolloutPacer.js';
+import { mergeHandlers } from '@burdockrail/transport/peerHandlers.js';
 import type { AgentUpstreamFactory } from './agentUpstream.js';
 import { createEngineClient } from './engineClient.js';
 import { createEngineMonitor, loadReport } from './engineMonitor.js';
@@ -11,9 +12,11 @@
 import { createWeightsOrders } from './weightsOrders.js';
 import { createWeightsOrigin, type WeightsOrigin } from './weightsOrigin.js';
 import { createWeightsPeers } from './weightsPeers.js';
-import { runRollout, type RolloutParts } from './weightsRollout.js';
+import type { RolloutParts } from './weightsFetch.js';
+import { runRollout } from './weightsRollout.js';
 import { createWeightsServing } from './weightsServing.js';
 import { createChunkStore } from './weightsStore.js';
+import { createWeightsTurns } from './weightsTurn.js';
 import { createWeightsUploads } from './weightsUploads.js';
 
 function originOf(settings: AgentSettings, localAddress: string): WeightsOrigin {
@@ -56,9 +59,9 @@
   const serving = createWeightsServing(options.changed);
   const { service } = settings;
   const orders = createWeightsOrders(context, service, engine);
+  const turns = createWeightsTurns(context, service);
   const bringUp = createWeightsBringUp({
     context,
-    service,
     engine,
     origin,
     store,
@@ -66,6 +69,7 @@
     orders,
     serving,
     gate: options.gate,
+    turns,
   });
   const weights = owned.use(
     createWeightsController({ context, service, bringUp, orders, serving }),
@@ -76,8 +80,10 @@
     }),
   );
 
+  const uploads = createWeightsUploads(store, createPacer(rate), context.time);
+
   return {
-    handlers: createWeightsUploads(store, createPacer(rate), context.time),
+    handlers: mergeHandlers([uploads, turns.handlers]),
     get presence() {
       const { served, rollout, isSwitching } = serving;
       const { load, prefixes } = monitor.view;
--- a/packages/daemon/src/weightsBringUp.ts
+++ b/packages/daemon/src/weightsBringUp.ts
@@ -8,11 +8,11 @@
 import { presentAgents } from './weightsMembers.js';
 import type { WeightsOrders } from './weightsOrders.js';
 import type { WeightsOrigin } from './weightsOrigin.js';
-import type { RolloutJob } from './weightsRollout.js';
+import type { RolloutJob } from './weightsFetch.js';
 import type { WeightsServing } from './weightsServing.js';
 import type { ChunkStore } from './weightsStore.js';
 import type { VersionTarget, WeightsTarget } from './weightsTarget.js';
-import { awaitTurn } from './weightsTurn.js';
+import type { WeightsTurns } from './weightsTurn.js';
 import { findStaged } from './weightsVerifier.js';
 
 /** Longest time for which attempts in progress are waited for before a switch, in milliseconds. */
@@ -24,7 +24,6 @@
 /** Parts that bringing weights to life needs. */
 export interface BringUpParts {
   readonly context: DaemonContext;
-  readonly service: string;
   readonly engine: EngineClient;
   readonly origin: WeightsOrigin;
   readonly store: ChunkStore;
@@ -32,6 +31,7 @@
   readonly orders: WeightsOrders;
   readonly serving: WeightsServing;
   readonly gate: AttemptGate;
+  readonly turns: WeightsTurns;
 }
 
 /** Brings the weights and adapters of a target to one engine. */
@@ -83,7 +83,8 @@
     signal: AbortSignal,
   ): Promise<void> => {
     const kind: EngineOrder['kind'] = serving.served?.model === manifest.model ? 'version' : 'load';
-    if (serving.served !== null) await awaitTurn(context, parts.service, manifest.digest, signal);
+    const isInterruption = serving.served !== null;
+    const giveBack = isInterruption ? await parts.turns.take(signal) : undefined;
     serving.setSwitching(true);
     try {
       // An engine may swap weights under running requests, so none runs during the switch.
@@ -99,6 +100,7 @@
     } finally {
       serving.setSwitching(false);
       gate.open();
+      giveBack?.();
     }
   };
 
--- a/packages/daemon/src/weightsTurn.ts
+++ b/packages/daemon/src/weightsTurn.ts
@@ -1,51 +1,117 @@
 import { setTimeout as delay } from 'node:timers/promises';
-import type { Digest } from '@burdockrail/common/digest.js';
+import { rendezvousOrder } from '@burdockrail/common/rendezvousHash.js';
 import type { Announcement } from '@burdockrail/protocol/protocolMembership.js';
-import { mayInterrupt, type TurnPeer } from '@burdockrail/rollout/rolloutTurn.js';
+import type { TurnRequest } from '@burdockrail/protocol/protocolWeights.js';
+import { createTurnDesk, turnsAtOnce } from '@burdockrail/rollout/rolloutTurn.js';
+import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
 import type { DaemonContext } from './daemonRole.js';
 import { presentAgents } from './weightsMembers.js';
 
-/** Time in which the announcements of others that wait arrive, in milliseconds. */
-const SETTLING_MILLISECONDS = 500;
-
-/** Time between two looks at the others, in milliseconds. */
-const INTERVAL_MILLISECONDS = 200;
-
-function turnPeers(
-  context: DaemonContext,
-  service: string,
-  digest: Digest,
-  present: readonly Announcement[],
-): readonly TurnPeer[] {
-  const others = present.filter(
-    (peer) =>
-      peer.service === service && peer.state === 'present' && peer.agent !== context.identity.name,
-  );
-  const local = others.filter((peer) => peer.dataCentre === context.settings.dataCentre);
-  return (local.length > 0 ? local : others).map(({ agent, ready, serving, rollout }) => ({
-    agent,
-    isReady: ready,
-    waitsForTurn:
-      serving?.digest !== digest &&
-      rollout?.digest === digest &&
-      rollout.heldChunks === rollout.chunks,
-  }));
+/** Time for which a request for a turn is kept open when none is free, in milliseconds. */
+const KEPT_OPEN_MILLISECONDS = 1_000;
+
+/** Bound on one request for a turn, in milliseconds. */
+const REQUEST_MILLISECONDS = 1_500;
+
+/** Time after which an upstream switches although it has no turn, in milliseconds. */
+const LONGEST_WAIT_MILLISECONDS = 30_000;
+
+/** Turns in which the upstreams of a service and data centre switch their weights. */
+export interface WeightsTurns {
+  readonly handlers: Partial<PeerHandlers>;
+  /**
+   * Waits for a turn.
+   *
+   * @returns the function that gives it back.
+   */
+  take(signal: AbortSignal): Promise<() => void>;
 }
 
-/** Waits until the agent may interrupt its upstream; goes on when no registrar answers. */
-export async function awaitTurn(
-  context: DaemonContext,
-  service: string,
-  digest: Digest,
-  signal: AbortSignal,
-): Promise<void> {
-  const begin = context.time.now();
-  await delay(SETTLING_MILLISECONDS, undefined, { signal });
-  for (;;) {
+/**
+ * Creates the turns of one agent.
+ *
+ * @remarks
+ * One of the agents, chosen by rendezvous hash, gives turns to all; each asks the next in the order
+ * when the first does not answer. Agents that know different members may ask different ones, so
+ * the bound can be exceeded for a moment; that costs capacity and never a wrong answer.
+ */
+export function createWeightsTurns(context: DaemonContext, service: string): WeightsTurns {
+  const desk = createTurnDesk();
+  const waiting = new Set<() => void>();
+  const { name, dataCentre } = context.settings;
+
+  const wakeAll = (): void => {
+    for (const wake of waiting) wake();
+  };
+
+  const grant = async (request: TurnRequest): Promise<boolean> => {
+    const limit = context.time.now() + KEPT_OPEN_MILLISECONDS;
+    while (!desk.take(request.agent, request.slots, context.time.now())) {
+      const left = limit - context.time.now();
+      if (left <= 0) return false;
+      let wake: () => void = () => undefined;
+      const woken = new Promise<void>((resolve) => {
+        wake = resolve;
+      });
+      waiting.add(wake);
+      await Promise.race([woken, delay(left)]);
+      waiting.delete(wake);
+    }
+    return true;
+  };
+
+  const giveBack = (agent: string): void => {
+    desk.giveBack(agent);
+    wakeAll();
+  };
+
+  const colleagues = async (): Promise<readonly Pick<Announcement, 'agent' | 'address'>[]> => {
     const present = await presentAgents(context).catch(() => []);
-    const peers = turnPeers(context, service, digest, present);
-    const waited = context.time.now() - begin;
-    if (mayInterrupt(context.identity.name, peers, waited)) return;
-    await delay(INTERVAL_MILLISECONDS, undefined, { signal });
-  }
+    const others = present.filter((peer) => peer.service === service && peer.agent !== name);
+    const local = others.filter((peer) => peer.dataCentre === dataCentre);
+    const self = { agent: name, address: context.advertised };
+    return rendezvousOrder(service, [self, ...local], ({ agent }) => agent);
+  };
+
+  return {
+    handlers: {
+      calls: {
+        'weights.turn': async (request) => ({ granted: await grant(request) }),
+      },
+      notifications: {
+        'weights.turn-done': ({ agent }) => {
+          giveBack(agent);
+        },
+      },
+    },
+    take: async (signal) => {
+      const begin = context.time.now();
+      const members = await colleagues();
+      const request = { agent: name, slots: turnsAtOnce(members.length) };
+      const timeout = { timeoutMilliseconds: REQUEST_MILLISECONDS, signal };
+      while (context.time.now() - begin < LONGEST_WAIT_MILLISECONDS) {
+        for (const member of members) {
+          signal.throwIfAborted();
+          const isSelf = member.agent === name;
+          const granted = isSelf
+            ? await grant(request)
+            : await context.client
+                .to(member.address)
+                .call('weights.turn', request, timeout)
+                .then(
+                  (reply) => reply.granted,
+                  () => null,
+                );
+          // Another one is asked only when this one does not answer.
+          if (granted === null) continue;
+          if (!granted) break;
+          return () => {
+            if (isSelf) giveBack(name);
+            else context.client.notify(member.address, 'weights.turn-done', { agent: name });
+          };
+        }
+      }
+      return () => undefined;
+    },
+  };
 }
--- a/packages/daemon/src/weightsUploads.ts
+++ b/packages/daemon/src/weightsUploads.ts
@@ -15,7 +15,7 @@
 const MAXIMUM_UPLOADS = 32;
 
 /** Time for which changes are gathered before a watching peer is told, in milliseconds. */
-const GATHER_MILLISECONDS = 15;
+const GATHER_MILLISECONDS = 25;
 
 /** Creates the answers to other agents about the chunks in a store. */
 export function createWeightsUploads(
--- a/packages/protocol/src/protocolWeights.ts
+++ b/packages/protocol/src/protocolWeights.ts
@@ -48,11 +48,22 @@
   readonly digest: Digest;
 }
 
+/** Asks the agent that gives turns for one in which to switch weights. */
+export interface TurnRequest {
+  readonly agent: string;
+  /** Turns that may be out at the same time. */
+  readonly slots: number;
+}
+
 declare module './protocolKinds.js' {
   interface PeerCalls {
     'weights.chunk': CallShape<ChunkRequest, ChunkReply>;
+    'weights.turn': CallShape<TurnRequest, { readonly granted: boolean }>;
     'weights.manifest': CallShape<ManifestRequest, WeightManifest | null>;
   }
+  interface PeerNotifications {
+    'weights.turn-done': { readonly agent: string };
+  }
   interface PeerStreams {
     'weights.watch': StreamShape<ChunkWatch, ChunksHeld>;
   }
--- a/packages/rollout/__tests__/rolloutTurn.spec.ts
+++ b/packages/rollout/__tests__/rolloutTurn.spec.ts
@@ -1,36 +1,23 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { mayInterrupt, type TurnPeer } from '../src/rolloutTurn.js';
-
-function peersOf(count: number, change: Partial<TurnPeer> = {}): readonly TurnPeer[] {
-  return Array.from({ length: count }, (_peer, place) => ({
-    agent: `a${place}`,
-    isReady: true,
-    waitsForTurn: false,
-    ...change,
-  }));
-}
+import { createTurnDesk, turnsAtOnce } from '../src/rolloutTurn.js';
 
 describe('the turn to switch weights', () => {
-  it('lets a third of the upstreams be interrupted at the same time, at least one', () => {
-    assert.ok(mayInterrupt('z', [], 0));
-    assert.ok(mayInterrupt('z', peersOf(1), 0));
-    const [first, ...others] = peersOf(5);
-    assert.ok(first);
-    assert.ok(mayInterrupt('z', [{ ...first, isReady: false }, ...others], 0));
-    const two = peersOf(2, { isReady: false });
-    assert.ok(!mayInterrupt('z', [...two, ...peersOf(3)], 0));
-  });
-
-  it('goes in order of the names of those that wait', () => {
-    const waiting = peersOf(3, { waitsForTurn: true });
-    assert.ok(!mayInterrupt('z', waiting, 0));
-    assert.ok(mayInterrupt('a', waiting, 0));
+  it('is out to a third of the upstreams at the same time, rounded up', () => {
+    assert.deepEqual([1, 2, 3, 4, 16].map(turnsAtOnce), [1, 1, 1, 2, 6]);
+    const desk = createTurnDesk();
+    assert.ok(desk.take('a', 2, 0));
+    assert.ok(desk.take('b', 2, 0));
+    assert.ok(!desk.take('c', 2, 0));
+    assert.ok(desk.take('a', 2, 0), 'asking again keeps the turn');
+    desk.giveBack('b');
+    assert.ok(desk.take('c', 2, 0));
   });
 
-  it('waits for no broken upstream longer than the bounds', () => {
-    assert.ok(mayInterrupt('z', peersOf(3, { waitsForTurn: true }), 10_000));
-    assert.ok(!mayInterrupt('z', peersOf(3, { isReady: false }), 10_000));
-    assert.ok(mayInterrupt('z', peersOf(3, { isReady: false }), 31_000));
+  it('comes back by itself from an agent that died with it', () => {
+    const desk = createTurnDesk();
+    assert.ok(desk.take('a', 1, 0));
+    assert.ok(!desk.take('b', 1, 29_000));
+    assert.ok(desk.take('b', 1, 30_000));
   });
 });
--- a/packages/rollout/src/rolloutScheduler.ts
+++ b/packages/rollout/src/rolloutScheduler.ts
@@ -15,6 +15,8 @@
 /** Time for which a member that does not read at once waits for a first chunk, in milliseconds. */
 const READ_WAIT_MILLISECONDS = 500;
 
+const lanesInUse = Object.keys(laneLimits) as readonly Lane[];
+
 /** Fetches in progress at the same time from one peer. */
 const PER_PEER_LIMIT = 2;
 
@@ -74,6 +76,14 @@
   readonly rank: number;
 }
 
+/** What is the same for all chunks while fetches are chosen. */
+interface Scan {
+  readonly lanes: Readonly<Record<Lane, number>>;
+  readonly elapsedBounds: number;
+  readonly mayRead: boolean;
+  readonly isAvoided: (source: string) => boolean;
+}
+
 function nameOf(source: ChunkSource): string {
   return source.kind === 'origin' ? ORIGIN : source.agent;
 }
@@ -105,14 +115,20 @@
     return isLocal ? 'local' : 'outside';
   };
 
-  const countPending = (matches: (source: ChunkSource) => boolean): number =>
-    [...pending.values()].filter(({ source }) => matches(source)).length;
+  const countLanes = (): Record<Lane, number> => {
+    const counts: Record<Lane, number> = { origin: 0, local: 0, outside: 0 };
+    for (const { source } of pending.values()) counts[laneOf(source)] += 1;
+    return counts;
+  };
 
-  const hasRoom = (source: ChunkSource): boolean => {
+  const hasRoom = (source: ChunkSource, lanes: Readonly<Record<Lane, number>>): boolean => {
     const lane = laneOf(source);
-    if (countPending((other) => laneOf(other) === lane) >= laneLimits[lane]) return false;
+    if (lanes[lane] >= laneLimits[lane]) return false;
     if (source.kind === 'origin') return true;
-    return countPending((other) => nameOf(other) === source.agent) < PER_PEER_LIMIT;
+    const fromPeer = [...pending.values()].filter(
+      ({ source: other }) => nameOf(other) === source.agent,
+    );
+    return fromPeer.length < PER_PEER_LIMIT;
   };
 
   const mayRead = (at: Milliseconds): boolean =>
@@ -123,27 +139,28 @@
     return holderCount + random.next() + (isLate ? chunks.length : 0);
   };
 
-  const candidateAt = (index: number, at: Milliseconds): Candidate | undefined => {
+  const candidateAt = (index: number, scan: Scan): Candidate | undefined => {
     const known = [...(holders[index] ?? [])];
-    const usable = known.filter((agent) => !avoidance.isAvoided(agent, at));
-    const question = { index, holders: usable, elapsedBounds: 0 };
+    const holdersInUse = known.filter((agent) => !scan.isAvoided(agent));
     const isUsable = (source: ChunkSource): boolean =>
-      !avoidance.isAvoided(nameOf(source), at) && (source.kind === 'peer' || mayRead(at));
-    const elapsedBounds = progress.elapsedBounds(at);
+      !scan.isAvoided(nameOf(source)) && (source.kind === 'peer' || scan.mayRead);
+    const question = { index, holders: holdersInUse, elapsedBounds: 0 };
     const own = plan.sources(question).filter(isUsable);
     const isStepIn = own.length === 0;
+    const { elapsedBounds } = scan;
+    if (isStepIn && elapsedBounds === 0) return undefined;
     const all = isStepIn ? plan.sources({ ...question, elapsedBounds }).filter(isUsable) : own;
-    const sources = all.filter(hasRoom);
+    const sources = all.filter((source) => hasRoom(source, scan.lanes));
     if (sources.length === 0) return undefined;
     const rank = plan.rarestFirst ? rarity(index, known.length) : index;
     return { index, sources, isStepIn, rank };
   };
 
-  const bestCandidate = (at: Milliseconds): Candidate | undefined => {
+  const bestCandidate = (scan: Scan): Candidate | undefined => {
     let best: Candidate | undefined;
     for (const index of progress.missing()) {
       if (pending.has(index)) continue;
-      const candidate = candidateAt(index, at);
+      const candidate = candidateAt(index, scan);
       if (candidate === undefined) continue;
       if (best === undefined || candidate.rank < best.rank) best = candidate;
     }
@@ -175,8 +192,13 @@
     },
     next: (at) => {
       const orders: FetchOrder[] = [];
+      const elapsedBounds = progress.elapsedBounds(at);
+      const isAvoided = (source: string): boolean => avoidance.isAvoided(source, at);
       for (;;) {
-        const candidate = bestCandidate(at);
+        const lanes = countLanes();
+        if (lanesInUse.every((lane) => lanes[lane] >= laneLimits[lane])) return orders;
+        const scan = { lanes, elapsedBounds, isAvoided, mayRead: mayRead(at) };
+        const candidate = bestCandidate(scan);
         const source = candidate === undefined ? undefined : chooseSource(candidate.sources);
         if (candidate === undefined || source === undefined) return orders;
         const order = { index: candidate.index, source, isStepIn: candidate.isStepIn };
--- a/packages/rollout/src/rolloutTurn.ts
+++ b/packages/rollout/src/rolloutTurn.ts
@@ -3,38 +3,33 @@
 /** Share of the upstreams of a service in one data centre that may be interrupted at a time. */
 const INTERRUPTED_SHARE = 1 / 3;
 
-/** Time for which upstreams that come before are waited for, in milliseconds. */
-const ORDER_KEPT_MILLISECONDS = 8_000;
+/** Time after which a turn that was not given back is free again, in milliseconds. */
+const TURN_MILLISECONDS = 30_000;
 
-/** Time after which an upstream switches whatever the others do, in milliseconds. */
-const LONGEST_WAIT_MILLISECONDS = 30_000;
+/** Upstreams of a data centre that may be interrupted at the same time: a third, rounded up. */
+export function turnsAtOnce(upstreams: number): number {
+  return Math.ceil(upstreams * INTERRUPTED_SHARE);
+}
 
-/** Another upstream of the same service and data centre. */
-export interface TurnPeer {
-  readonly agent: string;
-  /** Whether it takes requests at present. */
-  readonly isReady: boolean;
-  /** Whether it holds the new weights in full and serves others. */
-  readonly waitsForTurn: boolean;
+/** Gives turns to upstreams that must stop taking requests to switch their weights. */
+export interface TurnDesk {
+  /** Gives a turn if fewer than `slots` are out; an agent that has one keeps it. */
+  take(agent: string, slots: number, now: Milliseconds): boolean;
+  giveBack(agent: string): void;
 }
 
-/**
- * Tells whether an upstream may stop taking requests in order to switch its weights.
- *
- * @remarks
- * A third of the upstreams, at least one, may be interrupted at the same time; those that wait go
- * in order of their names. The bounds keep an upstream that is broken from holding up all others.
- */
-export function mayInterrupt(
-  agent: string,
-  peers: readonly TurnPeer[],
-  waited: Milliseconds,
-): boolean {
-  if (waited >= LONGEST_WAIT_MILLISECONDS) return true;
-  const slots = Math.max(1, Math.floor((peers.length + 1) * INTERRUPTED_SHARE));
-  const interrupted = peers.filter(({ isReady }) => !isReady).length;
-  const isBefore = (peer: TurnPeer): boolean =>
-    peer.isReady && peer.waitsForTurn && peer.agent < agent;
-  const before = waited >= ORDER_KEPT_MILLISECONDS ? 0 : peers.filter(isBefore).length;
-  return interrupted + before < slots;
+/** Creates a desk with no turn out. */
+export function createTurnDesk(): TurnDesk {
+  const heldUntil = new Map<string, Milliseconds>();
+  return {
+    take: (agent, slots, now) => {
+      for (const [holder, until] of heldUntil) if (until <= now) heldUntil.delete(holder);
+      if (!heldUntil.has(agent) && heldUntil.size >= slots) return false;
+      heldUntil.set(agent, now + TURN_MILLISECONDS);
+      return true;
+    },
+    giveBack: (agent) => {
+      heldUntil.delete(agent);
+    },
+  };
 }
