--- /dev/null
+++ b/packages/bench/__tests__/measurePlot.spec.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import { mkdtemp, readFile, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { describe, it } from 'node:test';
+import { parseMeasureOptions } from '../src/measureOptions.js';
+import { writePlot } from '../src/measurePlot.js';
+import { summarise } from '../src/measureSummary.js';
+import type { MeasuredRun } from '../src/measureRun.js';
+
+function run(replicas: number, seconds: number): MeasuredRun {
+  const usage = { roles: {}, proxyCores: 0, machineBusy: 0 };
+  return {
+    plan: 'swarm',
+    replicas,
+    rollout: { secondsToLive: [seconds], missing: 0, originCopies: 1, copiesByRegion: { a: 0 } },
+    quietUsage: usage,
+    rolloutUsage: usage,
+  };
+}
+
+describe('writePlot', () => {
+  it('draws the medians of the rounds beside the limit', async () => {
+    const folder = await mkdtemp(join(tmpdir(), 'burdockrail-plot-'));
+    const options = parseMeasureOptions(['--replicas', '12,24']);
+    const summaries = [
+      summarise(options, [run(12, 9), run(12, 11), run(12, 10)]),
+      summarise(options, [run(24, 12)]),
+    ];
+    assert.equal(summaries[0]?.secondsToLive, 10);
+    const path = join(folder, 'plot.svg');
+    await writePlot(path, summaries);
+    const svg = await readFile(path, 'utf8');
+    assert.match(svg, /^<svg/u);
+    assert.match(svg, /swarm/u);
+    assert.match(svg, /limit/u);
+    await rm(folder, { recursive: true });
+  });
+});
--- a/packages/bench/src/measureUsage.ts
+++ b/packages/bench/src/measureUsage.ts
@@ -11,8 +11,12 @@
   /** Share of one core. */
   readonly cores: number;
   readonly residentBytes: number;
-  /** Bytes a second that a machine of the role sends over links. */
+  /** Bytes a second that a machine of the role sends over links, weights among them. */
   readonly sentBytesPerSecond: number;
+  /** Bytes a second that a process of the role sends for control, by its own count. */
+  readonly controlBytesPerSecond: number;
+  /** Bytes a second that a process of the role sends, by family of message. */
+  readonly bytesPerSecondByFamily: Readonly<Record<string, number>>;
 }
 
 /** Use of the machine in one period. */
@@ -29,6 +33,8 @@
   readonly processorMilliseconds: number;
   readonly residentBytes: number;
   readonly sentBytes: number;
+  readonly controlBytes: number;
+  readonly families: Readonly<Record<string, number>>;
 }
 
 interface UsageSample {
@@ -56,9 +62,14 @@
   const sample = async (name: string, role: Role): Promise<void> => {
     const status = await system.operator.status(system.machine(name).advertise).catch(() => null);
     if (status === null) return;
-    const { processorMilliseconds, residentBytes } = status;
-    const sentBytes = links.sentByMachine[name] ?? 0;
-    processes.set(name, { role, processorMilliseconds, residentBytes, sentBytes });
+    processes.set(name, {
+      role,
+      processorMilliseconds: status.processorMilliseconds,
+      residentBytes: status.residentBytes,
+      sentBytes: links.sentByMachine[name] ?? 0,
+      controlBytes: status.controlBytesSent,
+      families: status.sentBytesByFamily,
+    });
   };
   const running = system.machines.filter(({ name }) => system.processes.process(name).running);
   await Promise.all(running.map(async ({ name, roles }) => sample(name, roles[0] ?? 'agent')));
@@ -82,6 +93,8 @@
   let processor = 0;
   let resident = 0;
   let sent = 0;
+  let control = 0;
+  const families: Record<string, number> = {};
   for (const [name, end] of after.processes) {
     const start = before.processes.get(name);
     if (end.role !== role || start === undefined) continue;
@@ -89,13 +102,22 @@
     processor += end.processorMilliseconds - start.processorMilliseconds;
     resident += end.residentBytes;
     sent += end.sentBytes - start.sentBytes;
+    control += end.controlBytes - start.controlBytes;
+    for (const [family, bytes] of Object.entries(end.families)) {
+      families[family] = (families[family] ?? 0) + bytes - (start.families[family] ?? 0);
+    }
   }
   if (processes === 0) return undefined;
+  const perSecond = (bytes: number): number =>
+    (bytes / elapsed / processes) * MILLISECONDS_PER_SECOND;
+  const byFamily = Object.entries(families).map(([family, bytes]) => [family, perSecond(bytes)]);
   return {
     processes,
     cores: processor / elapsed / processes,
     residentBytes: resident / processes,
-    sentBytesPerSecond: (sent / elapsed / processes) * MILLISECONDS_PER_SECOND,
+    sentBytesPerSecond: perSecond(sent),
+    controlBytesPerSecond: perSecond(control),
+    bytesPerSecondByFamily: Object.fromEntries(byFamily) as Record<string, number>,
   };
 }
 
