feat(cli): wait for a revision everywhere, show what is in force, ask agents

Cause: apply ended with the acceptance; whether every process had the revision in force could be seen only by calling status again and again, and agents were not asked at all.

Each call of an order is bounded by the time left.

--- a/packages/cli/__tests__/liveSession.spec.ts
+++ b/packages/cli/__tests__/liveSession.spec.ts
@@ -1,11 +1,16 @@
+import assert from 'node:assert/strict';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { describe, it } from 'node:test';
-import { waitForRevision, waitUntilServing } from '@burdockrail/harness/systemOperation.js';
+import {
+  startServingSystem,
+  waitForRevision,
+  waitUntilServing,
+} from '@burdockrail/harness/systemOperation.js';
 import { startSystem, type System } from '@burdockrail/harness/system.js';
 import type { SystemLayout } from '@burdockrail/harness/systemLayout.js';
-import { assertGolden, sessionOf } from './commandSession.js';
+import { assertGolden, runCommand, sessionOf } from './commandSession.js';
 
 const first = 'packages/cli/__tests__/programs/harbour.mjs';
 const next = 'packages/cli/__tests__/programs/harbourNext.mjs';
@@ -63,6 +68,28 @@
 }
 
 describe('a session with a running fleet', () => {
+  it('gives one of two racing operators a conflict', async () => {
+    const folder = await mkdtemp(join(tmpdir(), 'burdockrail-'));
+    await using system = await startServingSystem(layout);
+    try {
+      const environment = { BURDOCKRAIL_PROFILE: await writeProfile(system, folder) };
+      const apply = ['config', 'apply', next, '--yes', '--expect-revision', '1'];
+      const results = await Promise.all(
+        ['left', 'right', 'middle'].map(async (name) =>
+          runCommand([...apply, '--order-id', name], environment),
+        ),
+      );
+      const codes = results.map(({ exitCode }) => exitCode).sort();
+      assert.deepEqual(codes, [0, 1, 1]);
+      const errors = results
+        .map(({ standardError }) => standardError)
+        .filter((text) => text !== '');
+      for (const text of errors) assert.match(text, /^302 RevisionConflict: .* is revision 2,/u);
+    } finally {
+      await rm(folder, { recursive: true });
+    }
+  });
+
   it('forms, applies, watches, asks and applies again', async () => {
     const folder = await mkdtemp(join(tmpdir(), 'burdockrail-'));
     await using system = await startSystem(layout);
@@ -76,6 +103,7 @@
           ['cluster', 'form'],
           ['config', 'apply', first, ...order, 'order-1'],
           ['rollout', 'watch', '--timeout', '60'],
+          ['config', 'show'],
         ],
         environment,
       );
@@ -83,7 +111,7 @@
       const asked = await sessionOf(
         [
           ['config', 'apply', next, ...order, 'order-2', '--expect-revision', '0'],
-          ['config', 'apply', next, ...order, 'order-3'],
+          ['config', 'apply', next, ...order, 'order-3', '--wait'],
           ['config', 'apply', first, ...order, 'order-1', '--expect-revision', '0'],
         ],
         environment,
--- a/packages/cli/src/commandTable.ts
+++ b/packages/cli/src/commandTable.ts
@@ -4,6 +4,7 @@
 import { ConfigCheck } from './commands/configCheck.js';
 import { ConfigPlan } from './commands/configPlan.js';
 import { ConfigPrint } from './commands/configPrint.js';
+import { ConfigShow } from './commands/configShow.js';
 import { Events } from './commands/events.js';
 import { Outcome } from './commands/outcome.js';
 import { Report } from './commands/report.js';
@@ -17,6 +18,7 @@
   'config:check': ConfigCheck,
   'config:plan': ConfigPlan,
   'config:print': ConfigPrint,
+  'config:show': ConfigShow,
   events: Events,
   outcome: Outcome,
   report: Report,
--- a/packages/cli/src/commands/configApply.ts
+++ b/packages/cli/src/commands/configApply.ts
@@ -9,6 +9,7 @@
 import { RemoteCommand } from '../remoteCommand.js';
 
 const DEFAULT_TIMEOUT_SECONDS = 30;
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Applies what a fleet program makes. */
 export class ConfigApply extends RemoteCommand {
@@ -26,8 +27,11 @@
       description: 'id of the order; the same id gets the first answer again',
     }),
     yes: switchFlag({ char: 'y', description: 'apply without asking' }),
+    wait: switchFlag({
+      description: 'then wait until all listed processes and all agents have it in force',
+    }),
     timeout: integerFlag({
-      description: 'seconds for which an unanswered order is sent again',
+      description: 'seconds for which an unanswered order is sent again, and for --wait',
       default: DEFAULT_TIMEOUT_SECONDS,
       min: 1,
     }),
@@ -50,13 +54,21 @@
         : { expectedRevision: flags['expect-revision'] }),
       orderId: flags['order-id'] ?? randomUUID(),
       isResend: flags['order-id'] !== undefined,
-      timeoutMilliseconds: flags.timeout * 1_000,
+      timeoutMilliseconds: flags.timeout * MILLISECONDS_PER_SECOND,
       print: (line) => {
         this.log(line);
       },
       confirm: async () => flags.yes || this.confirm(),
     });
-    return result;
+    if (!flags.wait || !result.applied) return result;
+    const { waitForRevision } = await import('../revisionWait.js');
+    const { processTime } = await import('@burdockrail/common/timeSource.js');
+    const waited = await waitForRevision(client, targets, result.revision, {
+      time: processTime,
+      timeoutMilliseconds: flags.timeout * MILLISECONDS_PER_SECOND,
+    });
+    this.log(`in force in all ${waited.processes} processes after ${waited.seconds.toFixed(1)} s`);
+    return { ...result, ...waited };
   }
 
   private async confirm(): Promise<boolean> {
--- a/packages/cli/src/configurationOrder.ts
+++ b/packages/cli/src/configurationOrder.ts
@@ -6,12 +6,19 @@
   ConfigurationApplyReply,
 } from '@burdockrail/protocol/protocolConfiguration.js';
 import { setTimeout } from 'node:timers/promises';
-import { describeFailure, type OperatorClient } from './operatorClient.js';
+import {
+  describeFailure,
+  QUORUM_TIMEOUT_MILLISECONDS,
+  type OperatorClient,
+} from './operatorClient.js';
 import type { OperatorTarget } from './operatorTarget.js';
 
 /** Pause before the control processes are asked again from the first, in milliseconds. */
 const ROUND_PAUSE_MILLISECONDS = 250;
 
+/** Time that even the last call gets, in milliseconds. */
+const SHORTEST_CALL_MILLISECONDS = 500;
+
 /** Failures after which the order is sent again under its order id. */
 const repeatedAfter: ReadonlySet<ResultCode> = new Set([
   ResultCode.NotLeader,
@@ -41,8 +48,10 @@
   for (;;) {
     let lastFailure = '';
     for (const target of control) {
+      const left = Math.max(SHORTEST_CALL_MILLISECONDS, endsAt - time.now());
+      const bound = Math.min(QUORUM_TIMEOUT_MILLISECONDS, left);
       try {
-        return await client.call(target, 'configuration.apply', order);
+        return await client.call(target, 'configuration.apply', order, bound);
       } catch (error) {
         const result = toResultError(error, ResultCode.ConnectionLost);
         if (!repeatedAfter.has(result.code)) throw result;
--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -15,7 +15,7 @@
  * Time for a call that needs a quorum, in milliseconds; longer than a control process itself waits,
  * so that its numbered answer arrives.
  */
-const QUORUM_TIMEOUT_MILLISECONDS = 7_000;
+export const QUORUM_TIMEOUT_MILLISECONDS = 7_000;
 
 /** Kinds of calls that need a quorum. */
 const quorumCalls: ReadonlySet<CallKind> = new Set([
--- a/packages/cli/src/upstreamAnnouncements.ts
+++ b/packages/cli/src/upstreamAnnouncements.ts
@@ -29,3 +29,12 @@
   }
   return [...latest.values()].sort((left, right) => (left.agent < right.agent ? -1 : 1));
 }
+
+/** The agents of announcements as targets of calls. */
+export function agentTargets(announcements: readonly Announcement[]): readonly OperatorTarget[] {
+  return announcements.map(({ agent, dataCentre, address }) => ({
+    name: agent,
+    dataCentre,
+    address,
+  }));
+}
