fix(agent): no unhandled rejection from reads ahead; compact members of a rollout

Lists of members carried whole announcements, and progress was announced in steps of a twentieth, so entries sent 66 KB/s each at N = 24 and filled their links at N = 48. Members come as name, address and one flag, and not at all when they did not change; progress is announced in eighths. Ruled out: polling less often, which would delay what follows the death of an agent.

--- a/packages/daemon/__tests__/weightsFleet.ts
+++ b/packages/daemon/__tests__/weightsFleet.ts
@@ -4,6 +4,8 @@
 import { processTime } from '@burdockrail/common/timeSource.js';
 import type { Address, PeerIdentity } from '@burdockrail/protocol/protocolAddress.js';
 import type { CommittedConfiguration } from '@burdockrail/protocol/protocolConfiguration.js';
+import type { UpstreamDirectory, UpstreamView } from '@burdockrail/membership/upstreamDirectory.js';
+import { createWeightsDirectory } from '../src/weightsDirectory.js';
 import type { Announcement } from '@burdockrail/protocol/protocolMembership.js';
 import { settingsSchema } from '@burdockrail/settings/settingsSchema.js';
 import { createEngineServer, type EngineOptions } from '@burdockrail/standins/engineServer.js';
@@ -102,11 +104,20 @@
   const origin = owned.use(await createOriginServer({ address: loopback, catalogue }));
   const announcements = new Map<string, () => Announcement>();
   let committed: CommittedConfiguration | null = null;
+  const listed = (): readonly Announcement[] =>
+    [...announcements.values()].map((announce) => announce());
+  const asViews = (): readonly UpstreamView[] =>
+    listed().map((announcement) => ({ announcement, confirmedAt: 0 }));
+  const directory: UpstreamDirectory = {
+    all: asViews,
+    upstreamsOf: asViews,
+    upstream: () => undefined,
+  };
   const registrar = owned.use(
     await createPeerServer(loopback, identityOf('entry', 'dc0'), {
       calls: {
-        'membership.list': async () =>
-          Promise.resolve([...announcements.values()].map((announce) => announce())),
+        ...createWeightsDirectory(directory, processTime).calls,
+        'membership.list': async () => Promise.resolve(listed()),
         'configuration.current': async () => Promise.resolve(committed),
       },
       streams: {},
--- a/packages/daemon/src/entryRole.ts
+++ b/packages/daemon/src/entryRole.ts
@@ -1,6 +1,7 @@
 import { setTimeout } from 'node:timers/promises';
 import { createRetryBudget } from '@burdockrail/limits/retryBudget.js';
 import type { EntrySettings } from '@burdockrail/settings/settingsSchema.js';
+import { createWeightsDirectory } from './weightsDirectory.js';
 import { createUpstreamRouter } from '@burdockrail/routing/upstreamRouter.js';
 import { mergeHandlers } from '@burdockrail/transport/peerHandlers.js';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
@@ -81,7 +82,10 @@
   const handle = createExchangeHandler({ context, settings, pages, path, outcomes, isDraining });
 
   return {
-    handlers: mergeHandlers([membership.handlers]),
+    handlers: mergeHandlers([
+      membership.handlers,
+      createWeightsDirectory(membership.directory, context.time),
+    ]),
     groups: [],
     start: async () => {
       membership.start();
--- a/packages/daemon/src/weightsMembers.ts
+++ b/packages/daemon/src/weightsMembers.ts
@@ -3,7 +3,9 @@
 import { ResultError } from '@burdockrail/common/outcome.js';
 import type { Digest } from '@burdockrail/common/digest.js';
 import { chooseRegistrars } from '@burdockrail/membership/registrarChoice.js';
+import type { PeerCalls } from '@burdockrail/protocol/protocolKinds.js';
 import type { Announcement } from '@burdockrail/protocol/protocolMembership.js';
+import type { MembersReply, MembersRequest } from '@burdockrail/protocol/protocolWeights.js';
 import {
   createLayout,
   type RolloutLayout,
@@ -17,15 +19,19 @@
 /** Bound on the question to one entry, in milliseconds. */
 const LIST_TIMEOUT_MILLISECONDS = 1_000;
 
-/** Agents present, as the entries of the data centre know them; rejects when none answers. */
-export async function presentAgents(context: DaemonContext): Promise<readonly Announcement[]> {
+/** Asks the entries that this agent announces itself to, one after the other. */
+async function askRegistrars<Kind extends 'membership.list' | 'weights.members'>(
+  context: DaemonContext,
+  kind: Kind,
+  request: PeerCalls[Kind]['request'],
+): Promise<PeerCalls[Kind]['reply']> {
   const { name, dataCentre, peers } = context.settings;
   const entries = peers.filter((peer) => peer.roles.includes('entry'));
   const registrars = chooseRegistrars(name, dataCentre, entries, new Set());
   const timeout = { timeoutMilliseconds: LIST_TIMEOUT_MILLISECONDS };
   for (const registrar of registrars) {
     try {
-      return await context.client.to(registrar.address).call('membership.list', {}, timeout);
+      return await context.client.to(registrar.address).call(kind, request, timeout);
     } catch {
       // The second registrar knows the same agents.
     }
@@ -33,8 +39,34 @@
   throw new ResultError(ResultCode.ConnectionLost, 'no registrar answers');
 }
 
+/** All agents present with all that they announce; rejects when no registrar answers. */
+export async function presentAgents(context: DaemonContext): Promise<readonly Announcement[]> {
+  return askRegistrars(context, 'membership.list', {});
+}
+
+/** Present agents of services; rejects when no registrar answers. */
+export async function presentMembers(
+  context: DaemonContext,
+  request: MembersRequest,
+): Promise<MembersReply> {
+  return askRegistrars(context, 'weights.members', request);
+}
+
+/** Gives the agents of a reply; none when the reply carries no members. */
+export function membersOf(reply: MembersReply): readonly RolloutMember[] {
+  return (reply.groups ?? []).flatMap(({ dataCentre, region, agents }) =>
+    agents.map(([agent, host, port, isComplete]) => ({
+      agent,
+      address: { host, port },
+      dataCentre,
+      region,
+      isComplete,
+    })),
+  );
+}
+
 /** Services whose weights or adapters are a version, under the configuration in force. */
-function servicesOf(context: DaemonContext, target: VersionTarget): ReadonlySet<string> {
+function servicesOf(context: DaemonContext, target: VersionTarget): readonly string[] {
   const services = context.configuration.current?.fleet.services ?? [];
   const matches = (version: { readonly model: string; readonly version: string }): boolean =>
     version.model === target.model && version.version === target.version;
@@ -43,33 +75,7 @@
       matches,
     ),
   );
-  return new Set(wanted.map(({ name }) => name));
-}
-
-/**
- * Gives the other members of a rollout.
- *
- * @remarks
- * They follow from the configuration and the membership alone, so that all agents begin with the
- * same members without waiting for each other's progress.
- */
-export function rolloutMembers(
-  context: DaemonContext,
-  target: VersionTarget,
-  digest: Digest,
-  present: readonly Announcement[],
-): readonly RolloutMember[] {
-  const services = servicesOf(context, target);
-  return present
-    .filter(({ agent, state }) => agent !== context.identity.name && state === 'present')
-    .filter(({ service }) => services.has(service))
-    .map(({ agent, address, dataCentre, region, serving }) => ({
-      agent,
-      address,
-      dataCentre,
-      region,
-      isComplete: serving?.digest === digest,
-    }));
+  return wanted.map(({ name }) => name);
 }
 
 /** Time after the start of a process in which the membership may still be filling, in milliseconds. */
@@ -78,14 +84,32 @@
 /** Time between two looks at a membership that may still be filling, in milliseconds. */
 const SETTLING_INTERVAL_MILLISECONDS = 400;
 
-/** Layout of a rollout as the membership is now. */
-export async function currentLayout(
+/** Members of one rollout, as the membership goes on. */
+export interface RolloutMembers {
+  /** The layout now; null when it is as it was at the last question. */
+  current(signal: AbortSignal): Promise<RolloutLayout | null>;
+  /**
+   * Layout to begin with.
+   *
+   * @remarks
+   * An agent that knows too few members reads chunks from the origin that are the duty of others.
+   * Just after its start it waits until two looks at the membership agree.
+   */
+  first(signal: AbortSignal): Promise<RolloutLayout>;
+}
+
+/**
+ * Creates the members of the rollout of a version.
+ *
+ * @remarks
+ * They follow from the configuration and the membership alone, so that all agents begin with the
+ * same members without waiting for each other's progress.
+ */
+export function createRolloutMembers(
   context: DaemonContext,
   target: VersionTarget,
   digest: Digest,
-  signal: AbortSignal,
-): Promise<RolloutLayout> {
-  signal.throwIfAborted();
+): RolloutMembers {
   const { settings, identity, advertised } = context;
   const self: RolloutMember = {
     agent: identity.name,
@@ -94,33 +118,28 @@
     region: settings.region,
     isComplete: false,
   };
-  const present = await presentAgents(context);
-  return createLayout(self, rolloutMembers(context, target, digest, present));
-}
+  let known: string | null = null;
 
-function namesOf(layout: RolloutLayout): string {
-  return layout.members.map(({ agent }) => agent).join(' ');
-}
+  const current = async (signal: AbortSignal): Promise<RolloutLayout | null> => {
+    signal.throwIfAborted();
+    const services = servicesOf(context, target);
+    const reply = await presentMembers(context, { services, digest, known });
+    const isSame = known === reply.version;
+    known = reply.version;
+    return isSame ? null : createLayout(self, membersOf(reply));
+  };
 
-/**
- * Layout of a rollout that begins.
- *
- * @remarks
- * An agent that knows too few members reads chunks from the origin that are the duty of others.
- * Just after its start it waits until two looks at the membership agree.
- */
-export async function firstLayout(
-  context: DaemonContext,
-  target: VersionTarget,
-  digest: Digest,
-  signal: AbortSignal,
-): Promise<RolloutLayout> {
-  let layout = await currentLayout(context, target, digest, signal);
-  while (process.uptime() * MILLISECONDS_PER_SECOND < SETTLING_MILLISECONDS) {
-    await delay(SETTLING_INTERVAL_MILLISECONDS, undefined, { signal });
-    const next = await currentLayout(context, target, digest, signal);
-    if (namesOf(next) === namesOf(layout) && next.members.length > 1) return next;
-    layout = next;
-  }
-  return layout;
+  return {
+    current,
+    first: async (signal) => {
+      let layout = (await current(signal)) ?? createLayout(self, []);
+      while (process.uptime() * MILLISECONDS_PER_SECOND < SETTLING_MILLISECONDS) {
+        await delay(SETTLING_INTERVAL_MILLISECONDS, undefined, { signal });
+        const next = await current(signal);
+        if (next === null && layout.members.length > 1) return layout;
+        layout = next ?? layout;
+      }
+      return layout;
+    },
+  };
 }
--- a/packages/daemon/src/weightsRollout.ts
+++ b/packages/daemon/src/weightsRollout.ts
@@ -1,6 +1,6 @@
 import { setMaxListeners } from 'node:events';
 import { copyCommonChunks, type RolloutJob, type RolloutParts } from './weightsFetch.js';
-import { firstLayout } from './weightsMembers.js';
+import { createRolloutMembers } from './weightsMembers.js';
 import { createRolloutSession } from './weightsSession.js';
 import { verifyArriving } from './weightsVerifier.js';
 
@@ -19,8 +19,9 @@
   setMaxListeners(0, signal);
   const runJob: RolloutJob = { ...job, signal };
   await copyCommonChunks(parts, runJob);
-  const layout = await firstLayout(parts.context, target, manifest.digest, signal);
-  await using session = createRolloutSession(parts, runJob, layout);
+  const members = createRolloutMembers(parts.context, target, manifest.digest);
+  const layout = await members.first(signal);
+  await using session = createRolloutSession(parts, runJob, members, layout);
   session.start();
   try {
     const verified = verifyArriving(parts.engine, parts.store, manifest, signal, session.lose);
--- a/packages/daemon/src/weightsServing.ts
+++ b/packages/daemon/src/weightsServing.ts
@@ -20,6 +20,15 @@
   allow(digest: Digest): void;
 }
 
+/** Steps in which progress is announced; every entry is told of each. */
+const ANNOUNCED_STEPS = 8;
+
+function inSteps(rollout: AnnouncedRollout): AnnouncedRollout {
+  const { heldChunks, chunks } = rollout;
+  const steps = Math.floor((heldChunks * ANNOUNCED_STEPS) / chunks);
+  return { ...rollout, heldChunks: Math.floor((steps * chunks) / ANNOUNCED_STEPS) };
+}
+
 /**
  * Creates the state of an engine without weights.
  *
@@ -54,7 +63,7 @@
     },
     setRollout: (next) => {
       const isNews = rollout?.digest !== next?.digest || isStaged(rollout) !== isStaged(next);
-      rollout = next;
+      rollout = next === null ? null : inSteps(next);
       if (isNews) changed();
     },
     setSwitching: (next) => {
--- a/packages/daemon/src/weightsSession.ts
+++ b/packages/daemon/src/weightsSession.ts
@@ -1,8 +1,8 @@
 import { createController } from './controller.js';
 import { fetchChunk, type RolloutJob, type RolloutParts } from './weightsFetch.js';
-import { currentLayout } from './weightsMembers.js';
+import type { RolloutMembers } from './weightsMembers.js';
 import { createWeightsWatches } from './weightsWatches.js';
-import { memberNamed, type RolloutLayout } from '@burdockrail/rollout/rolloutLayout.js';
+import type { RolloutLayout } from '@burdockrail/rollout/rolloutLayout.js';
 import {
   createRolloutScheduler,
   type FetchOrder,
@@ -60,19 +60,11 @@
   readonly lose: (index: number) => void;
 }
 
-/** Tells whether two layouts have the same members in the same states. */
-function sameLayout(left: RolloutLayout, right: RolloutLayout): boolean {
-  if (left.members.length !== right.members.length) return false;
-  return left.members.every((member) => {
-    const other = memberNamed(right, member.agent);
-    return other?.isComplete === member.isComplete && other.address.port === member.address.port;
-  });
-}
-
 /** Creates a session that hosts the scheduler of one version. */
 export function createRolloutSession(
   parts: RolloutParts,
   job: RolloutJob,
+  members: RolloutMembers,
   firstLayout: RolloutLayout,
 ): RolloutSession {
   const { context, store } = parts;
@@ -121,16 +113,15 @@
   };
 
   const refreshMembers = (): void => {
-    currentLayout(context, job.target, manifest.digest, signal).then(
+    members.current(signal).then(
       (next) => {
-        controller.send({ kind: 'layout', layout: next });
+        if (next !== null) controller.send({ kind: 'layout', layout: next });
       },
       () => undefined,
     );
   };
 
   const takeLayout = (next: RolloutLayout): void => {
-    if (sameLayout(layout, next)) return;
     layout = next;
     scheduler.setLayout(layout);
     watches.follow(scheduler.watched, layout);
--- a/packages/daemon/src/weightsTurn.ts
+++ b/packages/daemon/src/weightsTurn.ts
@@ -1,11 +1,11 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { rendezvousOrder } from '@burdockrail/common/rendezvousHash.js';
-import type { Announcement } from '@burdockrail/protocol/protocolMembership.js';
 import type { TurnRequest } from '@burdockrail/protocol/protocolWeights.js';
+import type { RolloutMember } from '@burdockrail/rollout/rolloutLayout.js';
 import { createTurnDesk, turnsAtOnce } from '@burdockrail/rollout/rolloutTurn.js';
 import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
 import type { DaemonContext } from './daemonRole.js';
-import { presentAgents } from './weightsMembers.js';
+import { membersOf, presentMembers } from './weightsMembers.js';
 
 /** Time for which a request for a turn is kept open when none is free, in milliseconds. */
 const KEPT_OPEN_MILLISECONDS = 1_000;
@@ -16,6 +16,9 @@
 /** Time after which an upstream switches although it has no turn, in milliseconds. */
 const LONGEST_WAIT_MILLISECONDS = 30_000;
 
+/** An agent of the same service and data centre. */
+type Colleague = Pick<RolloutMember, 'agent' | 'address'>;
+
 /** Turns in which the upstreams of a service and data centre switch their weights. */
 export interface WeightsTurns {
   readonly handlers: Partial<PeerHandlers>;
@@ -65,11 +68,11 @@
     wakeAll();
   };
 
-  const colleagues = async (): Promise<readonly Pick<Announcement, 'agent' | 'address'>[]> => {
-    const present = await presentAgents(context).catch(() => []);
-    const others = present.filter((peer) => peer.service === service && peer.agent !== name);
-    const local = others.filter((peer) => peer.dataCentre === dataCentre);
-    const self = { agent: name, address: context.advertised };
+  const colleagues = async (): Promise<readonly Colleague[]> => {
+    const request = { services: [service], digest: '', known: null };
+    const present = await presentMembers(context, request).then(membersOf, () => []);
+    const local = present.filter((peer) => peer.agent !== name && peer.dataCentre === dataCentre);
+    const self: Colleague = { agent: name, address: context.advertised };
     return rendezvousOrder(service, [self, ...local], ({ agent }) => agent);
   };
 
--- a/packages/daemon/src/weightsVerifier.ts
+++ b/packages/daemon/src/weightsVerifier.ts
@@ -55,7 +55,11 @@
   const readAhead = (from: number): void => {
     const held = store.held(manifest.digest);
     for (let index = from; index < from + PARALLEL_READS && held.has(index); index += 1) {
-      if (!ahead.has(index)) ahead.set(index, engineHolds(engine, manifest, index));
+      if (ahead.has(index)) continue;
+      const reading = engineHolds(engine, manifest, index);
+      // A read that fails before its turn is judged when its turn comes, if it ever does.
+      reading.catch(() => undefined);
+      ahead.set(index, reading);
     }
   };
   try {
--- a/packages/protocol/src/protocolWeights.ts
+++ b/packages/protocol/src/protocolWeights.ts
@@ -48,6 +48,29 @@
   readonly digest: Digest;
 }
 
+/** Asks an entry for the agents that take part in the rollout of a version. */
+export interface MembersRequest {
+  readonly services: readonly string[];
+  readonly digest: Digest;
+  /** Version of the members that the agent knows; a reply to the same version carries none. */
+  readonly known: string | null;
+}
+
+/** Agents of one data centre: name, host, port, and whether it serves the version. */
+export interface MembersGroup {
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly agents: readonly (readonly [string, string, number, boolean])[];
+}
+
+/** Members of a rollout as an entry knows them. */
+export interface MembersReply {
+  /** Changes when an agent comes, goes or restarts, and not when one serves another version. */
+  readonly version: string;
+  /** Absent when the agent knows this version. */
+  readonly groups?: readonly MembersGroup[];
+}
+
 /** Asks the agent that gives turns for one in which to switch weights. */
 export interface TurnRequest {
   readonly agent: string;
@@ -58,6 +81,7 @@
 declare module './protocolKinds.js' {
   interface PeerCalls {
     'weights.chunk': CallShape<ChunkRequest, ChunkReply>;
+    'weights.members': CallShape<MembersRequest, MembersReply>;
     'weights.turn': CallShape<TurnRequest, { readonly granted: boolean }>;
     'weights.manifest': CallShape<ManifestRequest, WeightManifest | null>;
   }
