feat(entry): the ledger's state in the quorum groups, and the first deposit proof

Cause: the groups held an empty state, so each claim failed. Ruled out: fencing once more when an agent of a new incarnation itself refused the attempt: only that incarnation ever got it, so the claim is released and the request may go on. Before: LedgerUnreachable.

--- a/packages/daemon/src/entryRole.ts
+++ b/packages/daemon/src/entryRole.ts
@@ -15,7 +15,7 @@
 import { createEntryServer, type EntryServer } from './entryServer.js';
 import type { EntryServices } from './entryServices.js';
 import { createBackgroundWork } from './entryBackground.js';
-import type { GroupClient } from './groupClient.js';
+import { createGroupClient, type GroupClient } from './groupClient.js';
 import { createLedgerClient } from './ledgerClient.js';
 import { createMembership } from './membership.js';
 import { createEntryMetrics } from './metricsEntry.js';
@@ -37,15 +37,9 @@
   readonly groups: GroupClient;
 }
 
-/** Stands in until quorum groups are hosted. */
-const unreachableGroups: GroupClient = {
-  propose: async () => Promise.reject(new ResultError(ResultCode.LedgerUnreachable)),
-  query: async () => Promise.reject(new ResultError(ResultCode.LedgerUnreachable)),
-};
-
 /** Creates the role `entry`. */
 export const createEntryRole: DaemonRoleFactory = (context) =>
-  createEntryRoleWith(context, { groups: unreachableGroups });
+  createEntryRoleWith(context, { groups: createGroupClient(context) });
 
 /** Creates the role `entry` with the given parts. */
 export function createEntryRoleWith(context: DaemonContext, parts: EntryRoleParts): DaemonRole {
@@ -59,7 +53,7 @@
     time: context.time,
     directory: membership.directory,
     client: context.client,
-    ledger: owned.use(createLedgerClient(parts.groups)),
+    ledger: owned.use(createLedgerClient(parts.groups, context.log)),
     background: createBackgroundWork(),
     router: createUpstreamRouter({ policy: 'affinity', random: context.random }),
     retryBudget: createRetryBudget(),
--- a/packages/daemon/src/ledgerClient.ts
+++ b/packages/daemon/src/ledgerClient.ts
@@ -3,6 +3,9 @@
   LedgerCommand,
   LedgerResult,
 } from '@burdockrail/protocol/protocolLedger.js';
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { toResultError } from '@burdockrail/common/outcome.js';
+import type { EventLog } from '@burdockrail/telemetry/eventLog.js';
 import { setTimeout } from 'node:timers/promises';
 import { ledgerGroup, type GroupClient } from './groupClient.js';
 
@@ -33,7 +36,7 @@
 export const wallClock = { now: (): EpochMilliseconds => Date.now() };
 
 /** Creates a client. */
-export function createLedgerClient(groups: GroupClient): LedgerClient {
+export function createLedgerClient(groups: GroupClient, log: EventLog): LedgerClient {
   const propose = async (
     home: string,
     command: LedgerCommand,
@@ -42,7 +45,9 @@
     try {
       const result = await groups.propose(ledgerGroup(home), command, timeoutMilliseconds);
       return result as LedgerResult;
-    } catch {
+    } catch (error) {
+      const { message, code } = toResultError(error, ResultCode.LedgerUnreachable);
+      log.write('ledgerUnanswered', { home, command: command.kind, code, reason: message });
       return null;
     }
   };
--- /dev/null
+++ b/packages/proofs/__tests__/depositSystem.ts
@@ -0,0 +1,93 @@
+import type { CallerAnswer } from '@burdockrail/harness/callerClient.js';
+import { startServingSystem } from '@burdockrail/harness/systemOperation.js';
+import { waitUntilTrue } from '@burdockrail/harness/waitUntil.js';
+import type { System } from '@burdockrail/harness/system.js';
+import type { SystemLayout } from '@burdockrail/harness/systemLayout.js';
+import { request } from 'undici';
+
+/** The plain service whose deposits may run at most once, and its only agent. */
+export const SERVICE = 'ledger-ponte';
+export const AGENT = 'ledger-ponte-sul-lagoa-1';
+export const TEAM = 'piers';
+
+/** Three data centres; the service and its ledger live in the first. */
+export const depositLayout: SystemLayout = {
+  dataCentres: [
+    { name: 'sul-lagoa', region: 'sul-lagoa' },
+    { name: 'serra-leste', region: 'serra-leste' },
+    { name: 'litoral-norte', region: 'litoral-norte' },
+  ],
+  controls: { 'sul-lagoa': 1, 'serra-leste': 1, 'litoral-norte': 1 },
+  entries: { 'sul-lagoa': 3, 'serra-leste': 2, 'litoral-norte': 1 },
+  services: [
+    {
+      name: SERVICE,
+      kind: 'plain',
+      home: 'sul-lagoa',
+      upstreams: { 'sul-lagoa': 1 },
+      routes: [{ method: 'POST', path: '/deposits', repeatable: false }],
+    },
+  ],
+  teams: [{ name: TEAM }],
+  versions: [],
+  links: { betweenRegionsMilliseconds: 1, withinDataCentreMilliseconds: 0.5 },
+};
+
+/** One sending of a deposit; null when the caller got no answer at all. */
+export async function deposit(
+  system: System,
+  entry: string,
+  key: string,
+  body = '{"amount":40}',
+  timeoutMilliseconds = 4_000,
+): Promise<CallerAnswer | null> {
+  try {
+    return await system.callers.callService({
+      entry: system.entryUrl(entry),
+      service: SERVICE,
+      team: TEAM,
+      path: '/deposits',
+      key,
+      body,
+      headers: { 'x-test-key': key },
+      timeoutMilliseconds,
+    });
+  } catch {
+    return null;
+  }
+}
+
+/** Runs of a key as the service itself counts them. */
+export async function runsOf(system: System, key: string): Promise<number> {
+  const counts = (await system.plain(AGENT).counts()) as {
+    readonly runsByTestKey: Readonly<Record<string, number>>;
+  };
+  return counts.runsByTestKey[key] ?? 0;
+}
+
+/** Result that the system itself gives to the question after a key's outcome. */
+export async function outcomeOf(
+  system: System,
+  entry: string,
+  key: string,
+): Promise<string | undefined> {
+  const url = `${system.entryUrl(entry)}/v1/outcomes/${key}?service=${SERVICE}`;
+  const answer = await request(url, { headers: { 'burdockrail-team': TEAM } });
+  await answer.body.dump();
+  const run = answer.headers['burdockrail-run'];
+  return typeof run === 'string' ? run : undefined;
+}
+
+/** Starts the system and waits until the ledger of the service answers. */
+export async function startDepositSystem(layout: SystemLayout = depositLayout): Promise<System> {
+  const system = await startServingSystem(layout);
+  const entries = system.withRole('entry').map(({ name }) => name);
+  await Promise.all(
+    entries.map(async (entry) =>
+      waitUntilTrue(async () => (await deposit(system, entry, `warm-${entry}`))?.run === 'ran', {
+        what: `the ledger at ${entry}`,
+      }),
+    ),
+  );
+  return system;
+}
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -27,6 +27,11 @@
   },
   controllerFailed: { number: 1004, level: 'error', text: 'A controller failed on a message.' },
   entryListening: { number: 2000, level: 'info', text: 'The entry takes requests of callers.' },
+  ledgerUnanswered: {
+    number: 2002,
+    level: 'warn',
+    text: 'The ledger of a data centre gave no answer to a command in time.',
+  },
   requestFailed: { number: 2001, level: 'error', text: 'A request failed unexpectedly.' },
   configurationInForce: {
     number: 3000,
