fix(ledger): an agent's refusal under a new incarnation is no proof that nothing ran

Ruled out: keeping it because TCP delivers once; a proxy that doubles a connection does not. Before: release. After: the rule is gone; instead the entry compares the incarnation with which the agent introduces itself on the connection before it sends anything, which covers the ordinary restart without an unknown outcome. Conclusion: only what was never sent, or what the named incarnation has fenced, is released.

--- a/packages/daemon/src/requestAttempt.ts
+++ b/packages/daemon/src/requestAttempt.ts
@@ -2,7 +2,7 @@
 import { ResultCode, type RunState } from '@burdockrail/common/resultCode.js';
 import { ResultError, toResultError } from '@burdockrail/common/outcome.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
-import type { Address } from '@burdockrail/protocol/protocolAddress.js';
+import type { Address, PeerIdentity } from '@burdockrail/protocol/protocolAddress.js';
 import type {
   AttemptHead,
   AttemptItem,
@@ -116,22 +116,27 @@
 }
 
 /** Waits until the agent has introduced itself; before that nothing of the request is sent. */
-async function connected(connection: PeerConnection): Promise<boolean> {
+async function introduction(connection: PeerConnection): Promise<PeerIdentity | null> {
   let timer: NodeJS.Timeout | undefined;
-  const late = new Promise<boolean>((resolve) => {
+  const late = new Promise<null>((resolve) => {
     timer = setTimeout(() => {
-      resolve(false);
+      resolve(null);
     }, CONNECT_TIMEOUT_MILLISECONDS);
   });
-  const introduced = connection.peer.then(
-    () => true,
-    () => false,
-  );
-  const result = await Promise.race([introduced, late]);
+  const result = await Promise.race([connection.peer.catch(() => null), late]);
   clearTimeout(timer);
   return result;
 }
 
+/** Why an attempt is not sent at all; null when it may be sent. */
+function reasonNotToSend(plan: AttemptPlan, peer: PeerIdentity | null): string | null {
+  if (peer === null) return 'The agent cannot be reached.';
+  const { agentIncarnation } = plan.start;
+  const isOther = agentIncarnation !== undefined && agentIncarnation !== peer.incarnation;
+  if (isOther) return 'The agent has been started anew.';
+  return plan.signal?.aborted === true ? 'The caller has left.' : null;
+}
+
 /** Follows the items of one attempt and checks their order and their id. */
 async function consume(
   plan: AttemptPlan,
@@ -188,12 +193,8 @@
   return {
     run: async (plan, sink) => {
       const connection = client.to(plan.address);
-      if (!(await connected(connection))) {
-        return unsent('The agent cannot be reached.');
-      }
-      if (plan.signal?.aborted === true) {
-        return unsent('The caller has left.');
-      }
+      const reason = reasonNotToSend(plan, await introduction(connection));
+      if (reason !== null) return unsent(reason);
       const release = watch.hold(connection);
       try {
         const items = connection.stream('attempt.run', plan.start, {
--- a/packages/daemon/src/requestClaimed.ts
+++ b/packages/daemon/src/requestClaimed.ts
@@ -74,8 +74,8 @@
   return { kind: 'failed', failure: failureOf(outcome) };
 }
 
-function failureOf({ code, detail, sent, run }: AttemptFailure) {
-  return { code: callerCode(code), detail, sent, refused: run === 'not-run' };
+function failureOf({ code, detail, sent }: AttemptFailure) {
+  return { code: callerCode(code), detail, sent };
 }
 
 function replay(request: IdentifiedRequest, answer: StoredAnswer): RequestResult {
--- a/packages/ledger/__tests__/claimAgents.ts
+++ b/packages/ledger/__tests__/claimAgents.ts
@@ -44,8 +44,8 @@
 
 const AGENTS = 2;
 
-export function failedEvent(sent: boolean, refused = false): ClaimEvent {
-  const failure = { code: ResultCode.UpstreamFailed, detail: 'model', sent, refused };
+export function failedEvent(sent: boolean): ClaimEvent {
+  const failure = { code: ResultCode.UpstreamFailed, detail: 'model', sent };
   return { kind: 'failed', failure };
 }
 
@@ -89,7 +89,7 @@
     },
     run: (attempt, reply, onStart) => {
       if (refuses(attempt)) {
-        reply(failedEvent(true, true));
+        reply(failedEvent(true));
         return;
       }
       const { found } = named(attempt);
--- a/packages/ledger/src/claimMachine.ts
+++ b/packages/ledger/src/claimMachine.ts
@@ -138,12 +138,7 @@
       storing(session.request.key, attempt.attemptId, answer, now),
     ),
   unknown: (session, _reply, now, phase) => giveUp(session, now, phase),
-  'other-incarnation': (session, _reply, now, phase) => {
-    // The attempt reached only the agent's new incarnation, which refused it, and no other may.
-    const isRefused = phase.own && session.lastFailure?.refused === true;
-    if (isRefused) return release(session, phase.attempt, true, now);
-    return giveUp(session, now, phase);
-  },
+  'other-incarnation': (session, _reply, now, phase) => giveUp(session, now, phase),
 };
 
 const fencing: PhaseHandlers<'fencing'> = {
--- a/packages/ledger/src/claimSession.ts
+++ b/packages/ledger/src/claimSession.ts
@@ -24,8 +24,6 @@
   readonly detail: string;
   /** False when nothing of the request left this process, and nothing will. */
   readonly sent: boolean;
-  /** True when the agent itself answered this attempt with the word that it never started. */
-  readonly refused: boolean;
 }
 
 /** What happens to a session. */
