--- a/packages/cli/__tests__/commandSession.ts
+++ b/packages/cli/__tests__/commandSession.ts
@@ -1,8 +1,9 @@
-import { spawn } from 'node:child_process';
+import { spawn, type ChildProcessByStdio } from 'node:child_process';
 import { once } from 'node:events';
 import { readFileSync, writeFileSync } from 'node:fs';
 import assert from 'node:assert/strict';
 import { dirname, join } from 'node:path';
+import type { Readable } from 'node:stream';
 import { text } from 'node:stream/consumers';
 import { fileURLToPath } from 'node:url';
 
@@ -21,16 +22,24 @@
   readonly exitCode: number | null;
 }
 
-/** Runs the command line as a process of its own and waits for its end. */
-export async function runCommand(
+/** Starts the command line as a process of its own. */
+export function startCommand(
   parameters: readonly string[],
   environment: Readonly<Record<string, string>> = {},
-): Promise<CommandResult> {
-  const child = spawn(process.execPath, [executable, ...parameters], {
+): ChildProcessByStdio<null, Readable, Readable> {
+  return spawn(process.execPath, [executable, ...parameters], {
     cwd: workspaceRoot,
     stdio: ['ignore', 'pipe', 'pipe'],
     env: { ...process.env, NO_COLOR: '1', COLUMNS: '100', ...environment },
   });
+}
+
+/** Runs the command line as a process of its own and waits for its end. */
+export async function runCommand(
+  parameters: readonly string[],
+  environment: Readonly<Record<string, string>> = {},
+): Promise<CommandResult> {
+  const child = startCommand(parameters, environment);
   const [standardOutput, standardError] = await Promise.all([
     text(child.stdout),
     text(child.stderr),
--- a/packages/cli/__tests__/fleetView.spec.ts
+++ b/packages/cli/__tests__/fleetView.spec.ts
@@ -1,10 +1,14 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
+import { appendFile, mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
 import { describe, it } from 'node:test';
 import type { Announcement } from '@burdockrail/protocol/protocolMembership.js';
-import { assertGolden, runCommand, sessionOf } from './commandSession.js';
+import { assertGolden, runCommand, sessionOf, startCommand } from './commandSession.js';
 import { createFakeFleet, type FakeFleet } from './fakeFleet.js';
 
 const program = 'packages/cli/__tests__/programs/harbour.mjs';
@@ -122,4 +126,20 @@
     ]);
     assertGolden('events', session);
   });
+
+  it('follows a log that grows, half lines among them', async () => {
+    const folder = await mkdtemp(join(tmpdir(), 'burdockrail-'));
+    const path = join(folder, 'log');
+    await writeFile(path, 'first\nsec');
+    const child = startCommand(['events', path, '--follow']);
+    try {
+      const lines = createInterface({ input: child.stdout })[Symbol.asyncIterator]();
+      assert.equal((await lines.next()).value, 'first');
+      await appendFile(path, 'ond\n');
+      assert.equal((await lines.next()).value, 'second');
+    } finally {
+      child.kill('SIGKILL');
+      await rm(folder, { recursive: true });
+    }
+  });
 });
--- a/packages/cli/__tests__/liveSession.spec.ts
+++ b/packages/cli/__tests__/liveSession.spec.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { mkdtemp, rm, truncate, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { describe, it } from 'node:test';
@@ -84,6 +84,22 @@
       const errors = results
         .map(({ standardError }) => standardError)
         .filter((text) => text !== '');
+      await waitForRevision(system, 2);
+      const control = system.withRole('control')[0];
+      await system.processes.stop(control?.name ?? '');
+      const { dataFolder } = control ?? { dataFolder: '' };
+      const inspection = await runCommand(['snapshot', 'inspect', dataFolder]);
+      assert.match(
+        inspection.standardOutput,
+        /^fleet: incarnation .*\n(?: {2}.*\n)*ledger\.north: /u,
+      );
+      assert.match(
+        inspection.standardOutput,
+        /latest configuration: revision 2, digest [0-9a-f]{64}/u,
+      );
+      await truncate(join(dataFolder, 'fleet', 'snapshot'), 10);
+      const damaged = await runCommand(['snapshot', 'inspect', dataFolder]);
+      assert.match(damaged.standardError, /^306 StorageCorrupt: fleet: /u);
       for (const text of errors) assert.match(text, /^302 RevisionConflict: .* is revision 2,/u);
     } finally {
       await rm(folder, { recursive: true });
--- a/packages/cli/src/commandTable.ts
+++ b/packages/cli/src/commandTable.ts
@@ -9,6 +9,7 @@
 import { Outcome } from './commands/outcome.js';
 import { Report } from './commands/report.js';
 import { RolloutWatch } from './commands/rolloutWatch.js';
+import { SnapshotInspect } from './commands/snapshotInspect.js';
 import { Status } from './commands/status.js';
 
 /** All commands by their words, joined by colons. */
@@ -23,5 +24,6 @@
   outcome: Outcome,
   report: Report,
   'rollout:watch': RolloutWatch,
+  'snapshot:inspect': SnapshotInspect,
   status: Status,
 };
--- a/packages/daemon/src/storageLog.ts
+++ b/packages/daemon/src/storageLog.ts
@@ -1,24 +1,17 @@
-import { mkdir, open, readFile, readdir, rm, type FileHandle } from 'node:fs/promises';
+import { mkdir, open, readdir, rm, type FileHandle } from 'node:fs/promises';
 import { join } from 'node:path';
-import type { GroupSnapshot } from '@burdockrail/agreement/logEntry.js';
-import type { StoredRecord, StoredReplica } from '@burdockrail/agreement/replicaEffect.js';
-import { applyStoredRecord } from '@burdockrail/agreement/storedReplica.js';
-import { ResultError } from '@burdockrail/common/outcome.js';
-import { ResultCode } from '@burdockrail/common/resultCode.js';
+import type { StoredRecord } from '@burdockrail/agreement/replicaEffect.js';
 import { decodeBody, encodeBody } from '@burdockrail/transport/frameCodec.js';
-import { encodeBatch, readBatches } from './storageBatch.js';
+import { encodeBatch } from './storageBatch.js';
 import { replaceFile, syncFolder, writeSynced } from './storageFiles.js';
 import type { GroupStorage } from './storageGroup.js';
-
-const SNAPSHOT_FILE = 'snapshot';
-const LOG_PREFIX = 'log-';
-
-/** Content of the snapshot file; it decides which log file counts. */
-interface SnapshotFile {
-  readonly incarnation: string;
-  readonly generation: number;
-  readonly snapshot: GroupSnapshot;
-}
+import {
+  LOG_PREFIX,
+  logName,
+  readStorageFolder,
+  SNAPSHOT_FILE,
+  type SnapshotFile,
+} from './storageReader.js';
 
 type SnapshotRecord = Extract<StoredRecord, { readonly kind: 'snapshot' }>;
 
@@ -30,55 +23,6 @@
   readonly reject: (error: unknown) => void;
 }
 
-function logName(generation: number): string {
-  return `${LOG_PREFIX}${generation}`;
-}
-
-async function readIfPresent(path: string): Promise<Buffer | null> {
-  try {
-    return await readFile(path);
-  } catch (error) {
-    if (error instanceof Error && 'code' in error && error.code === 'ENOENT') return null;
-    throw error;
-  }
-}
-
-function decodeSnapshot(file: Buffer): SnapshotFile {
-  const { parts, soundBytes } = readBatches(file);
-  const [part] = parts;
-  if (part === undefined || soundBytes !== file.length) {
-    throw new ResultError(ResultCode.StorageCorrupt, 'the snapshot fails its checksum');
-  }
-  return decodeBody(Buffer.from(part)) as SnapshotFile;
-}
-
-/** What a data folder holds for one group. */
-interface OpenedFolder {
-  readonly incarnation: string;
-  readonly generation: number;
-  readonly stored: StoredReplica | null;
-  /** Length to which the log has to be cut; `null` if it is whole. */
-  readonly cutTo: number | null;
-}
-
-async function readFolder(folder: string, freshIncarnation: string): Promise<OpenedFolder> {
-  const file = await readIfPresent(join(folder, SNAPSHOT_FILE));
-  if (file === null) {
-    return { incarnation: freshIncarnation, generation: 0, stored: null, cutTo: null };
-  }
-  const { incarnation, generation, snapshot } = decodeSnapshot(file);
-  const log = await readIfPresent(join(folder, logName(generation)));
-  if (log === null) throw new ResultError(ResultCode.StorageCorrupt, 'the log is missing');
-  const { parts, soundBytes } = readBatches(log);
-  let stored: StoredReplica = { snapshot, entries: [], term: 0, votedFor: null, commitIndex: 0 };
-  for (const part of parts) {
-    const records = decodeBody(Buffer.from(part)) as readonly StoredRecord[];
-    for (const record of records) stored = applyStoredRecord(stored, record);
-  }
-  const cutTo = soundBytes === log.length ? null : soundBytes;
-  return { incarnation, generation, stored, cutTo };
-}
-
 async function removeOtherLogs(folder: string, generation: number): Promise<void> {
   const names = await readdir(folder);
   const stale = names.filter((name) => name.startsWith(LOG_PREFIX) && name !== logName(generation));
@@ -114,9 +58,9 @@
 export async function openStorageLog(options: StorageLogOptions): Promise<GroupStorage> {
   const { folder, freshIncarnation, onTailCut } = options;
   await mkdir(folder, { recursive: true });
-  const opened = await readFolder(folder, freshIncarnation);
-  const { incarnation } = opened;
-  let { generation } = opened;
+  const opened = await readStorageFolder(folder);
+  const incarnation = opened?.incarnation ?? freshIncarnation;
+  let generation = opened?.generation ?? 0;
   let log: FileHandle | null = null;
   let queue: PendingAppend[] = [];
   let running: Promise<void> | null = null;
@@ -179,19 +123,20 @@
     running = null;
   };
 
-  if (opened.stored !== null) {
+  if (opened !== null) {
     await removeOtherLogs(folder, generation);
     await openLog();
   }
-  if (opened.cutTo !== null) {
-    await (log as FileHandle | null)?.truncate(opened.cutTo);
+  const cutTo = opened?.cutTo ?? null;
+  if (cutTo !== null) {
+    await (log as FileHandle | null)?.truncate(cutTo);
     await (log as FileHandle | null)?.sync();
-    onTailCut(opened.cutTo);
+    onTailCut(cutTo);
   }
 
   return {
     incarnation,
-    stored: opened.stored,
+    stored: opened?.stored ?? null,
     durable: true,
     append: async (records) =>
       new Promise((resolve, reject) => {
