feat(entry): quarantine of requests that crash upstreams, shared by all entries

Cause: a request that crashes each upstream is sent again by its caller and by our own retries, through any entry. Conclusion: a content that runs to its end is cleared everywhere, so a crash with another cause costs its neighbours little. Equal requests that arrive at several entries before the first crash is known are sent to the same upstream by a hash of their content, as far as loads are equal; that is not a bound.

--- a/packages/daemon/src/entryRole.ts
+++ b/packages/daemon/src/entryRole.ts
@@ -21,6 +21,7 @@
 import { createEntryMetrics } from './metricsEntry.js';
 import { createAttemptRunner } from './requestAttempt.js';
 import { createConnectionWatch } from './requestLiveness.js';
+import { createQuarantine } from './requestQuarantine.js';
 import { createRequestPath } from './requestPath.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { ResultError } from '@burdockrail/common/outcome.js';
@@ -59,6 +60,7 @@
     retryBudget: createRetryBudget(),
     attempts: createAttemptRunner({ client: context.client, watch }),
     metrics: createEntryMetrics(),
+    quarantine: createQuarantine(context),
   };
   let draining = false;
   let server: EntryServer | undefined;
@@ -78,6 +80,7 @@
   return {
     handlers: mergeHandlers([
       membership.handlers,
+      services.quarantine.handlers,
       createWeightsDirectory(membership.directory, context.time),
     ]),
     groups: [],
--- a/packages/daemon/src/entryServices.ts
+++ b/packages/daemon/src/entryServices.ts
@@ -6,6 +6,7 @@
 import type { LedgerClient } from './ledgerClient.js';
 import type { PeerClient } from '@burdockrail/transport/peerClient.js';
 import type { EntryMetrics } from './metricsEntry.js';
+import type { Quarantine } from './requestQuarantine.js';
 import type { AttemptRunner } from './requestAttempt.js';
 
 /** What the filters of the request path share. */
@@ -21,4 +22,5 @@
   readonly retryBudget: RetryBudget;
   readonly attempts: AttemptRunner;
   readonly metrics: EntryMetrics;
+  readonly quarantine: Quarantine;
 }
--- a/packages/daemon/src/requestClaimed.ts
+++ b/packages/daemon/src/requestClaimed.ts
@@ -1,6 +1,5 @@
 import { randomUUID } from 'node:crypto';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
-import { digestOf } from '@burdockrail/common/digest.js';
 import type { ClaimAnswer, ClaimRequest } from '@burdockrail/ledger/claimSession.js';
 import type { UpstreamView } from '@burdockrail/membership/upstreamDirectory.js';
 import type { StoredAnswer } from '@burdockrail/protocol/protocolAttempt.js';
@@ -21,11 +20,6 @@
  */
 const DECLINED_RETRY_SECONDS = 2;
 
-/** Digest of what a request asks for, whoever sends it. */
-export function contentDigest({ method, path, body }: IdentifiedRequest): string {
-  return digestOf(Buffer.concat([Buffer.from(`${method} ${path}\n`), body]));
-}
-
 function claimRequestOf(request: IdentifiedRequest): ClaimRequest {
   const { idempotencyKey } = request;
   return {
@@ -35,7 +29,7 @@
       key: idempotencyKey ?? `generated-${randomUUID()}`,
     },
     keyed: idempotencyKey !== undefined,
-    digest: contentDigest(request),
+    digest: request.contentDigest,
     receivedAt: wallClock.now(),
   };
 }
@@ -71,6 +65,9 @@
   services.metrics.attempt(request.service.name, outcome.kind);
   ended(outcome.kind === 'whole' ? 'succeeded' : 'failed', services.time.now());
   if (outcome.kind === 'whole') return { kind: 'answered', answer: keeper.answer };
+  if (outcome.crash === 'certain' && request.idempotencyKey === undefined) {
+    await services.quarantine.report({ content: request.contentDigest, agent, granted: false });
+  }
   return { kind: 'failed', failure: failureOf(outcome) };
 }
 
--- a/packages/daemon/src/requestIdentify.ts
+++ b/packages/daemon/src/requestIdentify.ts
@@ -1,4 +1,5 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { digestOf } from '@burdockrail/common/digest.js';
 import type {
   FleetConfiguration,
   RouteConfiguration,
@@ -56,6 +57,11 @@
   return Math.max(-PRIORITY_BOUND, Math.min(PRIORITY_BOUND, asked));
 }
 
+/** Digest of what a request asks for, whoever sends it. */
+function contentDigest({ method, path, body }: AcceptedRequest): string {
+  return digestOf(Buffer.concat([Buffer.from(`${method} ${path}\n`), body]));
+}
+
 /** Creates the filter that looks a request's team and service up in the configuration in force. */
 export function createIdentifyFilter(
   currentFleet: () => FleetConfiguration | undefined,
@@ -79,6 +85,7 @@
       service,
       priority: priorityOf(request),
       repeatable,
+      contentDigest: contentDigest(request),
       prefixes: promptPrefixDigests(request.prompt),
       ...(repeatable || key === undefined ? {} : { idempotencyKey: key }),
       ...(versionDigest === undefined ? {} : { versionDigest }),
--- a/packages/daemon/src/requestPath.ts
+++ b/packages/daemon/src/requestPath.ts
@@ -4,6 +4,7 @@
 import { joinFilters, type NextFilter } from './requestFilter.js';
 import { runClaimed } from './requestClaimed.js';
 import { createIdentifyFilter } from './requestIdentify.js';
+import { createQuarantineFilter } from './requestQuarantine.js';
 import { createRecordFilter } from './requestRecord.js';
 import { runRepeatable } from './requestRepeatable.js';
 import type { AcceptedRequest, IdentifiedRequest, RequestResult } from './requestTypes.js';
@@ -28,7 +29,9 @@
   currentFleet: () => FleetConfiguration | undefined,
 ): RequestPath {
   const identify = joinFilters(answerFilter, createIdentifyFilter(currentFleet));
-  const path = joinFilters(identify, createRecordFilter(services));
+  const recorded = joinFilters(identify, createRecordFilter(services));
+  const quarantine = createQuarantineFilter(services.quarantine, () => services.time.now());
+  const path = joinFilters(recorded, quarantine);
   const run: NextFilter<IdentifiedRequest> = async (request) => {
     const runner = runners[request.repeatable ? 'repeatable' : 'claimed'];
     return runner(services, request);
--- a/packages/daemon/src/requestRepeatable.ts
+++ b/packages/daemon/src/requestRepeatable.ts
@@ -1,8 +1,14 @@
 import { ResultCode, type RunState } from '@burdockrail/common/resultCode.js';
-import type { RetryBudget } from '@burdockrail/limits/retryBudget.js';
+import type { UpstreamView } from '@burdockrail/membership/upstreamDirectory.js';
 import type { EntryServices } from './entryServices.js';
-import { attemptStart, createAttemptId, type AttemptFailure } from './requestAttempt.js';
+import {
+  attemptStart,
+  createAttemptId,
+  type AttemptFailure,
+  type AttemptOutcome,
+} from './requestAttempt.js';
 import { callerCode, joinRuns, retryableCodes } from './requestCodes.js';
+import { secondsUntil } from './requestQuarantine.js';
 import { createAnswerRelay, cutNotice } from './requestRelay.js';
 import { chooseUpstream } from './requestRoute.js';
 import { refused, type IdentifiedRequest, type RequestResult } from './requestTypes.js';
@@ -25,8 +31,18 @@
   return refused(bound ? ResultCode.VersionUnavailable : ResultCode.NoUpstream, progress.run);
 }
 
-function mayRetry(budget: RetryBudget, progress: RepeatableProgress): boolean {
-  return progress.attempts === 0 || budget.trySpend();
+/** Why no further attempt is made; null when the next one may begin. */
+function reasonToStop(
+  services: EntryServices,
+  request: IdentifiedRequest,
+  progress: RepeatableProgress,
+): RequestResult | null {
+  if (services.time.now() >= request.deadlineAt) {
+    return refused(ResultCode.DeadlineExceeded, progress.run);
+  }
+  if (progress.attempts === 0 || services.retryBudget.trySpend()) return null;
+  const { detail } = progress.lastFailure ?? {};
+  return refused(ResultCode.RetryBudgetSpent, progress.run, detail === undefined ? {} : { detail });
 }
 
 function afterFailure(
@@ -42,6 +58,70 @@
   };
 }
 
+/** Runs one attempt and tells routing and metrics how it ended. */
+async function attemptAt(
+  services: EntryServices,
+  request: IdentifiedRequest,
+  view: UpstreamView,
+): Promise<AttemptOutcome> {
+  const { agent, address } = view.announcement;
+  const attemptId = createAttemptId();
+  const ended = services.router.begin(view, request.prefixes);
+  const outcome = await services.attempts.run(
+    {
+      attemptId,
+      address,
+      start: attemptStart(request, attemptId, services.time.now()),
+      signal: request.caller.gone,
+      failsOnServerError: true,
+    },
+    createAnswerRelay(request.caller, agent),
+  );
+  services.metrics.attempt(request.service.name, outcome.kind);
+  const isBlamed =
+    outcome.kind === 'failed' &&
+    !request.caller.gone.aborted &&
+    outcome.code !== ResultCode.DeadlineExceeded;
+  const verdict = outcome.kind === 'whole' ? 'succeeded' : isBlamed ? 'failed' : 'neutral';
+  ended(verdict, services.time.now());
+  return outcome;
+}
+
+/** Runs one attempt of a content that may have crashed an upstream; null when it may not run. */
+async function guardedAttempt(
+  services: EntryServices,
+  request: IdentifiedRequest,
+  view: UpstreamView,
+): Promise<AttemptOutcome | RequestResult> {
+  const { quarantine } = services;
+  const content = request.contentDigest;
+  const service = request.service.name;
+  const { agent } = view.announcement;
+  const granted = quarantine.standing(content).kind !== 'clear';
+  if (granted) {
+    const timeoutMilliseconds = Math.max(1, request.deadlineAt - services.time.now());
+    const reply = await quarantine.admit(service, { content, agent, timeoutMilliseconds });
+    if (reply.kind === 'busy') return refused(ResultCode.Overloaded, 'not-run');
+    if (reply.kind === 'quarantined') {
+      const retryAfterSeconds = secondsUntil(reply.retryAfterMilliseconds);
+      return refused(ResultCode.Quarantined, 'not-run', { retryAfterSeconds });
+    }
+  }
+  const outcome = await attemptAt(services, request, view);
+  const isCrash = outcome.kind === 'failed' && outcome.crash !== 'none';
+  if (isCrash && !request.caller.gone.aborted) await quarantine.report({ content, agent, granted });
+  if (outcome.kind === 'whole' && quarantine.standing(content).kind !== 'clear') {
+    quarantine.clear(content);
+  }
+  if (granted) quarantine.release(service, content);
+  return outcome;
+}
+
+/** A refusal together with what earlier attempts of the same request leave open. */
+function withEarlierRuns(result: RequestResult, progress: RepeatableProgress): RequestResult {
+  return { ...result, run: joinRuns(result.run, progress.run) };
+}
+
 /** Runs a request that may run more than once, within its deadline and the retry budget. */
 export async function runRepeatable(
   services: EntryServices,
@@ -50,46 +130,21 @@
   services.retryBudget.deposit();
   let progress: RepeatableProgress = { excluded: new Set(), attempts: 0, run: 'not-run' };
   for (;;) {
-    const now = services.time.now();
-    if (now >= request.deadlineAt) return refused(ResultCode.DeadlineExceeded, progress.run);
     const view = chooseUpstream(services, request, progress.excluded);
     if (view === undefined) return nothingToTry(request, progress);
-    if (!mayRetry(services.retryBudget, progress)) {
-      const { detail } = progress.lastFailure ?? {};
-      return refused(
-        ResultCode.RetryBudgetSpent,
-        progress.run,
-        detail === undefined ? {} : { detail },
-      );
-    }
-    const { agent, address } = view.announcement;
-    const attemptId = createAttemptId();
-    const relay = createAnswerRelay(request.caller, agent);
-    const ended = services.router.begin(view, request.prefixes);
-    const outcome = await services.attempts.run(
-      {
-        attemptId,
-        address,
-        start: attemptStart(request, attemptId, now),
-        signal: request.caller.gone,
-        failsOnServerError: true,
-      },
-      relay,
-    );
-    services.metrics.attempt(request.service.name, outcome.kind);
-    if (outcome.kind === 'whole') {
-      ended('succeeded', services.time.now());
-      return { kind: 'relayed', code: ResultCode.Ok, run: 'ran' };
-    }
-    const callerLeft = request.caller.gone.aborted;
-    const blamed = !callerLeft && outcome.code !== ResultCode.DeadlineExceeded;
-    ended(blamed ? 'failed' : 'neutral', services.time.now());
+    const stop = reasonToStop(services, request, progress);
+    if (stop !== null) return stop;
+    const outcome = await guardedAttempt(services, request, view);
+    if (outcome.kind === 'refused') return withEarlierRuns(outcome, progress);
+    if (outcome.kind === 'relayed') return outcome;
+    if (outcome.kind === 'whole') return { kind: 'relayed', code: ResultCode.Ok, run: 'ran' };
     if (request.caller.begun) {
       const code = callerCode(outcome.code);
       request.caller.cut(cutNotice(refused(code, 'ran', { detail: outcome.detail })));
       return { kind: 'relayed', code, run: 'ran' };
     }
-    progress = afterFailure(progress, agent, outcome);
-    if (callerLeft || !retryableCodes.has(outcome.code)) return nothingToTry(request, progress);
+    progress = afterFailure(progress, view.announcement.agent, outcome);
+    const hasCallerLeft = request.caller.gone.aborted;
+    if (hasCallerLeft || !retryableCodes.has(outcome.code)) return nothingToTry(request, progress);
   }
 }
--- a/packages/daemon/src/requestRoute.ts
+++ b/packages/daemon/src/requestRoute.ts
@@ -16,6 +16,7 @@
       region: services.region,
       excluded,
       prefixes: request.prefixes,
+      spreadKey: request.contentDigest,
       ...(request.versionDigest === undefined ? {} : { versionDigest: request.versionDigest }),
     },
     now,
--- a/packages/daemon/src/requestTypes.ts
+++ b/packages/daemon/src/requestTypes.ts
@@ -34,6 +34,8 @@
   readonly idempotencyKey?: string;
   /** Digest of the weights that the answer must come from. */
   readonly versionDigest?: string;
+  /** Digest of method, path and body: equal for equal requests, whoever sends them. */
+  readonly contentDigest: string;
   /** Prefix digests of the prompt, the shortest first. */
   readonly prefixes: readonly string[];
 }
@@ -65,3 +67,11 @@
 ): RefusedResult {
   return { kind: 'refused', code, run, ...more };
 }
+
+/**
+ * What is known of a request's run before anything was sent for it: without a key of the caller it
+ * did not run; with one an earlier sending may have.
+ */
+export function runBeforeSending(request: IdentifiedRequest): RunState {
+  return request.idempotencyKey === undefined ? 'not-run' : 'unknown';
+}
--- /dev/null
+++ b/packages/proofs/__tests__/quarantine.spec.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import type { CallerAnswer } from '@burdockrail/harness/callerClient.js';
+import type { System } from '@burdockrail/harness/system.js';
+import type { SystemLayout } from '@burdockrail/harness/systemLayout.js';
+import { waitUntil } from '@burdockrail/harness/waitUntil.js';
+import { startServingSystem } from '@burdockrail/harness/systemOperation.js';
+
+const SERVICE = 'rejestr';
+const MARKER = 'crashes-each-upstream';
+const PREFIX = 'the same first words of many requests, ';
+
+/** Bound on an answer that is known at once, in milliseconds. */
+const AT_ONCE_MILLISECONDS = 500;
+
+const layout: SystemLayout = {
+  dataCentres: [{ name: 'mazowsze', region: 'mazowsze' }],
+  controls: { mazowsze: 1 },
+  entries: { mazowsze: 4 },
+  services: [
+    {
+      name: SERVICE,
+      kind: 'plain',
+      home: 'mazowsze',
+      upstreams: { mazowsze: 5 },
+      routes: [{ method: 'POST', path: '/notes', repeatable: true }],
+    },
+  ],
+  teams: [{ name: 'clerks' }, { name: 'grinders' }],
+  versions: [],
+};
+
+async function send(system: System, entry: string, body: string, team = 'clerks') {
+  return system.callers.callService({
+    entry: system.entryUrl(entry),
+    service: SERVICE,
+    team,
+    path: '/notes',
+    body,
+    timeoutMilliseconds: 8_000,
+  });
+}
+
+async function crashes(system: System): Promise<number> {
+  const counts = await Promise.all(
+    system.agentsOf(SERVICE).map(async ({ name }) =>
+      // A crashed service refuses connections for a short time.
+      waitUntil(async () => system.plain(name).counts(), { what: `counts of ${name}` }),
+    ),
+  );
+  return counts.reduce((sum, { crashes: own }) => sum + own, 0);
+}
+
+describe('a request that crashes each upstream that runs it', () => {
+  it('takes two upstreams over all entries, is then refused at once, and others go on', async () => {
+    await using system = await startServingSystem(layout);
+    for (const { name } of system.agentsOf(SERVICE)) {
+      await system.plain(name).faults([{ kind: 'crash', marker: MARKER }]);
+    }
+    const entries = system.withRole('entry').map(({ name }) => name);
+    const poison = `${PREFIX}${MARKER}`;
+    const innocent: CallerAnswer[] = [];
+    for (let round = 0; round < 8; round += 1) {
+      const [first = ''] = entries;
+      const senders = round === 0 ? [first] : entries;
+      await Promise.all(senders.map(async (entry) => send(system, entry, poison, 'grinders')));
+      innocent.push(await send(system, entries[round % 4] ?? first, `${PREFIX}${round}`));
+    }
+    const died = await crashes(system);
+    assert.ok(died <= 2, `${died} upstreams died`);
+    for (const entry of entries) {
+      const answer = await send(system, entry, poison);
+      assert.equal(answer.code, ResultCode.Quarantined);
+      assert.equal(answer.run, 'not-run');
+      assert.ok((answer.retryAfterSeconds ?? 0) > 0);
+      assert.ok(answer.totalMilliseconds < AT_ONCE_MILLISECONDS);
+    }
+    assert.deepEqual(
+      innocent.map(({ code }) => code),
+      innocent.map(() => ResultCode.Ok),
+    );
+  });
+});
--- a/packages/protocol/src/protocolKinds.ts
+++ b/packages/protocol/src/protocolKinds.ts
@@ -32,6 +32,13 @@
   Renewal,
   RenewalReply,
 } from './protocolMembership.js';
+import type {
+  QuarantineAdmit,
+  QuarantineAdmitReply,
+  QuarantineClear,
+  QuarantineRelease,
+  QuarantineReport,
+} from './protocolQuarantine.js';
 
 /** A call with one request and one reply. */
 export interface CallShape<Request, Reply> {
@@ -60,6 +67,9 @@
   'group.query': CallShape<GroupQuery, GroupReply>;
   'group.inspect': CallShape<GroupInspect, GroupInspectReply>;
   'group.found': CallShape<GroupFound, GroupFoundReply>;
+  'quarantine.admit': CallShape<QuarantineAdmit, QuarantineAdmitReply>;
+  'quarantine.release': CallShape<QuarantineRelease, Record<string, never>>;
+  'quarantine.report': CallShape<QuarantineReport, Record<string, never>>;
   'process.status': CallShape<Record<string, never>, ProcessStatus>;
 }
 
@@ -73,6 +83,7 @@
 export interface PeerNotifications {
   'agreement.message': AgreementMessage;
   'membership.beat': RegistrarBeat;
+  'quarantine.clear': QuarantineClear;
   'process.leave': { readonly reason: string };
 }
 
--- a/packages/routing/src/routingQuestion.ts
+++ b/packages/routing/src/routingQuestion.ts
@@ -13,6 +13,8 @@
   readonly versionDigest?: string;
   /** Prefix digests of the prompt, the shortest first; empty for plain services. */
   readonly prefixes: readonly string[];
+  /** Text that is equal for equal requests. */
+  readonly spreadKey: string;
 }
 
 /** Distance from the asking process to an upstream: 0 own data centre, 1 region, 2 beyond. */
--- a/packages/routing/src/upstreamRouter.ts
+++ b/packages/routing/src/upstreamRouter.ts
@@ -107,7 +107,8 @@
       if (usable.length === 0) return undefined;
       turn += 1;
       const policy = routingPolicies[options.policy];
-      return policy(nearestWithRoom(usable), { random: options.random, turn })?.view;
+      const { spreadKey } = question;
+      return policy(nearestWithRoom(usable), { random: options.random, turn, spreadKey })?.view;
     },
     begin: (view, prefixes) => {
       const { agent } = view.announcement;
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -32,6 +32,11 @@
     level: 'warn',
     text: 'The ledger of a data centre gave no answer to a command in time.',
   },
+  requestCrashedUpstream: {
+    number: 2003,
+    level: 'warn',
+    text: 'An upstream died or was lost while it ran a request; its content is suspect.',
+  },
   requestFailed: { number: 2001, level: 'error', text: 'A request failed unexpectedly.' },
   configurationInForce: {
     number: 3000,
