test(agreement): schedules with weather, isolation and mass restarts

Now messages stay on their way, come twice or get lost by share, syncs lag, and leaders are crashed, frozen and isolated by name. After each schedule the healed group has to commit again unless a disk was wiped.

--- a/packages/agreement/__tests__/replicaInvariants.spec.ts
+++ b/packages/agreement/__tests__/replicaInvariants.spec.ts
@@ -7,32 +7,42 @@
 const layouts = {
   'three durable replicas': [true, true, true],
   'one durable replica and two in memory': [true, false, false],
+  'two durable replicas and two in memory': [true, true, false, false],
   'two durable replicas and three in memory': [true, true, false, false, false],
 } as const;
 
-const RUNS_PER_LAYOUT = 600;
+const RUNS_PER_LAYOUT = 400;
+const STEPS = { minLength: 50, maxLength: 600 };
+
+/** Turns in which a healed group has to commit again. */
+const SETTLING_TURNS = 400;
 
 const stepArbitrary: fc.Arbitrary<Step> = fc.record({
   kind: fc.constantFrom(...stepKinds),
   first: fc.nat(1_000),
   second: fc.nat(1_000_000),
 });
-const schedule = fc.array(stepArbitrary, { minLength: 20, maxLength: 400, size: 'max' });
+const schedule = fc.noBias(fc.array(stepArbitrary, { ...STEPS, size: 'max' }));
 
 describe('a group under any schedule of failures', () => {
   for (const [name, durability] of Object.entries(layouts)) {
-    it(`keeps what it committed and answers no stale query: ${name}`, () => {
+    it(`keeps what it committed, answers no stale query and goes on: ${name}`, () => {
       let committed = 0;
+      let elections = 0;
       fc.assert(
-        fc.property(fc.integer(), schedule, (seed, steps) => {
+        fc.property(fc.noBias(fc.integer()), schedule, (seed, steps) => {
           const simulation = createSimulation(durability, seed);
-          assert.ok(simulation.settle(60), 'the group elects a leader');
+          assert.ok(simulation.settle(SETTLING_TURNS), 'the new group elects a leader');
           for (const step of steps) simulation.step(step);
+          const settled = simulation.settle(SETTLING_TURNS);
+          assert.ok(settled || !simulation.recoverable, 'the healed group commits again');
           committed += simulation.committed;
+          elections += simulation.elections;
         }),
-        { numRuns: RUNS_PER_LAYOUT },
+        { numRuns: RUNS_PER_LAYOUT, endOnFailure: true },
       );
       assert.ok(committed > RUNS_PER_LAYOUT, 'the schedules commit commands');
+      assert.ok(elections > 2 * RUNS_PER_LAYOUT, 'the schedules change leaders');
     });
   }
 });
--- a/packages/agreement/__tests__/replicaSimulation.ts
+++ b/packages/agreement/__tests__/replicaSimulation.ts
@@ -35,26 +35,28 @@
   readonly message: ReplicaMessage;
 }
 
-/** Kinds of steps of a schedule. */
+/** Kinds of steps of a schedule, the frequent ones several times. */
 export const stepKinds = [
-  'run',
-  'run',
-  'run',
+  ...Array<'turn'>(140).fill('turn'),
+  ...Array<'propose'>(20).fill('propose'),
+  ...Array<'query'>(20).fill('query'),
   'advance',
-  'deliver',
-  'drop',
-  'double',
+  'weather',
   'sync',
   'crash',
+  'crashLeader',
+  'crashMemory',
+  'crashAll',
   'wipe',
-  'freeze',
+  'freezeLeader',
   'thaw',
-  'cut',
+  'thaw',
+  'isolateLeader',
+  'cutOneWay',
+  'split',
+  'heal',
+  'heal',
   'heal',
-  'propose',
-  'propose',
-  'query',
-  'query',
 ] as const;
 
 /** One step; `first` and `second` choose among what is there. */
@@ -64,18 +66,40 @@
   readonly second: number;
 }
 
-/** Interval of one `run` step, in milliseconds. */
-const RUN_MILLISECONDS = 40;
+/** Shares of messages and syncs in one turn that go through, are lost or come twice. */
+interface Weather {
+  readonly delivered: number;
+  readonly lost: number;
+  readonly doubled: number;
+  readonly synced: number;
+}
+
+const calm: Weather = { delivered: 1, lost: 0, doubled: 0, synced: 1 };
+const weathers: readonly Weather[] = [
+  calm,
+  { delivered: 0.9, lost: 0.02, doubled: 0.05, synced: 0.6 },
+  { delivered: 0.6, lost: 0.1, doubled: 0.1, synced: 0.2 },
+  { delivered: 0.8, lost: 0, doubled: 0, synced: 0.05 },
+];
+
+/** Longest time of one turn, in milliseconds. */
+const TURN_MILLISECONDS = 40;
+
+/** One of so many steps that would wipe a disk does, because groups seldom outlive two. */
+const WIPE_RARITY = 4;
 
-/** Most deliveries in one `run` step. */
-const RUN_DELIVERIES = 200;
+/** Rounds of deliveries in one turn, so that a message and its answer can both arrive. */
+const TURN_ROUNDS = 3;
 
 /** A group of replicas with a network, disks and clocks that fail as told. */
 export interface Simulation {
   step(step: Step): void;
-  /** Heals everything and runs until a command is committed; fails if it never is. */
-  settle(rounds: number): boolean;
+  /** Heals everything and runs until a command is committed; tells whether one was. */
+  settle(turns: number): boolean;
+  /** True while every member that may have to vote has kept what it stored. */
+  readonly recoverable: boolean;
   readonly committed: number;
+  readonly elections: number;
 }
 
 /** Creates a group; every violated invariant throws. */
@@ -87,9 +111,11 @@
   const queries = new Map<number, number>();
   const proposals = new Map<number, number>();
   const cuts = new Set<string>();
-  const network: Travelling[] = [];
+  let network: Travelling[] = [];
+  let weather = calm;
   let time = 0;
   let nextRequest = 1;
+  let wiped = false;
 
   const record = (position: number, command: number): void => {
     const known = chosen[position - 1];
@@ -118,7 +144,7 @@
   const slots = durability.map((durable, place): Slot => {
     const name = names[place] ?? '';
     const self = blank(name, durable, 1);
-    const clockRate = 1 + (random.next() * 2 - 1) * simulationTiming.driftBound;
+    const clockRate = 1 + (random.below(3) - 1) * simulationTiming.driftBound;
     const slot = { name, durable, clockRate, incarnation: 1, self, stored: null, unsynced: [] };
     const whole: Slot = { ...slot, frozen: false, replica: undefined as unknown as Replica };
     boot(whole);
@@ -149,12 +175,11 @@
   };
   const carryOut = (slot: Slot, effects: readonly ReplicaEffect[]): void => {
     for (const effect of effects) {
-      if (effect.kind === 'persist') {
-        slot.unsynced.push(effect);
-      } else if (effect.kind === 'send') {
-        const message = structuredClone(effect.message);
-        network.push({ fromSlot: slot.name, toSlot: effect.slot, message });
-      } else if (effect.kind === 'answer') onAnswer(effect);
+      if (effect.kind === 'persist') slot.unsynced.push(effect);
+      else if (effect.kind === 'answer') onAnswer(effect);
+      else if (effect.kind === 'send') {
+        network.push({ fromSlot: slot.name, toSlot: effect.slot, message: effect.message });
+      }
     }
     noteLeader(slot);
     if (!slot.durable) sync(slot);
@@ -171,133 +196,173 @@
     const last = store(slot, slot.unsynced.length);
     if (last > 0) carryOut(slot, slot.replica.persisted(last, clock(slot)));
   };
-  const tick = (slot: Slot): void => {
-    if (!slot.frozen) carryOut(slot, slot.replica.tick(clock(slot)));
-  };
   const linkOf = (from: string, to: string): string => `${from}>${to}`;
-  const deliver = (place: number, keep: boolean): void => {
-    const [travelling] = keep ? network.slice(place, place + 1) : network.splice(place, 1);
-    if (travelling === undefined) return;
-    const slot = slots.find((candidate) => candidate.name === travelling.toSlot);
-    if (slot === undefined || cuts.has(linkOf(travelling.fromSlot, travelling.toSlot))) return;
-    if (slot.frozen) {
-      network.push(travelling);
-      return;
+  const receive = ({ fromSlot, toSlot, message }: Travelling): void => {
+    const slot = slots.find((candidate) => candidate.name === toSlot);
+    if (slot === undefined || cuts.has(linkOf(fromSlot, toSlot))) return;
+    if (slot.frozen) network.push({ fromSlot, toSlot, message });
+    else carryOut(slot, slot.replica.receive(message, clock(slot)));
+  };
+  const deliverSome = (): void => {
+    const travelling = network;
+    network = [];
+    for (const item of travelling) {
+      if (random.next() < weather.lost) continue;
+      if (random.next() < weather.doubled) network.push(item);
+      if (random.next() < weather.delivered) receive(item);
+      else network.push(item);
+    }
+  };
+  const syncSome = (): void => {
+    for (const slot of slots) {
+      if (!slot.frozen && random.next() < weather.synced) sync(slot);
     }
-    carryOut(slot, slot.replica.receive(structuredClone(travelling.message), clock(slot)));
   };
   const advance = (milliseconds: number): void => {
     time += milliseconds;
-    slots.forEach(tick);
+    for (const slot of slots) {
+      if (!slot.frozen) carryOut(slot, slot.replica.tick(clock(slot)));
+    }
   };
-  const run = (milliseconds: number): void => {
-    advance(milliseconds / 2);
-    for (let count = 0; count < RUN_DELIVERIES && network.length > 0; count += 1) deliver(0, false);
-    for (const slot of slots) if (!slot.frozen) sync(slot);
-    for (let count = 0; count < RUN_DELIVERIES && network.length > 0; count += 1) deliver(0, false);
-    advance(milliseconds / 2);
+  const turn = (milliseconds: number): void => {
+    advance(milliseconds);
+    for (let round = 0; round < TURN_ROUNDS; round += 1) {
+      deliverSome();
+      syncSome();
+    }
   };
-  const restart = (slot: Slot, wiped: boolean, survivors: number): void => {
+  const restart = (slot: Slot, wipe: boolean, survivors: number): void => {
     store(slot, survivors);
     slot.unsynced = [];
     slot.frozen = false;
-    if (wiped || !slot.durable || slot.stored === null) {
+    if (wipe) wiped = true;
+    if (wipe || !slot.durable || slot.stored === null) {
       slot.stored = null;
       slot.incarnation += 1;
       slot.self = blank(slot.name, slot.durable, slot.incarnation);
     }
     boot(slot);
   };
+  const crash = (slot: Slot): void => {
+    restart(slot, false, random.below(slot.unsynced.length + 1));
+  };
+  const leading = (): readonly Slot[] =>
+    slots.filter((slot) => slot.replica.status().role === 'leader');
+  const withLeader = (choice: number, act: (leader: Slot) => void): void => {
+    const all = leading();
+    const leader = all[choice % Math.max(1, all.length)];
+    if (leader !== undefined) act(leader);
+  };
   const propose = (slot: Slot): void => {
+    if (slot.frozen) return;
     const requestId = nextRequest++;
     proposals.set(requestId, requestId);
     carryOut(slot, slot.replica.propose(requestId, requestId, clock(slot)));
   };
   const query = (slot: Slot): void => {
+    if (slot.frozen) return;
     const requestId = nextRequest++;
     queries.set(requestId, acknowledged.length);
     carryOut(slot, slot.replica.query(requestId, 'length', clock(slot)));
   };
-  const leading = (choice: number): Slot | undefined => {
-    const all = slots.filter((slot) => !slot.frozen && slot.replica.status().role === 'leader');
-    return all[choice % Math.max(1, all.length)];
+  const cutBetween = (left: Slot, right: Slot): void => {
+    cuts.add(linkOf(left.name, right.name));
+    cuts.add(linkOf(right.name, left.name));
+  };
+  const thawAll = (): void => {
+    for (const slot of slots) slot.frozen = false;
   };
 
   const handlers: Readonly<Record<Step['kind'], (slot: Slot, step: Step) => void>> = {
-    run: () => {
-      run(RUN_MILLISECONDS);
+    turn: (_slot, { second }) => {
+      turn(second % TURN_MILLISECONDS);
     },
     advance: (_slot, { second }) => {
       advance(second % simulationTiming.electionMilliseconds);
     },
-    deliver: (_slot, { second }) => {
-      deliver(second % Math.max(1, network.length), false);
-    },
-    drop: (_slot, { second }) => {
-      network.splice(second % Math.max(1, network.length), 1);
+    weather: (_slot, { second }) => {
+      weather = weathers[second % weathers.length] ?? calm;
     },
-    double: (_slot, { second }) => {
-      deliver(second % Math.max(1, network.length), true);
+    sync,
+    crash,
+    crashLeader: (_slot, { second }) => {
+      withLeader(second, crash);
     },
-    sync: (slot) => {
-      if (!slot.frozen) sync(slot);
+    crashMemory: () => {
+      slots.filter((slot) => !slot.durable).forEach(crash);
     },
-    crash: (slot, { second }) => {
-      restart(slot, false, second % (slot.unsynced.length + 1));
+    crashAll: () => {
+      slots.forEach(crash);
     },
-    wipe: (slot) => {
-      restart(slot, true, 0);
+    wipe: (slot, { second }) => {
+      if (second % WIPE_RARITY === 0) restart(slot, true, 0);
     },
-    freeze: (slot) => {
-      slot.frozen = true;
+    freezeLeader: (_slot, { second }) => {
+      withLeader(second, (leader) => {
+        leader.frozen = true;
+      });
     },
-    thaw: (slot) => {
-      slot.frozen = false;
+    thaw: thawAll,
+    isolateLeader: (_slot, { second }) => {
+      withLeader(second, (leader) => {
+        for (const slot of slots) cutBetween(leader, slot);
+      });
     },
-    cut: (slot, { second }) => {
+    cutOneWay: (slot, { second }) => {
       cuts.add(linkOf(slot.name, names[second % names.length] ?? ''));
-      cuts.add(linkOf(names[second % names.length] ?? '', slot.name));
+    },
+    split: (_slot, { second }) => {
+      const isLeft = (place: number): boolean => ((second >> place) & 1) === 1;
+      slots.forEach((left, place) => {
+        if (isLeft(place))
+          slots
+            .filter((_s, other) => !isLeft(other))
+            .forEach((right) => {
+              cutBetween(left, right);
+            });
+      });
     },
     heal: () => {
       cuts.clear();
     },
     propose: (_slot, { second }) => {
-      const leader = leading(second);
-      if (leader !== undefined) propose(leader);
+      withLeader(second, propose);
     },
-    query: (_slot, { second }) => {
-      const leader = leading(second);
-      if (leader !== undefined) query(leader);
+    query: () => {
+      leading().forEach(query);
     },
   };
 
-  const found = (): void => {
-    const membership = { voters: slots.map((slot) => slot.self), learners: [] };
-    for (const slot of slots) {
-      carryOut(slot, slot.replica.found('founding', membership, clock(slot)));
-      sync(slot);
-    }
-  };
-  found();
+  const membership = { voters: slots.map((slot) => slot.self), learners: [] };
+  for (const slot of slots) {
+    carryOut(slot, slot.replica.found('founding', membership, clock(slot)));
+    sync(slot);
+  }
 
   return {
     step: (step) => {
       const slot = slots[step.first % slots.length];
       if (slot !== undefined) handlers[step.kind](slot, step);
     },
-    settle: (rounds) => {
+    settle: (turns) => {
       cuts.clear();
-      for (const slot of slots) slot.frozen = false;
+      thawAll();
+      weather = calm;
       const before = acknowledged.length;
-      for (let round = 0; round < rounds && acknowledged.length === before; round += 1) {
-        run(RUN_MILLISECONDS);
-        const leader = leading(0);
-        if (leader !== undefined) propose(leader);
+      for (let count = 0; count < turns && acknowledged.length === before; count += 1) {
+        turn(TURN_MILLISECONDS);
+        leading().forEach(propose);
       }
       return acknowledged.length > before;
     },
+    get recoverable() {
+      return !wiped;
+    },
     get committed() {
       return chosen.length;
     },
+    get elections() {
+      return leaders.size;
+    },
   };
 }
