fix(agreement): commit when members end after the last answer

Cause: a leader looked for newly committed entries only when something was stored or answered. When the last voter in memory ended between the storing of a change and the news of its next incarnation, the only disk became a quorum by itself and nothing noticed: the group led, refused commands and never repaired itself. Ruled out: the quorum rule and the joining, both of which the status showed to be right.

--- a/packages/agreement/src/replica.ts
+++ b/packages/agreement/src/replica.ts
@@ -81,6 +81,9 @@
     resetElectionDeadline(core, now);
     return;
   }
+  // Members that ended since the last answer may have made a quorum of those that are left.
+  advanceCommit(core, role);
+  answerQueries(core, role);
   driveMembership(core, role, now);
   const isDue = now - role.lastBroadcastAt >= core.timing.heartbeatMilliseconds;
   if (isDue) broadcast(core, role, now);
