--- a/packages/daemon/src/storageBatch.ts
+++ b/packages/daemon/src/storageBatch.ts
@@ -1,7 +1,7 @@
+import { crc32 } from 'node:zlib';
 import { ResultError } from '@burdockrail/common/outcome.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { decodeBody, encodeBody } from '@burdockrail/transport/frameCodec.js';
-import { checksumOf } from './storageChecksum.js';
 
 /** Length of the body, checksum of the length field, checksum of the body. */
 const FIELD_BYTES = 4;
@@ -12,8 +12,8 @@
   const body = encodeBody(parts);
   const batch = Buffer.allocUnsafe(HEADER_BYTES + body.length);
   batch.writeUInt32BE(body.length, 0);
-  batch.writeUInt32BE(checksumOf(batch.subarray(0, FIELD_BYTES)), FIELD_BYTES);
-  batch.writeUInt32BE(checksumOf(body), 2 * FIELD_BYTES);
+  batch.writeUInt32BE(crc32(batch.subarray(0, FIELD_BYTES)), FIELD_BYTES);
+  batch.writeUInt32BE(crc32(body), 2 * FIELD_BYTES);
   body.copy(batch, HEADER_BYTES);
   return batch;
 }
@@ -22,12 +22,12 @@
 function batchEnd(file: Buffer, offset: number): number | null {
   if (offset + HEADER_BYTES > file.length) return null;
   const length = file.readUInt32BE(offset);
-  const lengthChecksum = checksumOf(file.subarray(offset, offset + FIELD_BYTES));
+  const lengthChecksum = crc32(file.subarray(offset, offset + FIELD_BYTES));
   if (lengthChecksum !== file.readUInt32BE(offset + FIELD_BYTES)) return null;
   const end = offset + HEADER_BYTES + length;
   if (end > file.length) return null;
   const body = file.subarray(offset + HEADER_BYTES, end);
-  return checksumOf(body) === file.readUInt32BE(offset + 2 * FIELD_BYTES) ? end : null;
+  return crc32(body) === file.readUInt32BE(offset + 2 * FIELD_BYTES) ? end : null;
 }
 
 function hasBatchAfter(file: Buffer, offset: number): boolean {
--- /dev/null
+++ b/packages/proofs/__tests__/agreementOperators.spec.ts
@@ -0,0 +1,51 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import {
+  applyAt,
+  controlNames,
+  fleetNamed,
+  leaderAmong,
+  startFormedSystem,
+} from './agreementSystem.js';
+
+const OPERATORS = 9;
+const ROUNDS = 10;
+
+describe('operators who change the configuration at the same time', () => {
+  it('win once per revision; all others get a conflict', async () => {
+    await using system = await startFormedSystem();
+    const controls = controlNames(system);
+    for (let revision = 0; revision < ROUNDS; revision += 1) {
+      const orders = Array.from({ length: OPERATORS }, async (_order, operator) =>
+        applyAt(
+          system,
+          controls[operator % controls.length] ?? '',
+          fleetNamed(`team-${operator}`),
+          { expectedRevision: revision, orderId: `order-${revision}-${operator}` },
+        ),
+      );
+      const replies = await Promise.all(orders);
+      const accepted = replies.filter((reply) => reply.kind === 'accepted');
+      assert.equal(accepted.length, 1, `revision ${revision + 1}`);
+      assert.equal(accepted[0]?.revision, revision + 1);
+      for (const reply of replies) assert.equal(reply.digest, accepted[0].digest);
+    }
+  });
+
+  it('get the first answer when they resend an order, also from a later leader', async () => {
+    await using system = await startFormedSystem();
+    const controls = controlNames(system);
+    const order = { expectedRevision: 0, orderId: 'first' };
+    const leader = await leaderAmong(system, controls, 'fleet');
+    const others = controls.filter((name) => name !== leader.name);
+    const [other = '', another = ''] = others;
+    const first = await applyAt(system, leader.name, fleetNamed('one'), order);
+    assert.equal(first.kind, 'accepted');
+    const second = { expectedRevision: 1, orderId: 'second' };
+    await applyAt(system, other, fleetNamed('two'), second);
+    await system.processes.kill(leader.name);
+    assert.deepEqual(await applyAt(system, another, fleetNamed('one'), order), first);
+    const current = await system.operator.current(system.machine(other).advertise);
+    assert.equal(current?.revision, 2);
+  });
+});
--- /dev/null
+++ b/packages/proofs/__tests__/agreementSystem.ts
@@ -0,0 +1,94 @@
+import type { FleetConfigurationInput } from '@burdockrail/fleet/fleetConfiguration.js';
+import type { PlacedMachine } from '@burdockrail/harness/settingsDocument.js';
+import type { System } from '@burdockrail/harness/system.js';
+import { startSystem } from '@burdockrail/harness/system.js';
+import { formCluster } from '@burdockrail/harness/systemOperation.js';
+import { layoutFleet, type SystemLayout } from '@burdockrail/harness/systemLayout.js';
+import { waitUntil } from '@burdockrail/harness/waitUntil.js';
+import type {
+  ConfigurationApplyReply,
+  GroupStatus,
+} from '@burdockrail/protocol/protocolConfiguration.js';
+
+/** Bound on repairs and elections on a busy machine, in milliseconds. */
+export const REPAIR_MILLISECONDS = 20_000;
+
+/** Three data centres with a control and two entries each. */
+export const agreementLayout: SystemLayout = {
+  dataCentres: [
+    { name: 'mazowsze', region: 'mazowsze' },
+    { name: 'malopolska', region: 'malopolska' },
+    { name: 'pomorze', region: 'pomorze' },
+  ],
+  controls: { mazowsze: 1, malopolska: 1, pomorze: 1 },
+  entries: { mazowsze: 2, malopolska: 1, pomorze: 1 },
+  services: [],
+  teams: [{ name: 'registry' }],
+  versions: [],
+};
+
+/** Starts a system and forms its groups. */
+export async function startFormedSystem(layout: SystemLayout = agreementLayout): Promise<System> {
+  const system = await startSystem(layout);
+  try {
+    await formCluster(system);
+    return system;
+  } catch (error) {
+    await system[Symbol.asyncDispose]();
+    throw error;
+  }
+}
+
+/** A fleet that differs from others by the name of a team. */
+export function fleetNamed(team: string): FleetConfigurationInput {
+  return { ...layoutFleet(agreementLayout), teams: [{ name: team }] };
+}
+
+/** What one replica says of its group; `undefined` when its process does not answer. */
+export async function groupStatus(
+  system: System,
+  machine: string,
+  group: string,
+): Promise<GroupStatus | undefined> {
+  const status = await system.operator
+    .call(system.machine(machine).advertise, 'process.status', {}, 1_000)
+    .catch(() => undefined);
+  return status?.groups.find((candidate) => candidate.group === group);
+}
+
+/** Names of the machines with the role control. */
+export function controlNames(system: System): readonly string[] {
+  return system.withRole('control').map(({ name }) => name);
+}
+
+/** Waits until one of the machines leads a group and gives it. */
+export async function leaderAmong(
+  system: System,
+  machines: readonly string[],
+  group: string,
+): Promise<PlacedMachine> {
+  const name = await waitUntil(
+    async () => {
+      for (const machine of machines) {
+        const status = await groupStatus(system, machine, group);
+        if (status?.role === 'leader') return machine;
+      }
+      return undefined;
+    },
+    { what: `a leader of ${group}`, boundMilliseconds: REPAIR_MILLISECONDS },
+  );
+  return system.machine(name);
+}
+
+/** Applies a fleet at one machine, again under the same order until it is answered. */
+export async function applyAt(
+  system: System,
+  machine: string,
+  fleet: FleetConfigurationInput,
+  order: { readonly expectedRevision: number; readonly orderId: string },
+): Promise<ConfigurationApplyReply> {
+  return waitUntil(
+    async () => system.operator.apply(system.machine(machine).advertise, fleet, order),
+    { what: `an answer to ${order.orderId}`, boundMilliseconds: REPAIR_MILLISECONDS },
+  );
+}
