feat(cli): outcomes as results, and a deposit in the golden session

Cause: outcome printed whatever the entry answered and ended with 0 for every question, so that a script could not tell a known outcome from an unknown one.

After: a known outcome prints run state, result and stored answer; all else ends with its number and exit code 1.

--- a/packages/cli/__tests__/fleetView.spec.ts
+++ b/packages/cli/__tests__/fleetView.spec.ts
@@ -93,20 +93,28 @@
   it('show what the entries answer', async () => {
     const server = createServer((request, response) => {
       const isMetrics = request.url === '/metrics';
+      const unknown = request.url?.startsWith('/v1/outcomes/deposit%208') === true;
       const asked = `${request.url ?? ''} ${String(request.headers['burdockrail-team'])}`;
-      response.setHeader('burdockrail-result', '0');
-      response.setHeader('burdockrail-run', 'ran');
-      response.end(isMetrics ? metrics : `{"asked":"${asked}"}`);
+      const answer = { status: 201, headers: {}, body: `asked ${asked}` };
+      const key = { team: 'desk', service: 'till', key: 'deposit 7' };
+      const error = { code: 201, message: 'The outcome is unknown.' };
+      response.statusCode = unknown ? 409 : 200;
+      response.setHeader('burdockrail-result', unknown ? '201' : '0');
+      response.setHeader('burdockrail-run', unknown ? 'unknown' : 'ran');
+      const document = unknown ? { error } : { ...key, run: 'ran', answer };
+      response.end(isMetrics ? metrics : JSON.stringify(document));
     });
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
     const { port } = server.address() as AddressInfo;
     const http = ['--http', `127.0.0.1:${port}`];
-    const outcome = ['outcome', 'deposit 7', '--service', 'till', '--team', 'desk', ...http];
+    const outcome = ['--service', 'till', '--team', 'desk', ...http];
     const session = await sessionOf([
       ['report', ...http],
       ['report', ...http, '--json'],
-      outcome,
+      ['outcome', 'deposit 7', ...outcome],
+      ['outcome', 'deposit 7', ...outcome, '--json'],
+      ['outcome', 'deposit 8', ...outcome],
       ['outcome', 'deposit 7', ...http],
     ]);
     server.close();
--- a/packages/cli/__tests__/liveSession.spec.ts
+++ b/packages/cli/__tests__/liveSession.spec.ts
@@ -61,6 +61,7 @@
   return session
     .replace(/#[\w.-]+/gu, '#INCARNATION')
     .replace(/^( {2}[\w.]+: )\S+, term \d+, committed \d+$/gmu, '$1LEADER, term N, committed N')
+    .replace(/[0-9a-f]{8}(?:-[0-9a-f]{4}){3}-[0-9a-f]{12}/gu, 'REQUEST')
     .replace(/\d+ MiB$/gmu, 'N MiB')
     .replace(/\d+\.\d s/gu, 'N s')
     .replace(/^revision \d+, N s\n(?:assistant: .*\n(?: {2}\w+ +\[.*\n)+)+/gmu, '')
@@ -124,8 +125,19 @@
         environment,
       );
       await waitForRevision(system, 1);
+      await waitUntilServing(system, 'till');
+      const deposit = { service: 'till', path: '/deposits', key: 'deposit-1', team: 'guests' };
+      for (const name of ['entry-north-2', 'entry-south-1']) {
+        const entry = system.entryUrl(name);
+        const answer = await system.callers.callService({ ...deposit, entry });
+        assert.equal(answer.status, 200, answer.text);
+      }
+      assert.equal((await system.plain('till-north-1').counts()).runsByKey['deposit-1'], 1);
+      const outcome = ['--service', 'till', '--team', 'guests'];
       const asked = await sessionOf(
         [
+          ['outcome', 'deposit-1', ...outcome],
+          ['outcome', 'deposit-2', ...outcome],
           ['config', 'apply', next, ...order, 'order-2', '--expect-revision', '0'],
           ['config', 'apply', next, ...order, 'order-3', '--wait'],
           ['config', 'apply', first, ...order, 'order-1', '--expect-revision', '0'],
--- a/packages/cli/src/commands/outcome.ts
+++ b/packages/cli/src/commands/outcome.ts
@@ -17,11 +17,10 @@
   async run(): Promise<unknown> {
     const { args, flags } = await this.parse(Outcome);
     const { http } = await this.targets(flags, 'http');
-    const { readOutcome } = await import('../requestOutcome.js');
+    const { outcomeLines, readOutcome } = await import('../requestOutcome.js');
     const { key } = args;
     const outcome = await readOutcome(http, { key, service: flags.service, team: flags.team });
-    this.log(`result ${outcome.result}, run ${outcome.run}, status ${outcome.status}`);
-    this.log(outcome.body.trimEnd());
+    for (const line of outcomeLines(outcome)) this.log(line);
     return outcome;
   }
 }
