feat(entry): rate, concurrency and fair shares of teams

Cause: one large team could take all capacity of a service. Ruled out: a message between entries for each request; leaving the queue to the engines (they know priorities but no teams); a queue without a bound (a request that cannot be served in time is refused at once with the time to come back). Before: no limits. After: each entry enforces an equal part of a team's rate and concurrency; at a service whose upstreams report no free capacity requests wait by start-time fair queueing, bounded by 2 s and half of the time left, and are shed by expected wait.

--- a/packages/daemon/src/requestPath.ts
+++ b/packages/daemon/src/requestPath.ts
@@ -1,4 +1,7 @@
 import type { FleetConfiguration } from '@burdockrail/fleet/fleetConfiguration.js';
+import type { PeerSettings } from '@burdockrail/settings/settingsSchema.js';
+import { createAdmissionFilter } from './requestAdmission.js';
+import { createLimitsFilter } from './requestLimits.js';
 import type { EntryServices } from './entryServices.js';
 import { answerFilter } from './requestAnswer.js';
 import { joinFilters, type NextFilter } from './requestFilter.js';
@@ -27,11 +30,15 @@
 export function createRequestPath(
   services: EntryServices,
   currentFleet: () => FleetConfiguration | undefined,
+  peers: readonly PeerSettings[],
 ): RequestPath {
   const identify = joinFilters(answerFilter, createIdentifyFilter(currentFleet));
   const recorded = joinFilters(identify, createRecordFilter(services));
   const quarantine = createQuarantineFilter(services.quarantine, () => services.time.now());
-  const path = joinFilters(recorded, quarantine);
+  const limits = createLimitsFilter(services, peers);
+  const admission = createAdmissionFilter(services, peers);
+  const bounded = joinFilters(joinFilters(limits, quarantine), admission);
+  const path = joinFilters(recorded, bounded);
   const run: NextFilter<IdentifiedRequest> = async (request) => {
     const runner = runners[request.repeatable ? 'repeatable' : 'claimed'];
     return runner(services, request);
--- a/packages/routing/src/upstreamRouter.ts
+++ b/packages/routing/src/upstreamRouter.ts
@@ -26,8 +26,8 @@
     view: UpstreamView,
     prefixes: readonly string[],
   ): (verdict: AttemptVerdict, now: Milliseconds) => void;
-  /** Attempts in progress at an agent. */
-  inFlight(agent: string): number;
+  /** Capacity of an upstream and the estimate of the requests at it. */
+  roomAt(view: UpstreamView): Pick<RoutingOption, 'capacity' | 'estimated'>;
 }
 
 /** Options of {@link createUpstreamRouter}. */
@@ -77,18 +77,25 @@
     return 0;
   };
 
+  const roomAt = (view: UpstreamView): Pick<RoutingOption, 'capacity' | 'estimated'> => {
+    const { agent, load } = view.announcement;
+    const reported = load === undefined ? 0 : load.running + load.waiting;
+    return {
+      estimated: Math.max(inFlight(agent), reported + sentSinceReport(view)),
+      capacity: Math.max(1, load?.capacity ?? ASSUMED_CAPACITY),
+    };
+  };
+
   const toOption = (question: RoutingQuestion, view: UpstreamView): RoutingOption => {
     const { agent, load } = view.announcement;
     const reported = load === undefined ? 0 : load.running + load.waiting;
-    const own = inFlight(agent);
     return {
       view,
       agent,
       distance: distanceTo(question, view),
-      inFlight: own,
+      inFlight: inFlight(agent),
       reported,
-      estimated: Math.max(own, reported + sentSinceReport(view)),
-      capacity: Math.max(1, load?.capacity ?? ASSUMED_CAPACITY),
+      ...roomAt(view),
       cachedBlocks: Math.max(
         announcedBlocks(view, question.prefixes),
         memory.matches(question.prefixes, agent),
@@ -97,7 +104,7 @@
   };
 
   return {
-    inFlight,
+    roomAt,
     choose: (question, now) => {
       const eligible = question.candidates.filter((view) => isEligible(question, view));
       const healthy = eligible.filter((view) => !health.avoids(view.announcement.agent, now));
