refactor: one place for the order of texts and for repeated names

Cause: the order by code units stood three times and the search for repeated names four times; the profile repeated the schema of a peer. A profile's peer is now the settings' peer with an HTTP address, so that both accept the same names.

Before and after: 40 tests of fleet, settings and common pass, golden files unchanged.

--- a/packages/cli/src/metricsReport.ts
+++ b/packages/cli/src/metricsReport.ts
@@ -1,5 +1,6 @@
 import { toResultError, ResultError } from '@burdockrail/common/outcome.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { compareTexts } from '@burdockrail/common/textOrder.js';
 import { formatAddress, type Address } from '@burdockrail/protocol/protocolAddress.js';
 import { readPage } from './entryHttp.js';
 import { parseMetrics, type MetricValue } from './metricsSample.js';
@@ -128,8 +129,3 @@
 function durationKey({ metric, team, class: requestClass, entry }: DurationRow): string {
   return [metric, team, requestClass, entry].join('\n');
 }
-
-function compareTexts(left: string, right: string): number {
-  if (left === right) return 0;
-  return left < right ? -1 : 1;
-}
--- a/packages/cli/src/operatorProfile.ts
+++ b/packages/cli/src/operatorProfile.ts
@@ -2,15 +2,12 @@
 import { fieldIssues } from '@burdockrail/common/fieldIssue.js';
 import { ResultError } from '@burdockrail/common/outcome.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { addressSchema, peerSchema } from '@burdockrail/settings/settingsSchema.js';
 import { parse } from 'yaml';
 import { z } from 'zod';
 import { IssuesError } from './commandFailure.js';
 import type { OperatorTargets } from './operatorTarget.js';
 
-const addressSchema = z
-  .strictObject({ host: z.union([z.ipv4(), z.ipv6()]), port: z.int().min(1).max(65535) })
-  .readonly();
-
 /**
  * Schema of a profile: the `peers` of a process's settings, each entry with the address of its HTTP
  * port besides.
@@ -18,17 +15,7 @@
 export const profileSchema = z
   .strictObject({
     peers: z
-      .array(
-        z
-          .strictObject({
-            name: z.string().min(1),
-            dataCentre: z.string().min(1),
-            roles: z.array(z.enum(['entry', 'control'])).min(1),
-            address: addressSchema,
-            http: addressSchema.optional(),
-          })
-          .readonly(),
-      )
+      .array(peerSchema.unwrap().extend({ http: addressSchema.optional() }).readonly())
       .min(1)
       .readonly(),
   })
--- a/packages/fleet/src/fleetCanonical.ts
+++ b/packages/fleet/src/fleetCanonical.ts
@@ -1,4 +1,5 @@
 import { canonicalJson, digestOf, type Digest } from '@burdockrail/common/digest.js';
+import { compareTexts } from '@burdockrail/common/textOrder.js';
 import { stringify } from 'yaml';
 import type {
   FleetConfiguration,
@@ -64,9 +65,3 @@
 function sortedBy<Item>(items: readonly Item[], key: (item: Item) => string): readonly Item[] {
   return [...items].sort((left, right) => compareTexts(key(left), key(right)));
 }
-
-/** Order by code units, which does not depend on the locale of the machine. */
-function compareTexts(left: string, right: string): number {
-  if (left === right) return 0;
-  return left < right ? -1 : 1;
-}
--- a/packages/fleet/src/fleetChecks.ts
+++ b/packages/fleet/src/fleetChecks.ts
@@ -1,5 +1,6 @@
 import { fieldIssues, type FieldIssue } from '@burdockrail/common/fieldIssue.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { repeatedTexts } from '@burdockrail/common/textOrder.js';
 import { canonicalFleet } from './fleetCanonical.js';
 import {
   fleetConfigurationSchema,
@@ -56,13 +57,11 @@
   list: string,
   elements: readonly { readonly name: string }[],
 ): readonly FieldIssue[] {
-  const names = elements.map((element) => element.name);
-  const repeated = new Set(names.filter((name, position) => names.indexOf(name) !== position));
-  return [...repeated].map((name) => ({
+  return repeatedTexts(elements.map((element) => element.name)).map(({ text, count }) => ({
     code: ResultCode.FleetNameRepeated,
-    path: `${list}[${name}]`,
+    path: `${list}[${text}]`,
     expected: 'a name that no other element of the list has',
-    found: `it ${names.filter((other) => other === name).length} times`,
+    found: `it ${count} times`,
   }));
 }
 
--- a/packages/fleet/src/fleetServiceChecks.ts
+++ b/packages/fleet/src/fleetServiceChecks.ts
@@ -1,5 +1,6 @@
 import type { FieldIssue } from '@burdockrail/common/fieldIssue.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { repeatedTexts } from '@burdockrail/common/textOrder.js';
 import type { ServiceConfiguration } from './fleetConfiguration.js';
 import { isWithin, normalRoutePath } from './fleetRoute.js';
 
@@ -73,24 +74,21 @@
 };
 
 const repeatedAdapters: ServiceCheck = (service, path) => {
-  const models = service.adapters.map((adapter) => adapter.model);
-  const repeated = new Set(models.filter((model, position) => models.indexOf(model) !== position));
-  return [...repeated].map((model) => ({
+  return repeatedTexts(service.adapters.map((adapter) => adapter.model)).map(({ text, count }) => ({
     code: ResultCode.FleetNameRepeated,
-    path: `${path}.adapters[${model}]`,
+    path: `${path}.adapters[${text}]`,
     expected: 'one version of each adapter',
-    found: `it ${models.filter((other) => other === model).length} times`,
+    found: `it ${count} times`,
   }));
 };
 
 const repeatedRoutes: ServiceCheck = (service, path) => {
   const keys = service.routes.map((route) => `${route.method} ${normalRoutePath(route.path)}`);
-  const repeated = new Set(keys.filter((key, position) => keys.indexOf(key) !== position));
-  return [...repeated].map((key) => ({
+  return repeatedTexts(keys).map(({ text, count }) => ({
     code: ResultCode.FleetNameRepeated,
-    path: `${path}.routes[${key}]`,
+    path: `${path}.routes[${text}]`,
     expected: 'each method and path once',
-    found: `it ${keys.filter((other) => other === key).length} times`,
+    found: `it ${count} times`,
   }));
 };
 
--- a/packages/settings/src/settingsChecks.ts
+++ b/packages/settings/src/settingsChecks.ts
@@ -1,5 +1,6 @@
 import { describeFound, fieldIssues, type FieldIssue } from '@burdockrail/common/fieldIssue.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { repeatedTexts } from '@burdockrail/common/textOrder.js';
 import { settingsSchema, type PeerSettings, type Settings } from './settingsSchema.js';
 
 /** Result of {@link checkSettings}. */
@@ -108,16 +109,13 @@
   ];
 };
 
-const repeatedNames: CrossCheck = ({ peers }) => {
-  const names = peers.map((peer) => peer.name);
-  const repeated = new Set(names.filter((name, position) => names.indexOf(name) !== position));
-  return [...repeated].map((name) => ({
+const repeatedNames: CrossCheck = ({ peers }) =>
+  repeatedTexts(peers.map((peer) => peer.name)).map(({ text, count }) => ({
     code: ResultCode.SettingsNameRepeated,
-    path: `peers[${name}]`,
+    path: `peers[${text}]`,
     expected: 'a name that no other peer has',
-    found: `it ${names.filter((other) => other === name).length} times`,
+    found: `it ${count} times`,
   }));
-};
 
 const repeatedAddresses: CrossCheck = ({ peers, listen, entry }) => {
   const places = peers.map((peer) => ({
