--- a/packages/daemon/src/groupFormation.ts
+++ b/packages/daemon/src/groupFormation.ts
@@ -1,4 +1,3 @@
-import { randomBytes } from 'node:crypto';
 import { ResultError } from '@burdockrail/common/outcome.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { FleetCommand, FleetQuery } from '@burdockrail/fleet/fleetRegister.js';
@@ -6,7 +5,7 @@
 import type { ClusterForm, ClusterFormReply } from '@burdockrail/protocol/protocolConfiguration.js';
 import type { DaemonContext } from './daemonRole.js';
 import type { GroupClient } from './groupClient.js';
-import { FLEET_GROUP } from './groupName.js';
+import { FLEET_GROUP, risingName } from './groupName.js';
 import { groupNames, groupSlots, type GroupSlot } from './groupSlots.js';
 
 /** Bound on each call to a slot while a group is formed, in milliseconds. */
@@ -15,15 +14,6 @@
 /** Bound on a command or query of the new fleet group, in milliseconds. */
 const FLEET_MILLISECONDS = 10_000;
 
-const FOUNDING_BYTES = 6;
-const FOUNDING_TIME_DIGITS = 15;
-
-/** A name that is greater as a text than those of earlier foundings. */
-function foundingName(now: Date): string {
-  const time = String(now.getTime()).padStart(FOUNDING_TIME_DIGITS, '0');
-  return `${time}-${randomBytes(FOUNDING_BYTES).toString('hex')}`;
-}
-
 /** Carries out the order to form all groups. */
 export type FormCluster = (order: ClusterForm) => Promise<ClusterFormReply>;
 
@@ -67,7 +57,7 @@
     if (!members.some((member) => member.durable)) {
       throw new ResultError(ResultCode.GroupNotFormed, `${group}: no slot has a disk`);
     }
-    const groupId = foundingName(new Date());
+    const groupId = risingName();
     await sendFounding(group, groupId, members, false);
     await sendFounding(group, groupId, members, true);
   };
--- a/packages/daemon/src/groupHost.ts
+++ b/packages/daemon/src/groupHost.ts
@@ -12,6 +12,7 @@
 import type { DaemonContext } from './daemonRole.js';
 import { createGroupReport } from './groupReport.js';
 import type { GroupSlot } from './groupSlots.js';
+import { encodeReplicaMessage } from './groupWire.js';
 import type { GroupStorage } from './storageGroup.js';
 
 /** Interval at which a replica looks at its clock, in milliseconds. */
@@ -106,7 +107,7 @@
   const send = (slot: string, message: ReplicaMessage): void => {
     const address = addresses.get(slot);
     if (address === undefined) return;
-    context.client.notify(address, 'agreement.message', { group, message });
+    context.client.notify(address, 'agreement.message', encodeReplicaMessage(group, message));
   };
 
   const carryOut = (effect: ReplicaEffect): void => {
--- a/packages/daemon/src/groupProcess.ts
+++ b/packages/daemon/src/groupProcess.ts
@@ -1,6 +1,4 @@
 import { join } from 'node:path';
-import { randomBytes } from 'node:crypto';
-import type { ReplicaMessage } from '@burdockrail/agreement/replicaMessage.js';
 import type { AnyReplicatedState } from '@burdockrail/agreement/replicaState.js';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { ResultError, type Outcome } from '@burdockrail/common/outcome.js';
@@ -12,15 +10,12 @@
 import type { DaemonContext } from './daemonRole.js';
 import { createGroupFounding, type GroupFounding } from './groupFounding.js';
 import { createGroupHost, leaderSlot, type GroupHost } from './groupHost.js';
-import { FLEET_GROUP } from './groupName.js';
+import { FLEET_GROUP, risingName } from './groupName.js';
 import { groupNames, groupSlots } from './groupSlots.js';
+import { decodeReplicaMessage } from './groupWire.js';
 import { createMemoryStorage, type GroupStorage } from './storageGroup.js';
 import { openStorageLog } from './storageLog.js';
 
-const INCARNATION_BYTES = 4;
-const INCARNATION_TIME_DIGITS = 12;
-const HEXADECIMAL = 16;
-
 /** All replicas of quorum groups that this process holds. */
 export interface GroupProcess extends AsyncDisposable {
   readonly handlers: Partial<PeerHandlers>;
@@ -30,12 +25,6 @@
   host(group: string): GroupHost | undefined;
 }
 
-/** A name of this start that is greater as a text than those of earlier starts. */
-function freshIncarnation(): string {
-  const time = Date.now().toString(HEXADECIMAL).padStart(INCARNATION_TIME_DIGITS, '0');
-  return `${time}${randomBytes(INCARNATION_BYTES).toString('hex')}`;
-}
-
 function replyOf(host: GroupHost, outcome: Outcome<unknown>): GroupReply {
   if (outcome.kind === 'success') return { kind: 'result', value: outcome.value };
   if (outcome.code === ResultCode.QuorumUnreachable) return { kind: 'unknown' };
@@ -67,10 +56,10 @@
 
   const openStorage = async (group: string): Promise<GroupStorage> => {
     const { control } = settings;
-    if (control === undefined) return createMemoryStorage(freshIncarnation());
+    if (control === undefined) return createMemoryStorage(risingName());
     return openStorageLog({
       folder: join(control.dataFolder, group),
-      freshIncarnation: freshIncarnation(),
+      freshIncarnation: risingName(),
       onTailCut: (soundBytes) => {
         log.write('storageTailCut', { group, soundBytes });
       },
@@ -125,8 +114,8 @@
         },
       },
       notifications: {
-        'agreement.message': ({ group, message }) => {
-          hosts.get(group)?.receive(message as ReplicaMessage);
+        'agreement.message': (wire) => {
+          hosts.get(wire[0])?.receive(decodeReplicaMessage(wire));
         },
       },
     },
--- a/packages/protocol/src/protocolAgreement.ts
+++ b/packages/protocol/src/protocolAgreement.ts
@@ -1,10 +1,19 @@
 import type { ResultCode } from '@burdockrail/common/resultCode.js';
 
-/** A message between two replicas of a group; `message` is what the agreement package gave. */
-export interface AgreementMessage {
-  readonly group: string;
-  readonly message: unknown;
-}
+/**
+ * A message between two replicas of a group.
+ *
+ * @remarks
+ * Group, founding of the sender's group, sender, receiver, number of the kind, fields of the kind.
+ */
+export type AgreementMessage = readonly [
+  group: string,
+  groupId: string | null,
+  from: string,
+  to: string | null,
+  kind: number,
+  ...fields: readonly unknown[],
+];
 
 /** Proposes a command to a replica of a group. */
 export interface GroupPropose {
