--- a/packages/proofs/__tests__/agreementDisk.spec.ts
+++ b/packages/proofs/__tests__/agreementDisk.spec.ts
@@ -14,6 +14,7 @@
   leaderAmong,
   startFormedSystem,
 } from './agreementSystem.js';
+import { spreadOf, spreadText, timeUntilInForce } from './agreementTimes.js';
 
 const CHANGES = 500;
 
@@ -23,14 +24,22 @@
   return join(folder, name ?? '');
 }
 
-async function applyMany(system: System, count: number): Promise<string> {
+/** Applies changes one after the other; tells when each was sent and how long it took. */
+async function applyMany(
+  system: System,
+  count: number,
+  onAccepted: (revision: number, sentAt: number, milliseconds: number) => void = () => undefined,
+): Promise<string> {
   const controls = controlNames(system);
   let digest = '';
   for (let revision = 0; revision < count; revision += 1) {
     const order = { expectedRevision: revision, orderId: `order-${revision}` };
     const machine = controls[revision % controls.length] ?? '';
+    const sentAt = Date.now();
+    const start = performance.now();
     const reply = await applyAt(system, machine, fleetNamed(`team-${revision}`), order);
     assert.equal(reply.kind, 'accepted');
+    onAccepted(reply.revision, sentAt, performance.now() - start);
     digest = reply.digest;
   }
   return digest;
@@ -55,9 +64,18 @@
 }
 
 describe('replicas on disk', () => {
-  it(`know revision ${CHANGES} after all processes were killed and started again`, async () => {
+  it(`know revision ${CHANGES} after all processes were killed and started again`, async (context) => {
     await using system = await startFormedSystem();
-    const digest = await applyMany(system, CHANGES);
+    const commits: number[] = [];
+    const sent = new Map<number, number>();
+    const digest = await applyMany(system, CHANGES, (revision, sentAt, milliseconds) => {
+      commits.push(milliseconds);
+      sent.set(revision, sentAt);
+    });
+    await waitForRevision(system, CHANGES);
+    const inForce = [...sent].map(([revision, at]) => timeUntilInForce(system, revision, at));
+    context.diagnostic(spreadText('answer to an order', spreadOf(commits)));
+    context.diagnostic(spreadText('in force in every process', spreadOf(inForce)));
     const { names } = system.processes;
     await Promise.all(names.map(async (name) => system.processes.kill(name)));
     await Promise.all(names.map(async (name) => system.processes.start(name)));
--- a/packages/proofs/__tests__/agreementOperators.spec.ts
+++ b/packages/proofs/__tests__/agreementOperators.spec.ts
@@ -32,7 +32,7 @@
     }
   });
 
-  it('get the first answer when they resend an order, also from a later leader', async () => {
+  it('get the first answer when they resend an order, also from a later leader', async (context) => {
     await using system = await startFormedSystem();
     const controls = controlNames(system);
     const order = { expectedRevision: 0, orderId: 'first' };
@@ -44,7 +44,10 @@
     const second = { expectedRevision: 1, orderId: 'second' };
     await applyAt(system, other, fleetNamed('two'), second);
     await system.processes.kill(leader.name);
+    const killedAt = performance.now();
     assert.deepEqual(await applyAt(system, another, fleetNamed('one'), order), first);
+    const milliseconds = (performance.now() - killedAt).toFixed(0);
+    context.diagnostic(`answer after the leader was killed: ${milliseconds} ms`);
     const current = await system.operator.current(system.machine(other).advertise);
     assert.equal(current?.revision, 2);
   });
