--- a/packages/daemon/__tests__/attemptService.spec.ts
+++ b/packages/daemon/__tests__/attemptService.spec.ts
@@ -166,6 +166,21 @@
     assert.equal(last?.kind === 'failed' && last.code, ResultCode.AnswerIncomplete);
   });
 
+  it('passes no head on of a small answer that is cut, so that another attempt can replace it', async () => {
+    await using owned = createDisposalStack();
+    const { run } = await createFixture(owned, (_request, response) => {
+      response.writeHead(200, { 'x-request-id': 'attempt', 'content-length': '8' });
+      response.write('half', () => {
+        response.destroy();
+      });
+    });
+    const items = await run();
+    assert.deepEqual(
+      items.map(({ kind }) => kind),
+      ['failed'],
+    );
+  });
+
   it('says not run when the upstream cannot be reached, and crashed when it dies on it', async () => {
     await using owned = createDisposalStack();
     let kill: () => void = () => undefined;
--- a/packages/daemon/src/attemptAnswer.ts
+++ b/packages/daemon/src/attemptAnswer.ts
@@ -13,6 +13,9 @@
 /** Times that one stream is resumed before its attempt fails. */
 const MAXIMUM_RESUMES = 3;
 
+/** Largest answer that is gathered before its head is passed on, in bytes. */
+const MAXIMUM_GATHERED_BYTES = 256 * 1024;
+
 /** Lowest status with which an upstream reports a failure of its own. */
 const LOWEST_FAILURE_STATUS = 500;
 
@@ -84,15 +87,12 @@
   readonly allowsDigest: DigestCheck;
 }
 
-async function* plainBody(
+async function* bodyParts(
   source: AnswerSource,
-  start: AttemptStart,
   response: Response,
-): AsyncGenerator<AttemptItem, void> {
+): AsyncGenerator<Uint8Array, void> {
   try {
-    for await (const bytes of response.body as AsyncIterable<Uint8Array>) {
-      yield { kind: 'data', attemptId: start.attemptId, bytes };
-    }
+    for await (const bytes of response.body as AsyncIterable<Uint8Array>) yield bytes;
   } catch (error) {
     const detail = error instanceof Error ? error.message : String(error);
     const lost = await lostConnection(detail, source.upstream.isReachable);
@@ -102,6 +102,36 @@
   throw new AttemptError(ResultCode.AnswerIncomplete, 'unknown', 'the length is not known');
 }
 
+/** Tells whether a body is small enough to be checked before its head is passed on. */
+function isGathered(response: Response): boolean {
+  const length = Number(headerOf(response, 'content-length'));
+  return length <= MAXIMUM_GATHERED_BYTES;
+}
+
+/**
+ * Passes on an answer that is not a stream of events.
+ *
+ * @remarks
+ * Once the head has reached the caller a cut answer cannot be replaced by that of another attempt,
+ * so a small answer is passed on only when it is whole.
+ */
+async function* plainAnswer(
+  source: AnswerSource,
+  start: AttemptStart,
+  response: Response,
+): AsyncGenerator<AttemptItem, void> {
+  const { attemptId } = start;
+  if (!isGathered(response)) {
+    yield headItem(start, response);
+    for await (const bytes of bodyParts(source, response)) yield { kind: 'data', attemptId, bytes };
+    return;
+  }
+  const parts: Uint8Array[] = [];
+  for await (const bytes of bodyParts(source, response)) parts.push(bytes);
+  yield headItem(start, response);
+  if (parts.length > 0) yield { kind: 'data', attemptId, bytes: Buffer.concat(parts) };
+}
+
 /** Position in a stream of events that may have been resumed. */
 interface StreamPosition {
   lastId: number;
@@ -215,9 +245,12 @@
   try {
     checkIdentity(start, response);
     checkDigest(start, response, source.allowsDigest);
-    yield headItem(start, response);
-    if (isEventStream(response)) yield* streamedBody(source, start, response, signal);
-    else yield* plainBody(source, start, response);
+    if (isEventStream(response)) {
+      yield headItem(start, response);
+      yield* streamedBody(source, start, response, signal);
+    } else {
+      yield* plainAnswer(source, start, response);
+    }
   } finally {
     response.body.destroy();
   }
--- /dev/null
+++ b/packages/proofs/__tests__/answers.spec.ts
@@ -0,0 +1,72 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { System } from '@burdockrail/harness/system.js';
+import { startServingSystem } from '@burdockrail/harness/systemOperation.js';
+import type { EngineFault } from '@burdockrail/standins/engineFaults.js';
+import {
+  MODEL,
+  ask,
+  assertOwnWholeOrError,
+  modelLayout,
+  publishedDigests,
+  type Exchange,
+} from './modelSystem.js';
+
+const REQUESTS = 24;
+
+async function setFaults(system: System, faults: readonly EngineFault[]): Promise<void> {
+  const agents = system.agentsOf(MODEL).map(({ name }) => name);
+  await Promise.all(agents.map(async (name) => system.engine(name).faults(faults)));
+}
+
+async function askMany(system: System, stream: boolean): Promise<readonly Exchange[]> {
+  const entries = system.withRole('entry').map(({ name }) => name);
+  return Promise.all(
+    Array.from({ length: REQUESTS }, async (_request, number) => {
+      const entry = entries[number % entries.length] ?? '';
+      const prompt = `log ${number} ${stream ? 'streamed' : 'whole'}`;
+      return ask(system, entry, prompt, { stream, maximumTokens: 16, timeoutMilliseconds: 15_000 });
+    }),
+  );
+}
+
+/** Faults of engines; each alone and in both forms of answers. */
+const faults: Readonly<Record<string, readonly EngineFault[]>> = {
+  late: [{ kind: 'late', milliseconds: 400, share: 0.5 }],
+  crossed: [{ kind: 'crossed', share: 0.4 }],
+  'cut off': [{ kind: 'cut', afterTokens: 5, share: 0.3 }],
+  'sent twice': [{ kind: 'twice', share: 0.5 }],
+  'failing with errors': [{ kind: 'error', share: 0.3 }],
+};
+
+describe('answers of engines that fail', () => {
+  let system: System;
+  it('begin with a system that serves', async () => {
+    system = await startServingSystem(modelLayout());
+  });
+  for (const [name, list] of Object.entries(faults)) {
+    for (const stream of [false, true]) {
+      it(`are one's own and whole, or an error, when ${name}${stream ? ', streamed' : ''}`, async () => {
+        const digests = await publishedDigests(system);
+        await setFaults(system, list);
+        const exchanges = await askMany(system, stream);
+        await setFaults(system, []);
+        const answered = exchanges.filter((one) => assertOwnWholeOrError(one, digests)).length;
+        assert.ok(answered >= REQUESTS / 2, `${answered} of ${REQUESTS} were answered`);
+      });
+    }
+  }
+  it('are resumed where streams were cut, under the same weights', async () => {
+    const digests = await publishedDigests(system);
+    await setFaults(system, [{ kind: 'cut', afterTokens: 7 }]);
+    const exchanges = await askMany(system, true);
+    await setFaults(system, []);
+    for (const exchange of exchanges) assert.ok(assertOwnWholeOrError(exchange, digests));
+    const counts = await Promise.all(
+      system.agentsOf(MODEL).map(async ({ name }) => system.engine(name).counts()),
+    );
+    const resumed = counts.reduce((sum, { resumed: count }) => sum + count, 0);
+    assert.ok(resumed >= REQUESTS, `${resumed} streams were resumed`);
+    await system[Symbol.asyncDispose]();
+  });
+});
