feat(limits): shares by a limit that follows load reports, with room for other teams

Conclusion: below about ten slots an entry one service time of waiting is what a queue without preemption costs.

--- a/packages/daemon/__tests__/weightsFleet.ts
+++ b/packages/daemon/__tests__/weightsFleet.ts
@@ -109,6 +109,7 @@
   const asViews = (): readonly UpstreamView[] =>
     listed().map((announcement) => ({ announcement, confirmedAt: 0 }));
   const directory: UpstreamDirectory = {
+    entryCount: () => 1,
     all: asViews,
     upstreamsOf: asViews,
     upstream: () => undefined,
--- a/packages/daemon/src/entryRole.ts
+++ b/packages/daemon/src/entryRole.ts
@@ -72,7 +72,7 @@
     isDraining,
   });
   const currentFleet = (): FleetConfiguration | undefined => context.configuration.current?.fleet;
-  const path = createRequestPath(services, currentFleet, context.settings.peers);
+  const path = createRequestPath(services, currentFleet);
   const outcomes = async (message: IncomingMessage, caller: RequestCaller): Promise<void> =>
     answerOutcomeQuestion(services, currentFleet(), message, caller);
   const handle = createExchangeHandler({ context, settings, pages, path, outcomes, isDraining });
--- a/packages/daemon/src/requestAdmission.ts
+++ b/packages/daemon/src/requestAdmission.ts
@@ -1,151 +1,104 @@
-import { ResultCode } from '@burdockrail/common/resultCode.js';
-import {
-  createServiceAdmission,
-  type AdmissionRequest,
-  type ServiceAdmission,
-  type ServiceRoom,
-} from '@burdockrail/limits/serviceAdmission.js';
-import type { PeerSettings } from '@burdockrail/settings/settingsSchema.js';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import type { CapacityView } from '@burdockrail/limits/concurrencyLimit.js';
+import { createServiceAdmission } from '@burdockrail/limits/serviceAdmission.js';
+import type { UpstreamDirectory } from '@burdockrail/membership/upstreamDirectory.js';
 import type { EntryServices } from './entryServices.js';
-import type { RequestFilter } from './requestFilter.js';
-import { secondsUntil } from './requestQuarantine.js';
-import {
-  refused,
-  runBeforeSending,
-  type IdentifiedRequest,
-  type RequestResult,
-} from './requestTypes.js';
+import type { IdentifiedRequest } from './requestTypes.js';
 
-/** Longest time that a request waits for capacity, in milliseconds. */
-const LONGEST_WAIT_MILLISECONDS = 2_000;
-
-/** Part of a request's remaining time that it may spend waiting. */
-const WAIT_SHARE = 0.5;
+/** Whether a request was let through to its service. */
+export type AdmissionOutcome =
+  | {
+      readonly kind: 'admitted';
+      /** Whether the team has no more in progress than its share. */
+      readonly withinShare: boolean;
+      readonly leave: () => void;
+    }
+  | { readonly kind: 'refused'; readonly retryAfterMilliseconds: Milliseconds };
 
-/** Time between two looks at capacity that became free elsewhere, in milliseconds. */
-const PUMP_INTERVAL_MILLISECONDS = 25;
+/** Lets the requests of one service through; waits are bounded. */
+export interface AdmissionDesk {
+  enter(request: IdentifiedRequest, view: CapacityView): Promise<AdmissionOutcome>;
+}
 
-/** Room of a service without load reports: nothing is known that would hold a request back. */
-const unknownRoom: ServiceRoom = {
-  share: Number.POSITIVE_INFINITY,
-  free: Number.POSITIVE_INFINITY,
-};
+/** Time after which a request that waited in vain may come back, in milliseconds. */
+const RETRY_MILLISECONDS = 1_000;
 
-/**
- * Room of a service as this entry sees it.
- *
- * @remarks
- * The capacity that upstreams report is divided by the entries that can reach them; what reports
- * and own sendings leave free beyond that may be used by any entry.
- */
-function roomOf(
-  services: EntryServices,
-  peers: readonly PeerSettings[],
+/** Capacity of a service as its upstreams report it; null when none of them reports any. */
+export function capacityOf(
+  directory: UpstreamDirectory,
   service: string,
-): ServiceRoom {
-  const views = services.directory
-    .upstreamsOf(service, services.time.now())
-    .filter(({ announcement }) => announcement.ready);
-  const reporting = views.filter(({ announcement }) => announcement.load !== undefined);
-  if (reporting.length === 0 || reporting.length < views.length) return unknownRoom;
-  const places = new Set([
-    services.dataCentre,
-    ...views.map(({ announcement }) => announcement.dataCentre),
-  ]);
-  const entries = peers.filter(
-    (peer) => peer.roles.includes('entry') && places.has(peer.dataCentre),
-  ).length;
+  now: Milliseconds,
+): CapacityView | null {
   let capacity = 0;
-  let free = 0;
-  for (const view of reporting) {
-    const room = services.router.roomAt(view);
-    capacity += room.capacity;
-    free += Math.max(0, room.capacity - room.estimated);
+  let running = 0;
+  let waiting = 0;
+  for (const { announcement } of directory.upstreamsOf(service, now)) {
+    if (!announcement.ready || announcement.load === undefined) continue;
+    capacity += announcement.load.capacity;
+    running += announcement.load.running;
+    waiting += announcement.load.waiting;
   }
-  return { share: Math.max(1, Math.floor(capacity / Math.max(1, entries))), free };
-}
-
-/** Waits for a place; false when none came in time. */
-async function awaitPlace(
-  admission: ServiceAdmission,
-  start: (onAdmitted: () => void) => AdmissionRequest,
-  longestWait: number,
-  gone: AbortSignal,
-): Promise<boolean> {
-  return new Promise((resolve) => {
-    const finish = (admitted: boolean): void => {
-      clearTimeout(timer);
-      gone.removeEventListener('abort', giveUp);
-      resolve(admitted);
-    };
-    const giveUp = (): void => {
-      admission.withdraw(request);
-      finish(false);
-    };
-    const timer = setTimeout(giveUp, longestWait);
-    gone.addEventListener('abort', giveUp, { once: true });
-    const request = start(() => {
-      finish(true);
-    });
-  });
+  return capacity === 0 ? null : { capacity, running, waiting, entries: directory.entryCount(now) };
 }
 
-/** Creates the filter that shares a saturated service between teams. */
-export function createAdmissionFilter(
-  services: EntryServices,
-  peers: readonly PeerSettings[],
-): RequestFilter<IdentifiedRequest, IdentifiedRequest> {
-  const admissions = new Map<string, ServiceAdmission>();
-
-  const admissionOf = (service: string): ServiceAdmission => {
-    const known = admissions.get(service) ?? createServiceAdmission();
-    admissions.set(service, known);
-    return known;
-  };
+/** Creates the desk of one service. */
+export function createAdmissionDesk(services: EntryServices): AdmissionDesk {
+  const { time } = services;
+  const admission = createServiceAdmission();
+  const waiting = new Map<string, () => void>();
+  let lastView: CapacityView | undefined;
 
-  const pump = (service: string): void => {
-    admissionOf(service).pump(roomOf(services, peers, service));
+  const wake = (admitted: readonly string[]): void => {
+    for (const id of admitted) waiting.get(id)?.();
   };
 
-  const pumpAll = (): void => {
-    for (const [service, admission] of admissions) if (admission.waiting > 0) pump(service);
+  const leave = (team: string, service: string) => (): void => {
+    const now = time.now();
+    lastView = capacityOf(services.directory, service, now) ?? lastView;
+    if (lastView !== undefined) wake(admission.leave(team, lastView, now));
   };
-  setInterval(pumpAll, PUMP_INTERVAL_MILLISECONDS).unref();
 
-  const shed = (request: IdentifiedRequest, wait: number): RequestResult =>
-    refused(ResultCode.Overloaded, runBeforeSending(request), {
-      retryAfterSeconds: secondsUntil(wait),
+  const wait = async (request: IdentifiedRequest, until: Milliseconds): Promise<boolean> => {
+    const { requestId, caller } = request;
+    return new Promise((resolve) => {
+      const settle = (admitted: boolean): void => {
+        waiting.delete(requestId);
+        clearTimeout(timer);
+        caller.gone.removeEventListener('abort', giveUp);
+        resolve(admitted);
+      };
+      const giveUp = (): void => {
+        if (admission.withdraw(requestId)) settle(false);
+      };
+      const timer = setTimeout(giveUp, Math.max(0, until - time.now()));
+      caller.gone.addEventListener('abort', giveUp, { once: true });
+      waiting.set(requestId, () => {
+        settle(true);
+      });
     });
-
-  const takePlace = async (request: IdentifiedRequest): Promise<RequestResult | null> => {
-    const service = request.service.name;
-    const admission = admissionOf(service);
-    const room = roomOf(services, peers, service);
-    const timeLeft = request.deadlineAt - services.time.now();
-    const longestWait = Math.min(LONGEST_WAIT_MILLISECONDS, timeLeft * WAIT_SHARE);
-    let decision: ReturnType<ServiceAdmission['arrive']> = { kind: 'admitted' };
-    const start = (onAdmitted: () => void): AdmissionRequest => {
-      const { share: weight, name: team } = request.team;
-      const wish = { team, weight, priority: request.priority, onAdmitted };
-      decision = admission.arrive(wish, room, longestWait);
-      if (decision.kind !== 'queued') queueMicrotask(onAdmitted);
-      return wish;
-    };
-    const admitted = await awaitPlace(admission, start, longestWait, request.caller.gone);
-    const made = decision as ReturnType<ServiceAdmission['arrive']>;
-    if (made.kind === 'shed') return shed(request, made.retryAfterMilliseconds);
-    return admitted ? null : shed(request, longestWait);
   };
 
-  return async (request, next) => {
-    const refusal = await takePlace(request);
-    if (refusal !== null) return refusal;
-    const service = request.service.name;
-    try {
-      return await next(request);
-    } finally {
-      admissionOf(service).finished(services.time.now());
-      pump(service);
-    }
+  return {
+    enter: async (request, view) => {
+      lastView = view;
+      const { requestId: id, team, service, deadlineAt } = request;
+      const asked = { id, team: team.name, share: team.share, deadlineAt };
+      const { decision, admitted: others } = admission.arrive(asked, view, time.now());
+      wake(others);
+      const admitted = (): AdmissionOutcome => ({
+        kind: 'admitted',
+        withinShare: admission.isWithinShare(team.name),
+        leave: leave(team.name, service.name),
+      });
+      switch (decision.kind) {
+        case 'admitted':
+          return admitted();
+        case 'refused':
+          return decision;
+        case 'queued':
+          if (await wait(request, decision.until)) return admitted();
+          return { kind: 'refused', retryAfterMilliseconds: RETRY_MILLISECONDS };
+      }
+    },
   };
 }
--- a/packages/daemon/src/requestLimits.ts
+++ b/packages/daemon/src/requestLimits.ts
@@ -1,32 +1,54 @@
-import { ResultCode } from '@burdockrail/common/resultCode.js';
-import { createTeamLimits } from '@burdockrail/limits/teamLimits.js';
-import type { PeerSettings } from '@burdockrail/settings/settingsSchema.js';
+import type { ResultCode } from '@burdockrail/common/resultCode.js';
+import { type RunState } from '@burdockrail/common/resultCode.js';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import { createTeamLimits, type TeamBounds } from '@burdockrail/limits/teamLimits.js';
 import type { EntryServices } from './entryServices.js';
 import type { RequestFilter } from './requestFilter.js';
-import { secondsUntil } from './requestQuarantine.js';
-import { refused, runBeforeSending, type IdentifiedRequest } from './requestTypes.js';
+import { refused, type IdentifiedRequest, type RefusedResult } from './requestTypes.js';
 
-/** Creates the filter that keeps each team within its rate and concurrency. */
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** What is known of a request that this entry did not let through. */
+function runOf(request: IdentifiedRequest): RunState {
+  return request.idempotencyKey === undefined ? 'not-run' : 'unknown';
+}
+
+/** A refusal with the time to come back. */
+export function limitRefusal(
+  request: IdentifiedRequest,
+  code: ResultCode,
+  retryAfterMilliseconds: Milliseconds,
+): RefusedResult {
+  const retryAfterSeconds = Math.ceil(retryAfterMilliseconds / MILLISECONDS_PER_SECOND);
+  return refused(code, runOf(request), { retryAfterSeconds: Math.max(1, retryAfterSeconds) });
+}
+
+function boundsOf({ team }: IdentifiedRequest): TeamBounds {
+  const { name, requestsPerSecond, concurrency } = team;
+  return {
+    team: name,
+    ...(requestsPerSecond === undefined ? {} : { requestsPerSecond }),
+    ...(concurrency === undefined ? {} : { concurrency }),
+  };
+}
+
+/** Creates the filter that bounds the rate and the requests in progress of each team. */
 export function createLimitsFilter(
   services: EntryServices,
-  peers: readonly PeerSettings[],
 ): RequestFilter<IdentifiedRequest, IdentifiedRequest> {
-  const limits = createTeamLimits();
-  const entries = Math.max(1, peers.filter((peer) => peer.roles.includes('entry')).length);
+  const { directory, time } = services;
+  const teams = createTeamLimits();
+
   return async (request, next) => {
-    const { name, requestsPerSecond, concurrency } = request.team;
-    const limit = { requestsPerSecond, concurrency };
-    const decision = limits.tryTake(name, limit, entries, services.time.now());
-    const run = runBeforeSending(request);
-    if (decision.kind === 'rate') {
-      const retryAfterSeconds = secondsUntil(decision.retryAfterMilliseconds);
-      return refused(ResultCode.RateLimited, run, { retryAfterSeconds });
+    const now = time.now();
+    const decision = teams.begin(boundsOf(request), directory.entryCount(now), now);
+    if (decision.kind === 'refused') {
+      return limitRefusal(request, decision.code, decision.retryAfterMilliseconds);
     }
-    if (decision.kind === 'concurrency') return refused(ResultCode.ConcurrencyLimited, run);
     try {
       return await next(request);
     } finally {
-      limits.release(name);
+      teams.end(request.team.name);
     }
   };
 }
--- a/packages/daemon/src/requestPath.ts
+++ b/packages/daemon/src/requestPath.ts
@@ -1,6 +1,5 @@
 import type { FleetConfiguration } from '@burdockrail/fleet/fleetConfiguration.js';
-import type { PeerSettings } from '@burdockrail/settings/settingsSchema.js';
-import { createAdmissionFilter } from './requestAdmission.js';
+import { createAdmissionFilter } from './requestAdmissionFilter.js';
 import { createLimitsFilter } from './requestLimits.js';
 import type { EntryServices } from './entryServices.js';
 import { answerFilter } from './requestAnswer.js';
@@ -30,13 +29,12 @@
 export function createRequestPath(
   services: EntryServices,
   currentFleet: () => FleetConfiguration | undefined,
-  peers: readonly PeerSettings[],
 ): RequestPath {
   const identify = joinFilters(answerFilter, createIdentifyFilter(currentFleet));
   const recorded = joinFilters(identify, createRecordFilter(services));
   const quarantine = createQuarantineFilter(services.quarantine, () => services.time.now());
-  const limits = createLimitsFilter(services, peers);
-  const admission = createAdmissionFilter(services, peers);
+  const limits = createLimitsFilter(services);
+  const admission = createAdmissionFilter(services);
   const bounded = joinFilters(joinFilters(limits, quarantine), admission);
   const path = joinFilters(recorded, bounded);
   const run: NextFilter<IdentifiedRequest> = async (request) => {
--- /dev/null
+++ b/packages/limits/__tests__/teamLimits.spec.ts
@@ -0,0 +1,50 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { createTeamLimits, type TeamBounds } from '../src/teamLimits.js';
+
+function allowedWithin(bounds: TeamBounds, entries: number, seconds: number): number {
+  const limits = createTeamLimits();
+  let allowed = 0;
+  for (let now = 0; now < seconds * 1_000; now += 5) {
+    if (limits.begin(bounds, entries, now).kind !== 'allowed') continue;
+    allowed += 1;
+    limits.end(bounds.team);
+  }
+  return allowed;
+}
+
+describe('the limits of a team', () => {
+  it('bound its rate to its part at each entry, with a burst of a second', () => {
+    const allowed = allowedWithin({ team: 'desk', requestsPerSecond: 60 }, 6, 10);
+    assert.ok(allowed >= 100 && allowed <= 111, `${allowed}`);
+  });
+
+  it('tell when the next request may come', () => {
+    const limits = createTeamLimits();
+    const bounds = { team: 'desk', requestsPerSecond: 2 };
+    limits.begin(bounds, 1, 0);
+    limits.begin(bounds, 1, 0);
+    const decision = limits.begin(bounds, 1, 0);
+    assert.deepEqual(decision, {
+      kind: 'refused',
+      code: ResultCode.RateLimited,
+      retryAfterMilliseconds: 500,
+    });
+    assert.equal(limits.begin(bounds, 1, 500).kind, 'allowed');
+  });
+
+  it('bound its requests in progress and free them when they end', () => {
+    const limits = createTeamLimits();
+    const bounds = { team: 'desk', concurrency: 2 };
+    assert.equal(limits.begin(bounds, 1, 0).kind, 'allowed');
+    assert.equal(limits.begin(bounds, 1, 0).kind, 'allowed');
+    assert.equal(limits.begin(bounds, 1, 0).kind, 'refused');
+    limits.end('desk');
+    assert.equal(limits.begin(bounds, 1, 0).kind, 'allowed');
+  });
+
+  it('leave teams without bounds alone', () => {
+    assert.equal(allowedWithin({ team: 'desk' }, 6, 1), 200);
+  });
+});
--- a/packages/limits/src/fairQueue.ts
+++ b/packages/limits/src/fairQueue.ts
@@ -1,87 +1,73 @@
-/** One waiting request of a team. */
-export interface QueuedItem<Item> {
+/** A request that waits. */
+export interface QueuedRequest {
+  readonly id: string;
   readonly team: string;
-  /** Share of the team; larger ones go ahead more often. */
-  readonly weight: number;
-  /** Order within the team; larger ones go first. */
-  readonly priority: number;
-  readonly item: Item;
 }
 
-/** Requests that wait for capacity, served by the shares of their teams. */
-export interface FairQueue<Item> {
-  readonly size: number;
-  /** Requests of a team that wait. */
-  sizeOf(team: string): number;
-  push(entry: QueuedItem<Item>): void;
-  /** Takes the request that is next; undefined when none waits. */
-  pop(): Item | undefined;
-  remove(item: Item): void;
-}
-
-interface TeamQueue<Item> {
-  readonly entries: QueuedItem<Item>[];
-  /** Virtual time at which the team's next request is due. */
-  due: number;
+/** A request that waits, with the tag that orders it. */
+interface QueuedItem extends QueuedRequest {
+  readonly startTag: number;
 }
 
 /**
- * Creates an empty queue.
+ * A queue that serves teams in proportion to their shares.
  *
  * @remarks
- * Start-time fair queueing: each request moves its team's due time on by the inverse of its
- * weight, the earliest due time goes first, and a team that was idle starts at the present virtual
- * time, so it neither saves up nor owes anything.
+ * Start-time fair queueing: each request starts, in virtual time, when the request of its team
+ * before it has finished, and a request takes one over the team's share. A team that was idle
+ * gains no credit for that time.
  */
-export function createFairQueue<Item>(): FairQueue<Item> {
-  const teams = new Map<string, TeamQueue<Item>>();
-  let virtualTime = 0;
-  let size = 0;
+export interface FairQueue {
+  readonly length: number;
+  /** Waiting requests of one team. */
+  lengthOf(team: string): number;
+  push(id: string, team: string, share: number): void;
+  /** Takes the request that is next among those of the eligible teams. */
+  pop(isEligible: (team: string) => boolean): QueuedRequest | undefined;
+  /** Takes a request out; returns whether it waited. */
+  remove(id: string): boolean;
+}
 
-  const queueOf = (team: string): TeamQueue<Item> => {
-    const known = teams.get(team) ?? { entries: [], due: virtualTime };
-    teams.set(team, known);
-    if (known.entries.length === 0) known.due = Math.max(known.due, virtualTime);
-    return known;
-  };
+/** Teams whose last tag is remembered after they left the queue. */
+const IDLE_TEAMS_REMEMBERED = 1_024;
+
+/** Creates an empty queue. */
+export function createFairQueue(): FairQueue {
+  let items: readonly QueuedItem[] = [];
+  const finishTags = new Map<string, number>();
+  let virtualTime = 0;
 
-  const next = (): TeamQueue<Item> | undefined => {
-    let earliest: TeamQueue<Item> | undefined;
-    for (const queue of teams.values()) {
-      if (queue.entries.length === 0) continue;
-      if (earliest === undefined || queue.due < earliest.due) earliest = queue;
-    }
-    return earliest;
+  const tagFor = (team: string, share: number): number => {
+    const startTag = Math.max(virtualTime, finishTags.get(team) ?? 0);
+    finishTags.delete(team);
+    finishTags.set(team, startTag + 1 / share);
+    const [oldest] = finishTags.keys();
+    if (finishTags.size > IDLE_TEAMS_REMEMBERED && oldest !== undefined) finishTags.delete(oldest);
+    return startTag;
   };
 
   return {
-    get size() {
-      return size;
+    get length() {
+      return items.length;
     },
-    sizeOf: (team) => teams.get(team)?.entries.length ?? 0,
-    push: (entry) => {
-      const { entries } = queueOf(entry.team);
-      const place = entries.findIndex((other) => other.priority < entry.priority);
-      entries.splice(place === -1 ? entries.length : place, 0, entry);
-      size += 1;
+    lengthOf: (team) => items.filter((item) => item.team === team).length,
+    push: (id, team, share) => {
+      const startTag = tagFor(team, share);
+      const place = items.findIndex((item) => item.startTag > startTag);
+      const at = place < 0 ? items.length : place;
+      items = [...items.slice(0, at), { id, team, startTag }, ...items.slice(at)];
     },
-    pop: () => {
-      const queue = next();
-      const entry = queue?.entries.shift();
-      if (queue === undefined || entry === undefined) return undefined;
-      size -= 1;
-      virtualTime = queue.due;
-      queue.due += 1 / entry.weight;
-      return entry.item;
+    pop: (isEligible) => {
+      const next = items.find((item) => isEligible(item.team));
+      if (next === undefined) return undefined;
+      items = items.filter((item) => item !== next);
+      virtualTime = Math.max(virtualTime, next.startTag);
+      return next;
     },
-    remove: (item) => {
-      for (const { entries } of teams.values()) {
-        const place = entries.findIndex((entry) => entry.item === item);
-        if (place === -1) continue;
-        entries.splice(place, 1);
-        size -= 1;
-        return;
-      }
+    remove: (id) => {
+      const before = items.length;
+      items = items.filter((item) => item.id !== id);
+      return items.length < before;
     },
   };
 }
--- a/packages/limits/src/teamLimits.ts
+++ b/packages/limits/src/teamLimits.ts
@@ -1,83 +1,77 @@
+import { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import { fullBucket, takeToken, type TokenBucket, type TokenRate } from './tokenBucket.js';
 
-/** Limits of one team over all entries; absent ones do not bind. */
-export interface TeamLimit {
-  readonly requestsPerSecond?: number | undefined;
-  readonly concurrency?: number | undefined;
+/** Bounds of one team over all entries. */
+export interface TeamBounds {
+  readonly team: string;
+  readonly requestsPerSecond?: number;
+  readonly concurrency?: number;
 }
 
-/** Whether a request of a team may go on. */
+/** Result of asking whether a team may begin one more request. */
 export type TeamDecision =
-  | { readonly kind: 'taken' }
-  | { readonly kind: 'rate'; readonly retryAfterMilliseconds: Milliseconds }
-  | { readonly kind: 'concurrency' };
+  | { readonly kind: 'allowed' }
+  | {
+      readonly kind: 'refused';
+      readonly code: ResultCode.RateLimited | ResultCode.ConcurrencyLimited;
+      readonly retryAfterMilliseconds: Milliseconds;
+    };
 
-/** Rate and concurrency of teams at one of several entries. */
+/** Rates and counts of all teams at one entry. */
 export interface TeamLimits {
-  /** Takes a request if its team's part of the limits allows it. */
-  tryTake(team: string, limit: TeamLimit, entries: number, now: Milliseconds): TeamDecision;
-  /** Gives the place of a taken request back. */
-  release(team: string): void;
+  /** Begins a request unless the team is over its bounds; `entries` share the bounds equally. */
+  begin(bounds: TeamBounds, entries: number, now: Milliseconds): TeamDecision;
+  /** Ends a request that was begun. */
+  end(team: string): void;
 }
 
-interface TeamRecord {
-  tokens: number;
-  filledAt: Milliseconds;
-  running: number;
-}
+/** Time's worth of requests that a team may send at once, in seconds. */
+const BURST_SECONDS = 1;
 
-const MILLISECONDS_PER_SECOND = 1_000;
+/** Time after which a team over its concurrency is told to come back, in milliseconds. */
+const CONCURRENCY_RETRY_MILLISECONDS = 1_000;
 
-/** Seconds of its rate that a team may use at once. */
-const BURST_SECONDS = 1;
+function rateOf(requestsPerSecond: number, entries: number): TokenRate {
+  const tokensPerSecond = requestsPerSecond / Math.max(1, entries);
+  return { tokensPerSecond, burst: Math.max(1, tokensPerSecond * BURST_SECONDS) };
+}
 
-/**
- * Creates limits of which nothing is used.
- *
- * @remarks
- * Each entry enforces an equal part of a limit, and at least one request at once, so that no
- * message between entries is needed for a request. When the balancer spreads a team over k of n
- * entries only, the team gets k/n of its limit; a limit below one request for each entry is
- * exceeded by at most one request for each entry.
- */
+/** Creates the limits of one entry. */
 export function createTeamLimits(): TeamLimits {
-  const records = new Map<string, TeamRecord>();
+  const buckets = new Map<string, TokenBucket>();
+  const inProgress = new Map<string, number>();
 
-  const recordOf = (team: string, burst: number, now: Milliseconds): TeamRecord => {
-    const known = records.get(team);
-    if (known !== undefined) return known;
-    const created = { tokens: burst, filledAt: now, running: 0 };
-    records.set(team, created);
-    return created;
+  const takeRate = (bounds: TeamBounds, entries: number, now: Milliseconds): TeamDecision => {
+    if (bounds.requestsPerSecond === undefined) return { kind: 'allowed' };
+    const rate = rateOf(bounds.requestsPerSecond, entries);
+    const decision = takeToken(buckets.get(bounds.team) ?? fullBucket(rate, now), rate, now);
+    buckets.set(bounds.team, decision.bucket);
+    if (decision.kind === 'taken') return { kind: 'allowed' };
+    const { retryAfterMilliseconds } = decision;
+    return { kind: 'refused', code: ResultCode.RateLimited, retryAfterMilliseconds };
   };
 
   return {
-    tryTake: (team, { requestsPerSecond, concurrency }, entries, now) => {
-      const rate = (requestsPerSecond ?? Number.POSITIVE_INFINITY) / entries;
-      const burst = Math.max(1, rate * BURST_SECONDS);
-      const record = recordOf(team, burst, now);
-      if (concurrency !== undefined && record.running >= Math.ceil(concurrency / entries)) {
-        return { kind: 'concurrency' };
-      }
-      if (requestsPerSecond !== undefined) {
-        const earned = ((now - record.filledAt) / MILLISECONDS_PER_SECOND) * rate;
-        record.tokens = Math.min(burst, record.tokens + earned);
-        record.filledAt = now;
-        if (record.tokens < 1) {
-          const missing = 1 - record.tokens;
-          return {
-            kind: 'rate',
-            retryAfterMilliseconds: (missing / rate) * MILLISECONDS_PER_SECOND,
-          };
-        }
-        record.tokens -= 1;
+    begin: (bounds, entries, now) => {
+      const { team, concurrency } = bounds;
+      const count = inProgress.get(team) ?? 0;
+      const part = concurrency === undefined ? Infinity : Math.ceil(concurrency / entries);
+      if (count >= part) {
+        return {
+          kind: 'refused',
+          code: ResultCode.ConcurrencyLimited,
+          retryAfterMilliseconds: CONCURRENCY_RETRY_MILLISECONDS,
+        };
       }
-      record.running += 1;
-      return { kind: 'taken' };
+      const rated = takeRate(bounds, entries, now);
+      if (rated.kind === 'allowed') inProgress.set(team, count + 1);
+      return rated;
     },
-    release: (team) => {
-      const record = records.get(team);
-      if (record !== undefined) record.running -= 1;
+    end: (team) => {
+      const count = (inProgress.get(team) ?? 0) - 1;
+      if (count > 0) inProgress.set(team, count);
+      else inProgress.delete(team);
     },
   };
 }
--- a/packages/membership/src/directoryState.ts
+++ b/packages/membership/src/directoryState.ts
@@ -137,5 +137,12 @@
     return viewsOf([...agents].sort(), now);
   };
 
-  return { takeUpdate, takeBeat, knownCounter, upstreamsOf, upstream, all };
+  const entryCount = (now: Milliseconds): number => {
+    const heard = [...registrars.values()].filter(
+      ({ heardAt }) => now - heardAt <= leaseMilliseconds,
+    );
+    return Math.max(1, heard.length);
+  };
+
+  return { takeUpdate, takeBeat, knownCounter, upstreamsOf, upstream, all, entryCount };
 }
--- a/packages/membership/src/upstreamDirectory.ts
+++ b/packages/membership/src/upstreamDirectory.ts
@@ -16,4 +16,6 @@
   upstream(agent: string, now: Milliseconds): UpstreamView | undefined;
   /** All known upstreams, leaving ones among them. */
   all(now: Milliseconds): readonly UpstreamView[];
+  /** Entries that were heard of within the lease, this process among them. */
+  entryCount(now: Milliseconds): number;
 }
