--- a/packages/bench/__tests__/measurePlot.spec.ts
+++ b/packages/bench/__tests__/measurePlot.spec.ts
@@ -9,7 +9,8 @@
 import type { MeasuredRun } from '../src/measureRun.js';
 
 function run(replicas: number, seconds: number): MeasuredRun {
-  const usage = { roles: {}, proxyCores: 0, machineBusy: 0 };
+  const benchCores = { proxy: 0, standins: 0, load: 0 };
+  const usage = { roles: {}, benchCores, machineBusy: 0 };
   return {
     plan: 'swarm',
     replicas,
--- a/packages/bench/src/measureSummary.ts
+++ b/packages/bench/src/measureSummary.ts
@@ -99,8 +99,9 @@
 function usageLines(title: string, report: UsageReport): readonly string[] {
   const roles = Object.entries(report.roles) as readonly (readonly [Role, RoleUsage])[];
   const busy = `${(report.machineBusy * 100).toFixed(0)}% of all cores busy`;
+  const bench = report.benchCores;
   return [
-    `  ${title}: proxy ${(report.proxyCores * 100).toFixed(0)}% of a core, ${busy}`,
+    `  ${title}: cores used by the proxy ${bench.proxy.toFixed(2)}, stand-ins ${bench.standins.toFixed(2)}, load ${bench.load.toFixed(2)}; ${busy}`,
     ...roles.map(([role, usage]) => `    ${usageLine(role, usage)}`),
   ];
 }
--- a/packages/bench/src/measureUsage.ts
+++ b/packages/bench/src/measureUsage.ts
@@ -1,6 +1,7 @@
 import { cpus } from 'node:os';
 import type { Role } from '@burdockrail/protocol/protocolAddress.js';
 import type { System } from '@burdockrail/harness/system.js';
+import { processorMilliseconds } from '@burdockrail/standins/standinMain.js';
 import { processTime } from '@burdockrail/common/timeSource.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -22,8 +23,12 @@
 /** Use of the machine in one period. */
 export interface UsageReport {
   readonly roles: Readonly<Partial<Record<Role, RoleUsage>>>;
-  /** Share of one core that the proxy used. */
-  readonly proxyCores: number;
+  /** Cores that the measurement itself used: proxy, stand-ins, and the load with this process. */
+  readonly benchCores: {
+    readonly proxy: number;
+    readonly standins: number;
+    readonly load: number;
+  };
   /** Share of all cores that were busy, with whatever else runs. */
   readonly machineBusy: number;
 }
@@ -41,6 +46,8 @@
   readonly at: number;
   readonly processes: ReadonlyMap<string, ProcessSample>;
   readonly proxyMilliseconds: number;
+  readonly standinMilliseconds: number;
+  readonly ownMilliseconds: number;
   readonly busyMilliseconds: number;
   readonly totalMilliseconds: number;
 }
@@ -78,6 +85,8 @@
     at: processTime.now(),
     processes,
     proxyMilliseconds: links.processorMilliseconds,
+    standinMilliseconds: await system.standinMilliseconds(),
+    ownMilliseconds: processorMilliseconds(),
     busyMilliseconds: times.busy,
     totalMilliseconds: times.total,
   };
@@ -131,7 +140,11 @@
   const total = after.totalMilliseconds - before.totalMilliseconds;
   return {
     roles,
-    proxyCores: (after.proxyMilliseconds - before.proxyMilliseconds) / elapsed,
+    benchCores: {
+      proxy: (after.proxyMilliseconds - before.proxyMilliseconds) / elapsed,
+      standins: (after.standinMilliseconds - before.standinMilliseconds) / elapsed,
+      load: (after.ownMilliseconds - before.ownMilliseconds) / elapsed,
+    },
     machineBusy: total === 0 ? 0 : (after.busyMilliseconds - before.busyMilliseconds) / total,
   };
 }
--- a/packages/harness/src/standinProcesses.ts
+++ b/packages/harness/src/standinProcesses.ts
@@ -5,22 +5,35 @@
 import {
   createStandinHost,
   type StandinDescription,
-  type StandinHost,
   type StandinHostDescription,
 } from '@burdockrail/standins/standinHost.js';
+import { USAGE_QUESTION } from '@burdockrail/standins/standinMain.js';
 import { ownChild } from './daemonProcess.js';
 
+/** Running stand-ins, wherever they run. */
+export interface StandinGroup extends AsyncDisposable {
+  /** URL of each stand-in by its name. */
+  readonly urls: Readonly<Record<string, string>>;
+  /** Processor time of the stand-ins' own processes, in milliseconds; 0 when they have none. */
+  processorMilliseconds(): Promise<number>;
+}
+
 const standinProgram = fileURLToPath(
   new URL('../../bin/standin.js', import.meta.resolve('@burdockrail/standins/standinMain.js')),
 );
 
-async function startStandinProcess(description: StandinHostDescription): Promise<StandinHost> {
+async function startStandinProcess(description: StandinHostDescription): Promise<StandinGroup> {
   const child = fork(standinProgram, { stdio: ['ignore', 'ignore', 'inherit', 'ipc'] });
   ownChild(child);
   child.send(description);
   const [urls] = (await once(child, 'message')) as [Readonly<Record<string, string>>];
   return {
     urls,
+    processorMilliseconds: async () => {
+      const answered = once(child, 'message');
+      child.send(USAGE_QUESTION);
+      return ((await answered) as [number])[0];
+    },
     [Symbol.asyncDispose]: async () => {
       const exited = once(child, 'exit');
       child.kill('SIGKILL');
@@ -48,8 +61,11 @@
 export async function startStandins(
   description: StandinHostDescription,
   processes: number,
-): Promise<StandinHost> {
-  if (processes === 0) return createStandinHost(description);
+): Promise<StandinGroup> {
+  if (processes === 0) {
+    const host = await createStandinHost(description);
+    return { ...host, processorMilliseconds: async () => Promise.resolve(0) };
+  }
   const owned = createDisposalStack();
   const { versions, standins } = description;
   const started = spread(standins, processes).map(async (group) =>
@@ -57,5 +73,12 @@
   );
   const hosts = await Promise.all(started);
   const urls = Object.assign({}, ...hosts.map((host) => host.urls)) as Record<string, string>;
-  return { urls, [Symbol.asyncDispose]: async () => owned[Symbol.asyncDispose]() };
+  return {
+    urls,
+    processorMilliseconds: async () => {
+      const each = await Promise.all(hosts.map(async (host) => host.processorMilliseconds()));
+      return each.reduce((sum, milliseconds) => sum + milliseconds, 0);
+    },
+    [Symbol.asyncDispose]: async () => owned[Symbol.asyncDispose](),
+  };
 }
--- a/packages/harness/src/system.ts
+++ b/packages/harness/src/system.ts
@@ -43,6 +43,8 @@
   entryUrl(name: string): string;
   engine(agent: string): EngineClient;
   plain(agent: string): PlainClient;
+  /** Processor time of the stand-ins' own processes, in milliseconds. */
+  standinMilliseconds(): Promise<number>;
   /** Adds a version to the store and the origin; returns its digest. */
   publish(version: WeightVersion): Promise<string>;
   manifest(model: string, version: string): Promise<WeightManifest>;
@@ -119,6 +121,7 @@
     },
     engine: (agent) => createStandinClient(urlOf(agent)),
     plain: (agent) => createStandinClient(urlOf(agent)),
+    standinMilliseconds: async () => host.processorMilliseconds(),
     publish: async (version) => {
       await addVersion(urlOf('store'), version);
       return (await manifest(version.model, version.version)).digest;
