fix(cli): an order does not wait for a process that stays silent

Cause: orders went from one control process to the next only when a call ended. With the first of three frozen (SIGSTOP) an order took 7531 ms, more than a change may take to be in force; status asked for directories and for processes one after the other and took 6362 ms.

Sending to all at once was ruled out: the group would get every order three times.

--- a/packages/cli/__tests__/configRemote.spec.ts
+++ b/packages/cli/__tests__/configRemote.spec.ts
@@ -40,6 +40,16 @@
     assert.equal(new Set(fleet.state.orders.map((order) => order.orderId)).size, 1);
   });
 
+  it('sends an order to the next process when the first stays silent', async () => {
+    await using fleet = await createFakeFleet();
+    fleet.state.silent = 'one';
+    const parameters = ['--timeout', '5', '--profile', fleet.profile];
+    const result = await runCommand(['config', 'apply', first, '-y', ...parameters]);
+    assert.match(result.standardOutput, /accepted: revision 1/u);
+    assert.equal(fleet.state.committed.length, 1);
+    assert.equal(fleet.state.orders.length, 2);
+  });
+
   it('tells the order id when no answer came in time', async () => {
     await using fleet = await createFakeFleet();
     fleet.state.answersToLose = Infinity;
--- a/packages/cli/__tests__/fakeFleet.ts
+++ b/packages/cli/__tests__/fakeFleet.ts
@@ -31,6 +31,8 @@
   /** What each of the two entries knows. */
   announcements: Readonly<Record<string, readonly Announcement[]>>;
   formed: boolean;
+  /** Name of a process that carries out orders and never answers them. */
+  silent: string | null;
 }
 
 /** Two processes that answer the command line from a state, and one that is listed but dead. */
@@ -63,6 +65,7 @@
     'configuration.current': async () => Promise.resolve(state.committed.at(-1) ?? null),
     'configuration.apply': async (order) => {
       const reply = applyOrder(state, order);
+      if (state.silent === name) return new Promise(() => undefined);
       if (state.answersToLose === 0) return Promise.resolve(reply);
       state.answersToLose -= 1;
       throw new ResultError(ResultCode.ConnectionLost);
@@ -123,6 +126,7 @@
     answersToLose: 0,
     announcements: {},
     formed: false,
+    silent: null,
   };
   const peers: object[] = [];
   for (const [name, dataCentre] of [
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -18,10 +18,12 @@
     const { fleetStatus } = await import('../fleetStatus.js');
     const { fleetStatusLines } = await import('../fleetStatusText.js');
     await using client = createOperatorClient();
-    const directories = await client.callAll(targets.entries, 'membership.list', {});
+    const [directories, listed] = await Promise.all([
+      client.callAll(targets.entries, 'membership.list', {}),
+      client.callAll(allTargets(targets), 'process.status', {}),
+    ]);
     const agents = flags.agents ? agentTargets(latestAnnouncements(directories)) : [];
-    const asked = [...allTargets(targets), ...agents];
-    const statuses = await client.callAll(asked, 'process.status', {});
+    const statuses = [...listed, ...(await client.callAll(agents, 'process.status', {}))];
     if (statuses.every((answer) => answer.kind === 'failed')) throw allFailed(statuses);
     const status = fleetStatus(statuses, directories);
     for (const line of fleetStatusLines(status)) this.log(line);
--- a/packages/cli/src/configurationApplication.ts
+++ b/packages/cli/src/configurationApplication.ts
@@ -61,7 +61,13 @@
   print(`order ${orderId}, expected revision ${expectedRevision}`);
   const order = { orderId, expectedRevision, document: fleetDocument(fleet) };
   const { timeoutMilliseconds } = application;
-  const reply = await sendOrder(client, control, order, processTime, timeoutMilliseconds);
+  const reply = await sendOrder({
+    client,
+    control,
+    order,
+    time: processTime,
+    timeoutMilliseconds,
+  });
   if (reply.kind === 'conflict') throw conflict(expectedRevision, reply);
   print(`accepted: revision ${reply.revision}, digest ${reply.digest}`);
   // The first answer to a resent order may be older than what others have applied since.
--- a/packages/cli/src/fleetStatus.ts
+++ b/packages/cli/src/fleetStatus.ts
@@ -1,3 +1,4 @@
+import { resultName } from '@burdockrail/common/resultCode.js';
 import type { GroupStatus, ProcessStatus } from '@burdockrail/protocol/protocolConfiguration.js';
 import type { Announcement } from '@burdockrail/protocol/protocolMembership.js';
 import type { TargetAnswer } from './operatorClient.js';
@@ -62,7 +63,8 @@
   const { target } = answer;
   if (answer.kind === 'failed') {
     const dataCentre = target.dataCentre ?? null;
-    return { name: target.name, dataCentre, status: null, failure: answer.error.message };
+    const failure = `${answer.error.code} ${resultName(answer.error.code)}`;
+    return { name: target.name, dataCentre, status: null, failure };
   }
   const { name, dataCentre, ...report } = answer.reply;
   const { incarnation, roles, revision, digest } = report;
--- a/packages/cli/src/metricsReport.ts
+++ b/packages/cli/src/metricsReport.ts
@@ -39,7 +39,8 @@
   readonly values: readonly MetricValue[];
 }
 
-const MILLISECONDS_PER_SECOND = 1_000;
+const MICROSECONDS_PER_SECOND = 1_000_000;
+const MICROSECONDS_PER_MILLISECOND = 1_000;
 const REQUESTS_METRIC = 'burdockrail_requests_total';
 
 /** Reads the metrics of all entries; rejects when none answers. */
@@ -89,7 +90,7 @@
     const known = rows.get(key)?.percentiles ?? {};
     const percentiles = {
       ...known,
-      [String(Number(quantile) * 100)]: value * MILLISECONDS_PER_SECOND,
+      [String(Number(quantile) * 100)]: roundedMilliseconds(value),
     };
     const count = countOf(values, name, team, requestClass);
     rows.set(key, { metric: name, entry, team, class: requestClass, count, percentiles });
@@ -97,6 +98,11 @@
   return [...rows.values()];
 }
 
+/** Milliseconds to the microsecond; the metrics are no finer. */
+function roundedMilliseconds(seconds: number): number {
+  return Math.round(seconds * MICROSECONDS_PER_SECOND) / MICROSECONDS_PER_MILLISECOND;
+}
+
 function countOf(
   values: readonly MetricValue[],
   name: string,
