--- a/packages/daemon/src/weightsUploads.ts
+++ b/packages/daemon/src/weightsUploads.ts
@@ -11,11 +11,8 @@
 import type { PeerHandlers, StreamSink } from '@burdockrail/transport/peerHandlers.js';
 import type { ChunkStore } from './weightsStore.js';
 
-/**
- * Uploads that may wait or run at the same time. A longer queue holds requests that other holders of
- * the chunks could answer at once.
- */
-const MAXIMUM_UPLOADS = 4;
+/** Uploads that may wait or run at the same time. */
+const MAXIMUM_UPLOADS = 32;
 
 /** Time for which changes are gathered before a watching peer is told, in milliseconds. */
 const GATHER_MILLISECONDS = 25;
--- a/packages/rollout/src/rolloutAvoidance.ts
+++ b/packages/rollout/src/rolloutAvoidance.ts
@@ -15,7 +15,7 @@
 const avoidanceMilliseconds: Readonly<Record<FetchFailure, Milliseconds>> = {
   corrupt: 30_000,
   missing: 0,
-  busy: 60,
+  busy: 150,
   unreachable: 1_000,
 };
 
