--- a/packages/proofs/__tests__/depositSystem.ts
+++ b/packages/proofs/__tests__/depositSystem.ts
@@ -10,14 +10,17 @@
 export const AGENT = 'ledger-ponte-sul-lagoa-1';
 export const TEAM = 'piers';
 
-/** Three data centres; the service and its ledger live in the first. */
+/**
+ * Three data centres; the service and its ledger live in the first, on two disks, so that one of
+ * them may be frozen or lost.
+ */
 export const depositLayout: SystemLayout = {
   dataCentres: [
     { name: 'sul-lagoa', region: 'sul-lagoa' },
     { name: 'serra-leste', region: 'serra-leste' },
     { name: 'litoral-norte', region: 'litoral-norte' },
   ],
-  controls: { 'sul-lagoa': 1, 'serra-leste': 1, 'litoral-norte': 1 },
+  controls: { 'sul-lagoa': 2, 'serra-leste': 1, 'litoral-norte': 1 },
   entries: { 'sul-lagoa': 3, 'serra-leste': 2, 'litoral-norte': 1 },
   services: [
     {
@@ -30,7 +33,7 @@
   ],
   teams: [{ name: TEAM }],
   versions: [],
-  links: { betweenRegionsMilliseconds: 1, withinDataCentreMilliseconds: 0.5 },
+  links: { betweenRegionsMilliseconds: 1, withinDataCentreMilliseconds: 0.5, ownProcess: true },
 };
 
 /** One sending of a deposit; null when the caller got no answer at all. */
