fix(ledger): a refusal does not outlast the bound on a claim

Cause: the search for a group's leader had a bound of its own (500 ms) that ignored what was left of the command's, so a data centre that is cut off from a service's home refused after 556 ms; ruled out: the test's clock, whose share is the caller's round trip of a few milliseconds. Before: 556 ms (test 'go on in the home data centre ... refused elsewhere in time' failed).

--- a/packages/daemon/src/groupClient.ts
+++ b/packages/daemon/src/groupClient.ts
@@ -77,20 +77,24 @@
   const leaders = new Map<string, string>();
   const { client, settings, time } = context;
 
-  const leaderAccordingTo = async (group: string, slot: GroupSlot): Promise<string> => {
-    const bound = { timeoutMilliseconds: CONNECT_MILLISECONDS };
+  const leaderAccordingTo = async (
+    group: string,
+    slot: GroupSlot,
+    left: Milliseconds,
+  ): Promise<string> => {
+    const bound = { timeoutMilliseconds: Math.min(left, CONNECT_MILLISECONDS) };
     const { leader } = await client.to(slot.address).call('group.inspect', { group }, bound);
     if (leader === null) throw new ResultError(ResultCode.NotLeader, group);
     return leader;
   };
 
   /** Asks all slots at once, so that one which hangs does not hold up the others. */
-  const locate = async (group: string): Promise<GroupSlot | undefined> => {
+  const locate = async (group: string, left: Milliseconds): Promise<GroupSlot | undefined> => {
     const slots = groupSlots(settings, group);
     const known = leaders.get(group);
     const name =
       known ??
-      (await Promise.any(slots.map(async (slot) => leaderAccordingTo(group, slot))).catch(
+      (await Promise.any(slots.map(async (slot) => leaderAccordingTo(group, slot, left))).catch(
         () => undefined,
       ));
     if (name !== undefined) leaders.set(group, name);
@@ -109,7 +113,7 @@
     let last: ResultCode | null = null;
     let unknown = false;
     for (let left = timeoutMilliseconds; left > 0; left = deadline - time.now()) {
-      const slot = await locate(group);
+      const slot = await locate(group, left);
       if (slot !== undefined) {
         const reply = await attemptAt(client.to(slot.address), send, left);
         if (reply.kind === 'result') return reply.value;
@@ -117,7 +121,7 @@
         if (reply.kind === 'unknown') unknown = true;
         if (reply.kind === 'refused') last = reply.code;
       }
-      await setTimeout(PAUSE_MILLISECONDS);
+      await setTimeout(Math.min(PAUSE_MILLISECONDS, Math.max(0, deadline - time.now())));
     }
     throw timedOut(group, last, unknown);
   };
--- a/packages/daemon/src/ledgerClient.ts
+++ b/packages/daemon/src/ledgerClient.ts
@@ -13,7 +13,7 @@
  * Bound on one command, in milliseconds. A data centre that is cut off from a service's home has
  * to refuse within half a second.
  */
-const PROPOSE_TIMEOUT_MILLISECONDS = 400;
+const PROPOSE_TIMEOUT_MILLISECONDS = 350;
 
 /** Time between two tries of a command that has to be carried out some time, in milliseconds. */
 const FOLLOW_INTERVAL_MILLISECONDS = 500;
