--- a/packages/agreement/__tests__/replicaInvariants.spec.ts
+++ b/packages/agreement/__tests__/replicaInvariants.spec.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import { createSimulation, stepKinds, type Step } from './replicaSimulation.js';
+import { createSimulation } from './replicaSimulation.js';
+import { stepKinds, type Step } from './simulationSteps.js';
 
 /** Groups by name: whether each slot is durable. */
 const layouts = {
--- a/packages/agreement/__tests__/replicaSimulation.ts
+++ b/packages/agreement/__tests__/replicaSimulation.ts
@@ -6,6 +6,7 @@
 import type { ReplicaTiming } from '../src/replicaTiming.js';
 import { applyStoredRecord } from '../src/storedReplica.js';
 import { createListState } from './listState.js';
+import { calm, weathers, type Step } from './simulationSteps.js';
 
 /** Small bounds, so that short schedules reach snapshots and elections. */
 export const simulationTiming: ReplicaTiming = {
@@ -35,53 +36,6 @@
   readonly message: ReplicaMessage;
 }
 
-/** Kinds of steps of a schedule, the frequent ones several times. */
-export const stepKinds = [
-  ...Array<'turn'>(140).fill('turn'),
-  ...Array<'propose'>(20).fill('propose'),
-  ...Array<'query'>(20).fill('query'),
-  'advance',
-  'weather',
-  'sync',
-  'crash',
-  'crashLeader',
-  'crashMemory',
-  'crashAll',
-  'wipe',
-  'freezeLeader',
-  'thaw',
-  'thaw',
-  'isolateLeader',
-  'cutOneWay',
-  'split',
-  'heal',
-  'heal',
-  'heal',
-] as const;
-
-/** One step; `first` and `second` choose among what is there. */
-export interface Step {
-  readonly kind: (typeof stepKinds)[number];
-  readonly first: number;
-  readonly second: number;
-}
-
-/** Shares of messages and syncs in one turn that go through, are lost or come twice. */
-interface Weather {
-  readonly delivered: number;
-  readonly lost: number;
-  readonly doubled: number;
-  readonly synced: number;
-}
-
-const calm: Weather = { delivered: 1, lost: 0, doubled: 0, synced: 1 };
-const weathers: readonly Weather[] = [
-  calm,
-  { delivered: 0.9, lost: 0.02, doubled: 0.05, synced: 0.6 },
-  { delivered: 0.6, lost: 0.1, doubled: 0.1, synced: 0.2 },
-  { delivered: 0.8, lost: 0, doubled: 0, synced: 0.05 },
-];
-
 /** Longest time of one turn, in milliseconds. */
 const TURN_MILLISECONDS = 40;
 
@@ -269,6 +223,9 @@
     cuts.add(linkOf(left.name, right.name));
     cuts.add(linkOf(right.name, left.name));
   };
+  const isolate = (slot: Slot): void => {
+    for (const other of slots) cutBetween(slot, other);
+  };
   const thawAll = (): void => {
     for (const slot of slots) slot.frozen = false;
   };
@@ -303,10 +260,9 @@
       });
     },
     thaw: thawAll,
+    isolate,
     isolateLeader: (_slot, { second }) => {
-      withLeader(second, (leader) => {
-        for (const slot of slots) cutBetween(leader, slot);
-      });
+      withLeader(second, isolate);
     },
     cutOneWay: (slot, { second }) => {
       cuts.add(linkOf(slot.name, names[second % names.length] ?? ''));
