fix(agreement): joint quorum while members change, blank replicas vote

Cause 1 (safety): while a replaced disk was being promoted, entries before that change were committed by the new membership's majority without the former disk. When the memory then restarted, the former disk led alone and changed a committed entry. Groups with voters in memory now need a quorum of the former membership too until the change is committed; the two special conditions that tried the same are gone. A joint quorum for groups of disks only was tried and dropped: the proof of a second loss right after a repair then failed after 20 s, and majorities that differ by one voter meet.

--- a/packages/agreement/src/groupMembership.ts
+++ b/packages/agreement/src/groupMembership.ts
@@ -65,8 +65,3 @@
     .map((voter) => voter.id)
     .sort();
 }
-
-/** Tells whether two memberships have the same durable voters. */
-export function sameDurableVoters(left: Membership, right: Membership): boolean {
-  return durableVoters(left).join() === durableVoters(right).join();
-}
--- a/packages/agreement/src/replicaDispatch.ts
+++ b/packages/agreement/src/replicaDispatch.ts
@@ -10,10 +10,7 @@
 
 function followLeader(core: ReplicaCore, from: MemberId, term: number, now: Milliseconds): void {
   if (core.role.kind !== 'follower' || core.role.leader !== from) becomeFollower(core, from);
-  if (term > core.term) {
-    if (core.groupId === null) core.term = term;
-    else enterTerm(core, term);
-  }
+  if (term > core.term) enterTerm(core, term);
   core.leaderHeardAt = now;
   core.loyalUntil = now + core.timing.electionMilliseconds;
   resetElectionDeadline(core, now);
@@ -65,8 +62,8 @@
   if (message.to !== core.self.id) return;
   const isOtherGroup = message.groupId !== null && message.groupId !== core.groupId;
   if (core.groupId !== null && isOtherGroup) return;
-  const isFromLeader = body.kind === 'append' || body.kind === 'install';
-  if (core.groupId === null && !isFromLeader) return;
+  const isReply = body.kind === 'appendReply' || body.kind === 'voteReply';
+  if (core.groupId === null && isReply) return;
   noteIncarnation(core, from);
   switch (body.kind) {
     case 'append':
--- a/packages/agreement/src/replicaElection.ts
+++ b/packages/agreement/src/replicaElection.ts
@@ -35,7 +35,19 @@
 export function enterTerm(core: ReplicaCore, term: number): void {
   core.term = term;
   core.votedFor = null;
-  persist(core, [{ kind: 'vote', term, votedFor: null }]);
+  persistVote(core);
+}
+
+/**
+ * Stores term and vote.
+ *
+ * @remarks
+ * A blank replica stores nothing yet: if it ends, it comes back as another member, so it cannot
+ * vote twice. Its term and vote are stored with its first snapshot.
+ */
+function persistVote(core: ReplicaCore): void {
+  if (core.groupId === null) return;
+  persist(core, [{ kind: 'vote', term: core.term, votedFor: core.votedFor }]);
 }
 
 function requestVotes(core: ReplicaCore, trial: boolean, term: number): void {
@@ -61,7 +73,7 @@
   core.term += 1;
   core.votedFor = core.self.id;
   core.role = { kind: 'candidate', trial: false, grants: new Set() };
-  persist(core, [{ kind: 'vote', term: core.term, votedFor: core.self.id }]);
+  persistVote(core);
   resetElectionDeadline(core, now);
   requestVotes(core, false, core.term);
 }
@@ -143,7 +155,7 @@
   }
   if (core.votedFor === null) {
     core.votedFor = from;
-    persist(core, [{ kind: 'vote', term: core.term, votedFor: from }]);
+    persistVote(core);
   }
   resetElectionDeadline(core, now);
   sendWhenStored(core, from, { kind: 'voteReply', trial, term: core.term, granted: true });
--- a/packages/agreement/src/replicaMembership.ts
+++ b/packages/agreement/src/replicaMembership.ts
@@ -72,7 +72,9 @@
 ): boolean {
   const progress = role.progress.get(id);
   if (progress === undefined || core.gone.has(id)) return false;
-  const isPresent = progress.answeredSentAt > now - core.timing.electionMilliseconds;
+  const holdsSnapshot = progress.matchIndex > 0;
+  const isPresent =
+    holdsSnapshot && progress.answeredSentAt > now - core.timing.electionMilliseconds;
   return isPresent && progress.matchIndex + PROMOTION_LAG_ENTRIES >= core.commitIndex;
 }
 
--- a/packages/agreement/src/replicaReplication.ts
+++ b/packages/agreement/src/replicaReplication.ts
@@ -1,13 +1,7 @@
 import { failure, success } from '@burdockrail/common/outcome.js';
 import type { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
-import {
-  durableVoters,
-  allMembers,
-  sameDurableVoters,
-  type MemberId,
-  type Membership,
-} from './groupMembership.js';
+import { allMembers, type MemberId } from './groupMembership.js';
 import type { LogEntry, LogPayload } from './logEntry.js';
 import { highestReached } from './quorumRule.js';
 import type { Append, AppendReply } from './replicaMessage.js';
@@ -106,38 +100,9 @@
   return role.progress.get(id)?.matchIndex ?? 0;
 }
 
-/**
- * Tells whether an entry that changes the durable voters may be committed.
- *
- * @remarks
- * Where voters in memory exist, all durable voters of the former membership together are a quorum
- * once the memory is gone, so all of them have to know of the change.
- */
-function isKnownToFormerDurable(
-  core: ReplicaCore,
-  role: LeaderRole,
-  index: number,
-  former: Membership,
-  next: Membership,
-): boolean {
-  if (sameDurableVoters(former, next)) return true;
-  const inMemory = [...former.voters, ...next.voters].some((voter) => !voter.durable);
-  if (!inMemory) return true;
-  return durableVoters(former)
-    .filter((id) => !core.gone.has(id))
-    .every((id) => matchIndexOf(core, role, id) >= index);
-}
-
 /** Commits what a quorum has stored. */
 export function advanceCommit(core: ReplicaCore, role: LeaderRole): void {
-  let reached = highestReached(quorumView(core), (id) => matchIndexOf(core, role, id)) ?? 0;
-  let former = committedMembership(core);
-  for (const { index, membership } of core.memberships) {
-    if (index <= core.commitIndex) continue;
-    if (index > reached) break;
-    if (!isKnownToFormerDurable(core, role, index, former, membership)) reached = index - 1;
-    former = membership;
-  }
+  const reached = highestReached(quorumView(core), (id) => matchIndexOf(core, role, id)) ?? 0;
   if (reached <= core.commitIndex || core.log.termAt(reached) !== core.term) return;
   setCommitIndex(core, reached);
 }
--- a/packages/agreement/src/replicaState.ts
+++ b/packages/agreement/src/replicaState.ts
@@ -1,14 +1,7 @@
 import type { Outcome } from '@burdockrail/common/outcome.js';
 import type { SeededRandom } from '@burdockrail/common/seededRandom.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
-import {
-  isVoter,
-  sameDurableVoters,
-  slotOf,
-  type Member,
-  type MemberId,
-  type Membership,
-} from './groupMembership.js';
+import { isVoter, slotOf, type Member, type MemberId, type Membership } from './groupMembership.js';
 import type { QuorumView } from './quorumRule.js';
 import type { ReplicaEffect, StoredRecord } from './replicaEffect.js';
 import type { ReplicaLog } from './replicaLog.js';
@@ -116,14 +109,25 @@
   return committed.at(-1)?.membership ?? currentMembership(core);
 }
 
-/** Quorum rule's view of the membership in force. */
+function hasMemory(membership: Membership): boolean {
+  return membership.voters.some((voter) => !voter.durable);
+}
+
+/**
+ * Quorum rule's view of the memberships in force.
+ *
+ * @remarks
+ * A change is started only when the one before it is committed, so the last two are enough. Where
+ * all voters are durable every quorum is a majority, and majorities of memberships that differ by
+ * one voter meet anyway: there the last one alone counts, so that the loss of another voter during
+ * a repair does not hold it up.
+ */
 export function quorumView(core: ReplicaCore): QuorumView {
-  const membership = currentMembership(core);
-  return {
-    membership,
-    gone: core.gone,
-    durableVotersSettled: sameDurableVoters(membership, committedMembership(core)),
-  };
+  const [last, former] = [core.memberships.at(-1), core.memberships.at(-2)];
+  const isCommitted = last === undefined || last.index <= core.commitIndex;
+  const changing = [last, former].flatMap((record) => record?.membership ?? []);
+  const memberships = isCommitted || !changing.some(hasMemory) ? changing.slice(0, 1) : changing;
+  return { memberships, gone: core.gone };
 }
 
 /** Tells whether this replica is a voter of the membership in force. */
