fix(faultproxy): close the far side of cut connections at disposal

Ruled out: the daemons (all had ended) and the stand-ins. Before: the new test ends in a hang with the far socket open. After: it passes, and a connection leaves the set only when all its sockets are closed.

--- a/packages/faultproxy/__tests__/faultProxy.spec.ts
+++ b/packages/faultproxy/__tests__/faultProxy.spec.ts
@@ -16,6 +16,8 @@
   dial(): Promise<Socket>;
   /** Bytes that the far machine has received. */
   readonly received: () => number;
+  /** Sockets that are open at the far machine. */
+  readonly farSockets: ReadonlySet<Socket>;
 }
 
 async function freePort(host: string): Promise<number> {
@@ -35,6 +37,7 @@
   const sockets = new Set<Socket>();
   const server = createServer((socket) => {
     sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
     socket.on('data', (bytes) => (received += bytes.length));
     socket.on('error', () => undefined);
     socket.pipe(socket);
@@ -58,6 +61,7 @@
     return socket;
   };
   return {
+    farSockets: sockets,
     proxy,
     dial,
     received: () => received,
@@ -163,4 +167,20 @@
     while (bench.received() < seen + 10) await delay(1);
     assert.equal(bench.received(), seen + 10);
   });
+
+  it('leaves no socket open behind it, though a cut held back the end of a connection', async () => {
+    const bench = await createBench(openShape);
+    const socket = await bench.dial();
+    socket.write('x');
+    await once(socket, 'data');
+    await bench.proxy.setRules([{ from: {}, to: {}, bothWays: true, cut: true }]);
+    socket.destroy();
+    await once(socket, 'close');
+    assert.equal(bench.farSockets.size, 1);
+    const [farSocket] = bench.farSockets;
+    assert.ok(farSocket !== undefined);
+    const closed = new Promise((resolve) => farSocket.once('close', resolve));
+    await Promise.all([closed, bench.proxy[Symbol.asyncDispose]()]);
+    await bench[Symbol.asyncDispose]();
+  });
 });
--- a/packages/faultproxy/src/faultProxy.ts
+++ b/packages/faultproxy/src/faultProxy.ts
@@ -75,9 +75,10 @@
     const from = byHost.get(near.remoteAddress ?? '') ?? unknownMachine;
     const to = byName.get(listener.machine) ?? unknownMachine;
     counter.addConnection();
-    const connection = createLinkConnection(near, from, to, listener.target, options);
+    const connection = createLinkConnection(near, from, to, listener.target, options, () => {
+      connections.delete(connection);
+    });
     connections.add(connection);
-    near.once('close', () => connections.delete(connection));
   };
 
   const bind = async (listener: LinkListener): Promise<Server> => {
--- a/packages/faultproxy/src/linkConnection.ts
+++ b/packages/faultproxy/src/linkConnection.ts
@@ -46,13 +46,19 @@
   });
 }
 
-/** Carries one accepted connection on to its target. */
+/**
+ * Carries one accepted connection on to its target.
+ *
+ * @param onClosed - called when no socket of the connection is open any more. While a rule cuts
+ *   the link, the far side stays open long after the near side has gone.
+ */
 export function createLinkConnection(
   near: Socket,
   from: LinkMachine,
   to: LinkMachine,
   target: LinkAddress,
   options: LinkConnectionOptions,
+  onClosed: () => void,
 ): LinkConnection {
   const { events, time } = options;
   const forward = createFlow(near, from, to, options);
@@ -61,11 +67,21 @@
   let twin: Socket | undefined;
   let due = false;
 
+  let openSockets = 0;
+  const own = (socket: Socket): void => {
+    openSockets += 1;
+    socket.once('close', () => {
+      openSockets -= 1;
+      if (openSockets === 0) onClosed();
+    });
+  };
+
   const dial = (): Socket => {
     const localAddress = near.remoteAddress;
     const local = localAddress === undefined ? {} : { localAddress };
     const socket = connect({ ...target, ...local, allowHalfOpen: true });
     socket.setNoDelay(true);
+    own(socket);
     return socket;
   };
 
@@ -83,6 +99,7 @@
     forward.connectTo(socket, twin);
   };
 
+  own(near);
   near.setNoDelay(true);
   events.at(time.now() + options.behaviour(from, to).latencyMilliseconds, () => {
     due = true;
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -10,7 +10,7 @@
 const unitTestConcurrency = 8;
 
 /** Longest time that one test file may take, in milliseconds. */
-const fileTimeoutMilliseconds = 300_000;
+const fileTimeoutMilliseconds = 180_000;
 
 function specFiles(packageName) {
   const source = join(workspaceRoot, 'packages', packageName, '__tests__');
