--- a/packages/transport/src/peerConnection.ts
+++ b/packages/transport/src/peerConnection.ts
@@ -12,6 +12,7 @@
   StreamKind,
 } from '@burdockrail/protocol/protocolKinds.js';
 import { createFrameReader, encodeFrame } from './frameCodec.js';
+import { createItemQueue, type ItemQueue } from './itemQueue.js';
 import { fromWireKind, toWireKind } from './messageKinds.js';
 import { FrameKind, isPeerFrame, type PeerFrame } from './peerFrame.js';
 import type { TrafficMeter } from './trafficMeter.js';
@@ -55,11 +56,6 @@
   readonly settle: (reply: unknown, error?: ResultError) => void;
 }
 
-interface PendingStream {
-  readonly push: (item: unknown) => void;
-  readonly end: (error?: ResultError) => void;
-}
-
 type AnyCallHandler = (request: unknown, context: PeerContext) => Promise<unknown>;
 type AnyStreamHandler = (
   request: unknown,
@@ -80,7 +76,7 @@
 ): PeerConnection {
   const reader = createFrameReader();
   const calls = new Map<number, PendingCall>();
-  const streams = new Map<number, PendingStream>();
+  const streams = new Map<number, ItemQueue>();
   const running = new Map<number, AbortController>();
   let nextId = 1;
   let peerIdentity: PeerIdentity | null = null;
@@ -259,49 +255,23 @@
   ): AsyncGenerator<unknown, void, undefined> {
     const id = nextId++;
     if (socket.destroyed) throw new ResultError(ResultCode.ConnectionLost);
-    const items: unknown[] = [];
-    let ended = false;
-    let failureOfStream: ResultError | undefined;
-    let wake: () => void = () => undefined;
-    const end = (error?: ResultError): void => {
-      if (ended) return;
-      ended = true;
-      failureOfStream = error;
-      wake();
-    };
-    streams.set(id, {
-      push: (item) => {
-        items.push(item);
-        wake();
-      },
-      end,
-    });
+    const queue = createItemQueue();
+    streams.set(id, queue);
     const onAbort = (): void => {
-      end(new ResultError(ResultCode.ConnectionLost, 'the stream was cancelled'));
+      queue.end(new ResultError(ResultCode.ConnectionLost, 'the stream was cancelled'));
     };
     options.signal?.addEventListener('abort', onAbort, { once: true });
     const timer =
       options.timeoutMilliseconds === undefined
         ? undefined
         : setTimeout(() => {
-            end(new ResultError(ResultCode.CallTimedOut, kind));
+            queue.end(new ResultError(ResultCode.CallTimedOut, kind));
           }, options.timeoutMilliseconds);
     send([FrameKind.StreamOpen, id, toWireKind(kind), request], kind);
     let complete = false;
     try {
-      for (;;) {
-        while (items.length > 0) yield items.shift();
-        // `end` changes these from callbacks, which the control flow analysis does not see.
-        // eslint-disable-next-line @typescript-eslint/no-unnecessary-condition
-        if (ended) {
-          if (failureOfStream !== undefined) throw failureOfStream;
-          complete = true;
-          return;
-        }
-        await new Promise<void>((resolve) => {
-          wake = resolve;
-        });
-      }
+      yield* queue.items();
+      complete = true;
     } finally {
       streams.delete(id);
       clearTimeout(timer);
