--- a/packages/proofs/__tests__/agreementLeader.spec.ts
+++ b/packages/proofs/__tests__/agreementLeader.spec.ts
@@ -21,7 +21,10 @@
 
 describe('a leader of the fleet group that others cannot reach', () => {
   it('commits nothing while it is cut off, and its order loses to the one accepted', async () => {
-    await using system = await startFormedSystem({ ...agreementLayout, links: { ownProcess: true } });
+    await using system = await startFormedSystem({
+      ...agreementLayout,
+      links: { ownProcess: true },
+    });
     const controls = controlNames(system);
     const leader = await leaderAmong(system, controls, 'fleet');
     const others = controls.filter((name) => name !== leader.name);
