fix(faultproxy): no reset of a socket whose end is being sent

Cause: the process of agreementLeader.spec.ts spun at its exit (gdb: uv_run in Environment::CleanupHandles): a reset of a socket whose shutdown is pending is refused by the event loop's library and leaves the handle open for good. Conclusion: such a socket is closed without a reset.

--- a/packages/faultproxy/src/linkConnection.ts
+++ b/packages/faultproxy/src/linkConnection.ts
@@ -2,6 +2,7 @@
 import type { SeededRandom } from '@burdockrail/common/seededRandom.js';
 import type { TimeSource } from '@burdockrail/common/timeSource.js';
 import type { EventQueue } from './eventQueue.js';
+import { abortSocket } from './abortSocket.js';
 import type { LinkCounter } from './linkCounts.js';
 import { createLinkFlow, type LinkFlow } from './linkFlow.js';
 import type { LinkAddress, LinkMachine } from './linkMachine.js';
@@ -115,9 +116,7 @@
       backward?.release();
     },
     reset: () => {
-      near.resetAndDestroy();
-      far?.resetAndDestroy();
-      twin?.resetAndDestroy();
+      for (const socket of [near, far, twin]) abortSocket(socket);
     },
   };
 }
--- a/packages/faultproxy/src/linkFlow.ts
+++ b/packages/faultproxy/src/linkFlow.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import type { SeededRandom } from '@burdockrail/common/seededRandom.js';
 import type { Milliseconds, TimeSource } from '@burdockrail/common/timeSource.js';
+import { abortSocket } from './abortSocket.js';
 import type { EventQueue } from './eventQueue.js';
 import type { LinkBehaviour } from './linkRule.js';
 import type { RateBucket } from './rateBucket.js';
@@ -99,8 +100,8 @@
         twin?.end();
         return;
       case 'reset':
-        target.resetAndDestroy();
-        twin?.resetAndDestroy();
+        abortSocket(target);
+        abortSocket(twin);
         return;
     }
   };
