perf(gateway): chunks by what agents hold, clock without system calls, no idle answers

Cause: control processes answered each other at once and for ever, because a relay never holds a configuration (13 MB sent by each in 46 s); chunk transfers filled the thin links, so that claims at agents were not answered in 150 ms and entries fell back to places nobody granted; every look at the clock read /proc/uptime.

--- a/packages/gateway/src/agentPlaces.ts
+++ b/packages/gateway/src/agentPlaces.ts
@@ -5,8 +5,8 @@
 import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
 import type { GatewayContext } from './gatewayContext.js';
 
-/** Interval at which waits and holds are looked at, in milliseconds. */
-const EXPIRE_MILLISECONDS = 10;
+/** Shortest time between two looks at waits and holds, in milliseconds. */
+const EXPIRE_MILLISECONDS = 5;
 
 /** Time to come back while the engine loads weights, in milliseconds. */
 const LOADING_MILLISECONDS = 400;
@@ -60,6 +60,18 @@
     }
   };
 
+  let timer: NodeJS.Timeout | undefined;
+  const scheduleExpiry = (): void => {
+    clearTimeout(timer);
+    const next = queue.nextExpiry();
+    if (next === null) return;
+    const wait = Math.max(EXPIRE_MILLISECONDS, next - time.now());
+    timer = setTimeout(() => {
+      settle(queue.expire(time.now()));
+      scheduleExpiry();
+    }, wait);
+  };
+
   const reply = (
     kind: PlaceReply['kind'],
     engine: string,
@@ -110,6 +122,7 @@
       },
       now,
     );
+    scheduleExpiry();
     if (decision.kind === 'granted') {
       metrics.count('burdockrail_places_total', { outcome: 'granted' });
       return reply('granted', engine, version, decision.place, 0);
@@ -139,9 +152,6 @@
     return reply('granted', engine, present, outcome.place, 0);
   };
 
-  const timer = setInterval(() => {
-    settle(queue.expire(time.now()));
-  }, EXPIRE_MILLISECONDS);
 
   return {
     get taken() {
@@ -164,7 +174,7 @@
       },
     },
     [Symbol.asyncDispose]: async () => {
-      clearInterval(timer);
+      clearTimeout(timer);
       return Promise.resolve();
     },
   };
--- a/packages/gateway/src/agentRole.ts
+++ b/packages/gateway/src/agentRole.ts
@@ -4,6 +4,7 @@
 import { mergeHandlers } from '@burdockrail/transport/peerHandlers.js';
 import { createPeerServer } from '@burdockrail/transport/peerServer.js';
 import { createAgentPlaces, type EngineStanding } from './agentPlaces.js';
+import { mayServe } from './versionRule.js';
 import { createAgentWeights } from './agentWeights.js';
 import { createDirectoryWatcher } from './directoryWatcher.js';
 import { createHttpCaller } from './engineClient.js';
@@ -12,9 +13,6 @@
 import type { GatewayContext, GatewayRole } from './gatewayContext.js';
 import type { AgentSettings } from './gatewaySettings.js';
 
-/** Part of the time for a version after which a place at an older one is not granted. */
-const OLD_VERSION_SHARE = 0.85;
-
 /** Creates the role `agent`: owns the places of one engine and keeps its weights. */
 export function createAgentRole(context: GatewayContext, settings: AgentSettings): GatewayRole {
   const { time, dialect, log, metrics } = context;
@@ -35,10 +33,8 @@
     const report = watch.report(now);
     const held = report?.models.find((known) => known.model === model);
     if (report === null || held === undefined || report.busy) return null;
-    const named = beliefs.weightsOf(model);
-    const isOld = named !== undefined && held.version < named.version;
-    const bound = bounds.versionMilliseconds * OLD_VERSION_SHARE;
-    return isOld && now - named.namedAt > bound ? null : held.version;
+    const isServed = mayServe(held.version, beliefs.weightsOf(model), bounds, now);
+    return isServed ? held.version : null;
   };
 
   const standing = (): EngineStanding => {
@@ -96,7 +92,7 @@
   return {
     start: async () => {
       const handlers = mergeHandlers([places.handlers, weights.handlers]);
-      owned.use(await createPeerServer(settings.internal, context.identity, handlers));
+      owned.use(await createPeerServer(settings.internal, context.identity, handlers, context.traffic));
       watch.start();
       watcher.start();
       weights.start();
--- a/packages/gateway/src/agentWeights.ts
+++ b/packages/gateway/src/agentWeights.ts
@@ -1,9 +1,9 @@
 import { setTimeout as pause } from 'node:timers/promises';
+import { createPacer } from '@burdockrail/rollout/rolloutPacer.js';
 import type { ChunkReadReply } from '@burdockrail/protocol/protocolDirectory.js';
 import { formatAddress } from '@burdockrail/protocol/protocolAddress.js';
-import type { ChunkHolder } from '@burdockrail/rollout/chunkSources.js';
 import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
-import { agentAddress, fetchChunks } from './chunkFetch.js';
+import { agentAddress, fetchChunks, packChunks, type FetchPeer } from './chunkFetch.js';
 import { parseAddress } from './controlAddresses.js';
 import { createHttpCaller, type HttpCaller } from './engineClient.js';
 import type { EngineWatch } from './engineWatch.js';
@@ -21,14 +21,14 @@
 /** Bound on an order or a manifest, in milliseconds. */
 const CALL_MILLISECONDS = 2_000;
 
-/** Time for which a chunk that is on its way is waited for on behalf of another agent. */
-const CHUNK_WAIT_MILLISECONDS = 1_000;
-
-const CHUNK_LOOK_MILLISECONDS = 25;
-
 /** Longest time by which loads are spread, so that engines do not all drain together. */
 const SPREAD_MILLISECONDS = 1_200;
 
+/** Share of the link each way that weights may use; the rest is for requests and grants. */
+const LINK_SHARE = 0.8;
+
+const BYTES_PER_MEGABIT = 125_000;
+
 const SUCCESS_STATUS = 200;
 const ACCEPTED_STATUS = 202;
 
@@ -70,7 +70,11 @@
   let origin: { readonly address: string; readonly caller: HttpCaller } | null = null;
   let round = new AbortController();
   let running: Promise<void> = Promise.resolve();
+  let preparing = false;
   const fence = Date.now();
+  const linkRate = (): number => agent.linkMegabits * BYTES_PER_MEGABIT * LINK_SHARE;
+  const uplink = createPacer(linkRate);
+  const downlink = createPacer(linkRate);
 
   const originCaller = (): HttpCaller | null => {
     const services = beliefs.table?.configuration.services ?? [];
@@ -82,19 +86,14 @@
     return origin.caller;
   };
 
-  const peers = (target: Target): readonly ChunkHolder[] => {
-    const others = beliefs.directory.entries
+  const peers = (): readonly FetchPeer[] =>
+    beliefs.directory.entries
       .filter(({ record, silent }) => record.service === agent.service && !silent)
       .map(({ record }) => ({
         agent: agentAddress(record.address, agent.internal.port),
         region: settings.regions[record.dataCentre] ?? record.dataCentre,
-        holdsAll: record.models.some(
-          ({ model, version }) => model === target.model && version === target.version,
-        ),
       }))
-      .filter((holder) => holder.agent !== self);
-    return [...others, { agent: self, region: settings.region, holdsAll: false }];
-  };
+      .filter((peer) => peer.agent !== self);
 
   /** What the engine should serve and does not; `null` when all is well. */
   const wanted = (): Target | null => {
@@ -173,7 +172,8 @@
         staged,
         origin: originCaller(),
         self,
-        agents: () => peers(target),
+        peers,
+        pacer: downlink,
         signal: round.signal,
       });
     }
@@ -219,20 +219,25 @@
     chunk: number,
     signal: AbortSignal,
   ): Promise<ChunkReadReply> => {
-    const deadline = time.now() + CHUNK_WAIT_MILLISECONDS;
-    for (;;) {
-      const staged = sets.get(`${model} ${version}`);
-      if (staged?.verified.has(chunk) === true) return { bytes: await staged.read(chunk) };
-      if (time.now() >= deadline || signal.aborted) return { bytes: null };
-      await pause(CHUNK_LOOK_MILLISECONDS);
-    }
+    const staged = sets.get(`${model} ${version}`);
+    if (staged?.verified.has(chunk) !== true) return { bytes: null };
+    const bytes = await staged.read(chunk);
+    if (bytes !== null) await pause(uplink.reserve(bytes.length, time.now()));
+    return { bytes: signal.aborted ? null : bytes };
   };
 
   /** Lets an engine that serves a version pass on what is staged there. */
-  const prepareServing = async (): Promise<void> => {
+  const prepareServing = (): void => {
     const held = watch.report(time.now())?.models[0];
-    if (held === undefined || sets.size > 0) return;
-    await stagedSet(held);
+    if (held === undefined || sets.size > 0 || preparing) return;
+    preparing = true;
+    stagedSet(held)
+      .catch((error: unknown) => {
+        log.write('rolloutFailed', { ...held, reason: String(error) });
+      })
+      .finally(() => {
+        preparing = false;
+      });
   };
 
   return {
@@ -245,10 +250,15 @@
     },
     handlers: {
       calls: {
-        'chunk.read': async ({ model, version, chunk }, { signal }) => {
-          if (sets.size === 0) await prepareServing().catch(() => undefined);
-          return readChunk(model, version, chunk, signal);
+        'chunk.list': async ({ model, version }) => {
+          prepareServing();
+          const staged = sets.get(`${model} ${version}`);
+          const count = staged?.manifest.digests.length ?? 0;
+          const held = packChunks(staged?.verified ?? new Set(), count);
+          return Promise.resolve({ held });
         },
+        'chunk.read': async ({ model, version, chunk }, { signal }) =>
+          readChunk(model, version, chunk, signal),
       },
     },
     [Symbol.asyncDispose]: async () => {
--- a/packages/gateway/src/chunkFetch.ts
+++ b/packages/gateway/src/chunkFetch.ts
@@ -1,24 +1,47 @@
 import { setTimeout as pause } from 'node:timers/promises';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { formatAddress } from '@burdockrail/protocol/protocolAddress.js';
-import { chunkSources, type ChunkHolder, type ChunkSource } from '@burdockrail/rollout/chunkSources.js';
+import {
+  nextChunkFetch,
+  type ChunkFetch,
+  type ChunkHolder,
+  type ChunkSource,
+} from '@burdockrail/rollout/chunkChoice.js';
+import type { Pacer } from '@burdockrail/rollout/rolloutPacer.js';
+import { parseAddress } from './controlAddresses.js';
 import type { HttpCaller } from './engineClient.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { StagedChunks } from './stagedChunks.js';
-import { parseAddress } from './controlAddresses.js';
 
 /** Chunks that are fetched at the same time: enough to fill a thin link over a short delay. */
-const FETCHES_AT_ONCE = 5;
+const FETCHES_AT_ONCE = 4;
 
-/** Bound on one fetch from an agent, in milliseconds; an owner may be fetching the chunk itself. */
+/** Bound on one fetch from an agent, in milliseconds: some chunks of a thin link. */
 const AGENT_MILLISECONDS = 1_500;
 
 /** Bound on one fetch from the origin, in milliseconds: all agents share its link at first. */
 const ORIGIN_MILLISECONDS = 4_000;
 
-/** Pause after all sources of a chunk failed, in milliseconds. */
-const RETRY_PAUSE_MILLISECONDS = 150;
+/** Interval at which other agents are asked what they hold, in milliseconds. */
+const LIST_MILLISECONDS = 120;
+
+/** Bound on such a question, in milliseconds. */
+const LIST_ANSWER_MILLISECONDS = 500;
+
+/** Pause while nothing can be fetched, in milliseconds. */
+const IDLE_PAUSE_MILLISECONDS = 20;
+
+/** Time for which an agent that failed a fetch is not asked, in milliseconds. */
+const AVOID_MILLISECONDS = 1_000;
 
 const SUCCESS_STATUS = 200;
+const BITS_PER_BYTE = 8;
+
+/** Another agent that takes part in bringing up a version. */
+export interface FetchPeer {
+  readonly agent: string;
+  readonly region: string;
+}
 
 /** What fetching depends on. */
 export interface ChunkFetchOptions {
@@ -26,81 +49,140 @@
   readonly staged: StagedChunks;
   readonly origin: HttpCaller | null;
   readonly self: string;
-  readonly agents: () => readonly ChunkHolder[];
+  readonly peers: () => readonly FetchPeer[];
+  /** Keeps what comes in to the part of the link that weights may use. */
+  readonly pacer: Pacer;
   /** Aborted when another version has to be fetched, or the engine restarted. */
   readonly signal: AbortSignal;
 }
 
+/** Chunks as bits, the lowest bit of the first byte first. */
+export function packChunks(chunks: ReadonlySet<number>, count: number): Uint8Array {
+  const bits = new Uint8Array(Math.ceil(count / BITS_PER_BYTE));
+  for (const chunk of chunks) {
+    const byte = Math.floor(chunk / BITS_PER_BYTE);
+    bits[byte] = (bits[byte] ?? 0) | (1 << (chunk % BITS_PER_BYTE));
+  }
+  return bits;
+}
+
+function unpackChunks(bits: Uint8Array): ReadonlySet<number> {
+  const chunks = new Set<number>();
+  bits.forEach((byte, place) => {
+    for (let bit = 0; bit < BITS_PER_BYTE; bit += 1) {
+      if ((byte & (1 << bit)) !== 0) chunks.add(place * BITS_PER_BYTE + bit);
+    }
+  });
+  return chunks;
+}
+
 /** Fetches all chunks that are not staged and verified yet; resolves early when aborted. */
 export async function fetchChunks(options: ChunkFetchOptions): Promise<void> {
   const { context, staged, origin, self, signal } = options;
-  const { client, settings, log, metrics, dialect } = context;
+  const { client, settings, log, metrics, dialect, time } = context;
   const { model, version, manifest } = staged;
-  const isAborted = (): boolean => signal.aborted;
+  const held = new Map<string, ReadonlySet<number>>();
+  const busy = new Map<string, number>();
+  const avoidedUntil = new Map<string, Milliseconds>();
+  const fetching = new Set<number>();
+  let fromOrigin = 0;
+  let lastChunkAt = time.now();
+  const isOver = (): boolean =>
+    signal.aborted || staged.verified.size === manifest.digests.length;
 
-  const sourcesOf = (chunk: number): readonly ChunkSource[] =>
-    chunkSources({
-      self,
-      region: settings.region,
-      chunk: `${model} ${version} ${chunk}`,
-      agents: options.agents(),
-    });
+  const askWhatPeersHold = async (): Promise<void> => {
+    while (!isOver()) {
+      for (const { agent } of options.peers()) {
+        client
+          .to(parseAddress(agent))
+          .call('chunk.list', { model, version }, { timeoutMilliseconds: LIST_ANSWER_MILLISECONDS })
+          .then((reply) => held.set(agent, unpackChunks(reply.held)))
+          // An agent that does not answer offers nothing.
+          .catch(() => held.delete(agent));
+      }
+      await pause(LIST_MILLISECONDS);
+    }
+  };
 
-  const fromOrigin = async (chunk: number): Promise<Uint8Array | null> => {
+  const holders = (now: Milliseconds): readonly ChunkHolder[] =>
+    options.peers().map(({ agent, region }) => ({
+      agent,
+      region,
+      held: (avoidedUntil.get(agent) ?? 0) > now ? new Set<number>() : (held.get(agent) ?? new Set()),
+      busy: busy.get(agent) ?? 0,
+    }));
+
+  const read = async (source: ChunkSource, chunk: number): Promise<Uint8Array | null> => {
+    if (source.kind === 'agent') {
+      const bound = { timeoutMilliseconds: AGENT_MILLISECONDS, signal };
+      const connection = client.to(parseAddress(source.agent));
+      return (await connection.call('chunk.read', { model, version, chunk }, bound)).bytes;
+    }
     if (origin === null) return null;
     const request = dialect.weights.originChunk(model, version, chunk);
     const { status, body } = await origin.call(request, ORIGIN_MILLISECONDS);
     return status === SUCCESS_STATUS ? body : null;
   };
 
-  const fromAgent = async (agent: string, chunk: number): Promise<Uint8Array | null> => {
-    const bound = { timeoutMilliseconds: AGENT_MILLISECONDS, signal };
-    const connection = client.to(parseAddress(agent));
-    const reply = await connection.call('chunk.read', { model, version, chunk }, bound);
-    return reply.bytes;
+  const mark = (source: ChunkSource, step: number): void => {
+    if (source.kind === 'origin') fromOrigin += step;
+    else busy.set(source.agent, (busy.get(source.agent) ?? 0) + step);
   };
 
-  const fetchFrom = async (source: ChunkSource, chunk: number): Promise<boolean> => {
+  const fetchOne = async ({ chunk, source }: ChunkFetch): Promise<void> => {
     const name = source.kind === 'origin' ? 'origin' : source.agent;
+    fetching.add(chunk);
+    mark(source, 1);
     try {
-      const bytes =
-        source.kind === 'origin' ? await fromOrigin(chunk) : await fromAgent(source.agent, chunk);
-      if (bytes === null || isAborted()) return false;
-      const isSound = await staged.write(chunk, bytes);
+      const bytes = await read(source, chunk);
+      if (signal.aborted) return;
+      const isSound = bytes !== null && (await staged.write(chunk, bytes));
       metrics.count('burdockrail_chunks_total', { source: source.kind, sound: String(isSound) });
-      if (!isSound) log.write('chunkRejected', { model, version, chunk, source: name });
-      return isSound;
-    } catch (error) {
-      if (!isAborted()) {
-        log.write('rolloutFailed', { model, version, chunk, source: name, reason: String(error) });
+      if (isSound) lastChunkAt = time.now();
+      else {
+        log.write('chunkRejected', { model, version, chunk, source: name, came: bytes !== null });
+        avoidedUntil.set(name, time.now() + AVOID_MILLISECONDS);
       }
-      return false;
+    } catch (error) {
+      if (signal.aborted) return;
+      avoidedUntil.set(name, time.now() + AVOID_MILLISECONDS);
+      log.write('rolloutFailed', { model, version, chunk, source: name, reason: String(error) });
+    } finally {
+      mark(source, -1);
+      fetching.delete(chunk);
     }
   };
 
-  const fetchOne = async (chunk: number): Promise<void> => {
-    while (!isAborted() && !staged.verified.has(chunk)) {
-      for (const source of sourcesOf(chunk)) {
-        if (isAborted() || (await fetchFrom(source, chunk))) return;
-      }
-      await pause(RETRY_PAUSE_MILLISECONDS);
-    }
+  const first = context.random.below(Math.max(1, manifest.digests.length));
+  const order = manifest.digests.map((_digest, chunk) => (chunk + first) % manifest.digests.length);
+  const choose = (): ChunkFetch | null => {
+    const now = time.now();
+    return nextChunkFetch({
+      self,
+      region: settings.region,
+      set: `${model} ${version}`,
+      missing: order.filter((chunk) => !staged.verified.has(chunk) && !fetching.has(chunk)),
+      others: holders(now),
+      fromOrigin,
+      idleMilliseconds: now - lastChunkAt,
+    });
   };
 
-  const missing = manifest.digests
-    .map((_digest, chunk) => chunk)
-    .filter((chunk) => !staged.verified.has(chunk));
-  // Chunks that others wait for come first.
-  const own = missing.filter((chunk) => sourcesOf(chunk)[0]?.kind === 'origin');
-  const rest = missing.filter((chunk) => !own.includes(chunk));
-  const start = rest.length === 0 ? 0 : context.random.below(rest.length);
-  const queue = [...own, ...rest.slice(start), ...rest.slice(0, start)];
   const worker = async (): Promise<void> => {
-    for (let chunk = queue.shift(); chunk !== undefined && !isAborted(); chunk = queue.shift()) {
-      await fetchOne(chunk);
+    while (!isOver()) {
+      const next = choose();
+      if (next === null) {
+        await pause(IDLE_PAUSE_MILLISECONDS);
+        continue;
+      }
+      const chunkBytes = staged.largestChunkBytes;
+      const wait = options.pacer.reserve(chunkBytes, time.now());
+      fetching.add(next.chunk);
+      if (wait > 0) await pause(wait);
+      await fetchOne(next);
     }
   };
-  await Promise.all(Array.from({ length: FETCHES_AT_ONCE }, worker));
+  await Promise.all([askWhatPeersHold(), ...Array.from({ length: FETCHES_AT_ONCE }, worker)]);
 }
 
 /** Internal address of an agent on the machine of an engine. */
--- a/packages/gateway/src/controlBoard.ts
+++ b/packages/gateway/src/controlBoard.ts
@@ -43,7 +43,7 @@
 /** Time for which an entry counts after its last watch, in milliseconds. */
 const ENTRY_SEEN_MILLISECONDS = 3_000;
 
-/** Crash sightings that are kept and passed on, newest last. */
+/** Crash sightings that are kept and passed on, the newest ones. */
 const MAXIMUM_CRASHES = 200;
 
 /** What a control process knows of upstreams, and the watches by which others share it. */
@@ -145,10 +145,15 @@
     const fresh = sightings.filter((sighting) => !isKnown(sighting));
     if (fresh.length === 0) return;
     crashes = [...crashes, ...fresh].slice(-MAXIMUM_CRASHES);
-    crashRevision += 1;
+    crashRevision += fresh.length;
     signal.notify();
   };
 
+  const newCrashes = (known: number): readonly CrashSighting[] => {
+    const fresh = Math.min(crashes.length, crashRevision - known);
+    return fresh <= 0 ? [] : crashes.slice(-fresh);
+  };
+
   const confirmedAge = (): number | null =>
     group.host.replica.groupId === null || !Number.isFinite(group.host.ageMilliseconds)
       ? null
@@ -179,14 +184,16 @@
     noteCaller(watch, caller.name, caller.dataCentre);
     const isKnown = watch.control === identity.incarnation;
     const known = isKnown ? watch.revision : 0;
+    const newConfiguration = (): PackedConfiguration | null =>
+      watch.relay ? null : configurationFor(watch.configurationVersion);
     const weights = weightsMark();
-    const crashed = crashRevision;
+    const knownCrashes = isKnown ? watch.crashRevision : 0;
     const hasNews = (): boolean =>
       !isKnown ||
-      board.latest(watch.relay) > known ||
-      configurationFor(watch.configurationVersion) !== null ||
+      board.latest(false) > known ||
+      newConfiguration() !== null ||
       weightsMark() !== weights ||
-      crashRevision !== crashed;
+      crashRevision > knownCrashes;
     const deadline = time.now() + watch.waitMilliseconds;
     while (!hasNews() && time.now() < deadline && !aborted.aborted) {
       await signal.wait(Math.max(1, deadline - time.now()), aborted);
@@ -200,12 +207,13 @@
       complete: known === 0,
       upMilliseconds: now - startedAt,
       records,
-      configuration: watch.relay ? null : configurationFor(watch.configurationVersion),
+      configuration: newConfiguration(),
       weights: namedWeights(now),
       confirmedAgeMilliseconds: confirmedAge(),
       controls: controlPeers(),
       entries: watch.relay ? ownEntries(now) : allEntries(now),
-      crashes,
+      crashRevision,
+      crashes: newCrashes(knownCrashes),
     };
   };
 
@@ -213,6 +221,7 @@
   const relay = async (address: string): Promise<void> => {
     let peer = '';
     let revision = 0;
+    let knownCrashes = 0;
     let lost = false;
     while (!stop.signal.aborted) {
       const connection = client.to(parseAddress(address));
@@ -227,6 +236,7 @@
             relay: true,
             caller: self,
             role: 'control',
+            crashRevision: knownCrashes,
             crashes: [],
           },
           {
@@ -237,6 +247,7 @@
         const now = time.now();
         peer = update.control;
         revision = update.revision;
+        knownCrashes = update.crashRevision;
         for (const { record, ageMilliseconds } of update.records) {
           take(record, now - ageMilliseconds, address);
         }
--- a/packages/gateway/src/directoryWatcher.ts
+++ b/packages/gateway/src/directoryWatcher.ts
@@ -57,6 +57,7 @@
   );
   let control = '';
   let revision = 0;
+  let crashRevision = 0;
   let lostAt: Milliseconds | null = null;
 
   const ask = async (address: string): Promise<void> => {
@@ -66,6 +67,7 @@
       ...body(),
       control,
       revision,
+      crashRevision,
       relay: false,
       waitMilliseconds: WAIT_MILLISECONDS,
     };
@@ -78,6 +80,7 @@
       });
     control = update.control;
     revision = update.revision;
+    crashRevision = update.crashRevision;
     addresses.learn(update.controls);
     onUpdate(update, askedAt);
     const age = update.confirmedAgeMilliseconds;
--- a/packages/gateway/src/engineWatch.ts
+++ b/packages/gateway/src/engineWatch.ts
@@ -4,7 +4,7 @@
 import type { HttpCaller } from './engineClient.js';
 
 /** Interval at which an agent asks its own engine, in milliseconds. */
-const POLL_MILLISECONDS = 150;
+const POLL_MILLISECONDS = 250;
 
 /** Bound on the engine's answer, in milliseconds. */
 const ANSWER_MILLISECONDS = 600;
--- a/packages/gateway/src/entryPlaces.ts
+++ b/packages/gateway/src/entryPlaces.ts
@@ -6,6 +6,7 @@
 import type { EntryContext } from './entryContext.js';
 import type { EntryRequest } from './entryRequest.js';
 import { parseAddress } from './controlAddresses.js';
+import { mayServe } from './versionRule.js';
 
 /** Time beyond the wait after which an agent counts as silent, in milliseconds. */
 const ANSWER_MILLISECONDS = 150;
@@ -23,8 +24,8 @@
 export interface GrantedPlace {
   readonly engine: string;
   readonly address: string;
-  /** Version of weights that the agent saw; `null` when no agent granted the place. */
-  readonly version: number | null;
+  /** Version of weights that the engine holds. */
+  readonly version: number;
   release(): void;
 }
 
@@ -129,13 +130,20 @@
   };
 
   /** A place that no agent granted, bounded by this entry's part of the engine. */
-  const ungranted = (record: DirectoryEntry['record']): GrantedPlace | null => {
+  const ungranted = (
+    record: DirectoryEntry['record'],
+    model: string,
+    now: Milliseconds,
+  ): GrantedPlace | null => {
+    const held = record.models.find((known) => known.model === model);
+    if (held === undefined) return null;
+    if (!mayServe(held.version, beliefs.weightsOf(model), entry.settings.bounds, now)) return null;
     const part = (record.slots * UNGRANTED_SHARE) / Math.max(1, beliefs.entries);
     if (upstreams.ownRequests(record.id) >= Math.max(1, Math.floor(part))) return null;
     return {
       engine: record.id,
       address: record.address,
-      version: null,
+      version: held.version,
       release: () => undefined,
     };
   };
@@ -159,13 +167,13 @@
         if (record === undefined) return null;
         const agent = agentOf(record.address);
         if (isAgentSilent(agent, time.now())) {
-          fallback ??= ungranted(record);
+          fallback ??= ungranted(record, request.caller.model, time.now());
           return null;
         }
         asked += 1;
         const reply = await ask(request, agent, wait);
         if (reply === null) {
-          fallback ??= ungranted(record);
+          fallback ??= ungranted(record, request.caller.model, time.now());
           return null;
         }
         views.set(id, { reply, at: time.now() });
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -4,6 +4,7 @@
 import type { EventLog } from '@burdockrail/telemetry/eventLog.js';
 import type { MetricRegistry } from '@burdockrail/telemetry/metricRegistry.js';
 import type { PeerClient } from '@burdockrail/transport/peerClient.js';
+import type { TrafficMeter } from '@burdockrail/transport/trafficMeter.js';
 import type { ActorSystemRef } from 'nact';
 import type { Dialect } from './dialect.js';
 import type { GatewaySettings } from './gatewaySettings.js';
@@ -13,6 +14,8 @@
   readonly settings: GatewaySettings;
   readonly identity: PeerIdentity;
   readonly client: PeerClient;
+  /** Bytes that this process has sent to others, by family of message. */
+  readonly traffic: TrafficMeter;
   readonly time: TimeSource;
   readonly random: SeededRandom;
   readonly log: EventLog;
--- a/packages/gateway/src/gatewayMain.ts
+++ b/packages/gateway/src/gatewayMain.ts
@@ -7,6 +7,7 @@
 import { createBoundedLines } from '@burdockrail/telemetry/boundedLines.js';
 import { createEventLog } from '@burdockrail/telemetry/eventLog.js';
 import { createMetricRegistry, type MetricRegistry } from '@burdockrail/telemetry/metricRegistry.js';
+import { createTrafficMeter } from '@burdockrail/transport/trafficMeter.js';
 import { createPeerClient } from '@burdockrail/transport/peerClient.js';
 import { start as startActors, stop as stopActors } from 'nact';
 import { createAgentRole } from './agentRole.js';
@@ -23,6 +24,12 @@
 const SEED_BYTES = 4;
 const STANDARD_OUTPUT = 1;
 
+/** Interval of the lines on what the process has used, in milliseconds. */
+const VITALS_MILLISECONDS = 10_000;
+
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+const BYTES_PER_MEGABYTE = 1_000_000;
+
 /** Where the metrics are served. */
 const METRICS_PATH = '/metrics';
 
@@ -95,6 +102,19 @@
   });
   const metrics = createMetricRegistry();
   metrics.gauge('burdockrail_log_lines_dropped', 'Log lines left out.', () => lines.dropped);
+  const traffic = createTrafficMeter();
+  metrics.families(() => [
+    {
+      name: 'burdockrail_sent_bytes_total',
+      help: 'Bytes sent to other processes of the system by family of message.',
+      type: 'counter',
+      samples: Object.entries(traffic.sentByFamily).map(([family, value]) => ({
+        name: 'burdockrail_sent_bytes_total',
+        labels: { family },
+        value,
+      })),
+    },
+  ]);
   const identity: PeerIdentity = {
     name: settings.name,
     incarnation: randomBytes(INCARNATION_BYTES).toString('hex'),
@@ -104,7 +124,8 @@
   const context: GatewayContext = {
     settings,
     identity,
-    client: createPeerClient({ identity, localHost: settings.host }),
+    client: createPeerClient({ identity, localHost: settings.host, meter: traffic }),
+    traffic,
     time: createSuspendClock(),
     random: createSeededRandom(randomBytes(SEED_BYTES).readInt32BE(0)),
     log,
@@ -125,7 +146,19 @@
       seeds: settings.seeds.map(({ host, port }) => `${host}:${port}`).join(','),
       firstStart: settings.firstStart,
       startMilliseconds: Math.round(performance.now()),
-      residentMegabytes: Math.round(process.memoryUsage.rss() / 1e6),
+      residentMegabytes: Math.round(process.memoryUsage.rss() / BYTES_PER_MEGABYTE),
+    });
+    const vitals = setInterval(() => {
+      const { user, system } = process.cpuUsage();
+      log.write('processVitals', {
+        processorMilliseconds: Math.round((user + system) / MICROSECONDS_PER_MILLISECOND),
+        residentMegabytes: Math.round(process.memoryUsage.rss() / BYTES_PER_MEGABYTE),
+        sentBytes: JSON.stringify(traffic.sentByFamily),
+        linesDropped: lines.dropped,
+      });
+    }, VITALS_MILLISECONDS);
+    owned.defer(() => {
+      clearInterval(vitals);
     });
     const signal = await awaitStop(() => {
       const reloaded = options.reload();
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -40,6 +40,8 @@
   readonly internal: Address;
   readonly engine: Address;
   readonly service: string;
+  /** Bandwidth of the machine's link each way, in megabits a second. */
+  readonly linkMegabits: number;
 }
 
 /** Times and amounts that the deployment promises to its users. */
--- a/packages/gateway/src/stagedChunks.ts
+++ b/packages/gateway/src/stagedChunks.ts
@@ -17,6 +17,8 @@
   readonly manifest: WeightsManifest;
   /** Chunks that were verified after they were staged. */
   readonly verified: ReadonlySet<number>;
+  /** Size of the largest chunk seen so far, in bytes; 0 before the first. */
+  readonly largestChunkBytes: number;
   /** Reads everything back from the engine and keeps only what matches its digest. */
   verifyAll(): Promise<void>;
   /** Stages a chunk if it matches its digest; tells whether it did. */
@@ -38,6 +40,7 @@
   manifest: WeightsManifest,
 ): StagedChunks {
   const verified = new Set<number>();
+  let largestChunkBytes = 0;
 
   const fetchBack = async (chunk: number): Promise<Buffer | null> => {
     try {
@@ -63,6 +66,9 @@
     version,
     manifest,
     verified,
+    get largestChunkBytes() {
+      return largestChunkBytes;
+    },
     verifyAll: async () => {
       const chunks = manifest.digests.map((_digest, chunk) => chunk);
       const worker = async (): Promise<void> => {
@@ -73,6 +79,7 @@
       await Promise.all(Array.from({ length: READS_AT_ONCE }, worker));
     },
     write: async (chunk, bytes) => {
+      largestChunkBytes = Math.max(largestChunkBytes, bytes.length);
       if (!matches(bytes, manifest.digests[chunk])) return false;
       const request = dialect.stageWrite(model, chunk);
       const { status } = await engine.call(request, STAGE_MILLISECONDS, bytes);
--- a/packages/gateway/src/suspendClock.ts
+++ b/packages/gateway/src/suspendClock.ts
@@ -3,29 +3,48 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** Difference between the two clocks that counts as a suspension, in milliseconds. */
+/** Difference between two clocks that counts as a suspension, in milliseconds. */
 const SUSPENSION_MILLISECONDS = 100;
 
+/** Clocks that a {@link createSuspendClock} compares. */
+export interface ClockSources {
+  /** Stands still while the machine is suspended. */
+  readonly steady: () => Milliseconds;
+  /** Time of day; cheap to read, but it may jump. */
+  readonly day: () => Milliseconds;
+  /** Goes on during a suspension and never jumps; costs several system calls. */
+  readonly sinceBoot: () => Milliseconds;
+}
+
+const processClocks: ClockSources = {
+  steady: () => performance.now(),
+  day: () => Date.now(),
+  sinceBoot: () => uptime() * MILLISECONDS_PER_SECOND,
+};
+
 /**
  * Monotonic time that goes on while the machine is suspended.
  *
  * @remarks
  * The steady clock of a process stands still during a suspension, so what a process believed before
- * would look fresh after it. The time since boot does not stand still, but is coarse.
+ * would look fresh after it. A jump of the time of day against the steady clock is the cheap sign of
+ * a suspension; the time since boot then tells it from a clock that was set.
  */
-export function createSuspendClock(
-  steady: () => Milliseconds = () => performance.now(),
-  sinceBoot: () => Milliseconds = () => uptime() * MILLISECONDS_PER_SECOND,
-): TimeSource {
-  let offset = sinceBoot() - steady();
+export function createSuspendClock(clocks: ClockSources = processClocks): TimeSource {
+  let dayOffset = clocks.day() - clocks.steady();
+  let bootOffset = clocks.sinceBoot() - clocks.steady();
   let suspended = 0;
   return {
     now: () => {
-      const present = steady();
-      const ahead = sinceBoot() - present - offset;
-      if (ahead > SUSPENSION_MILLISECONDS) {
-        suspended += ahead;
-        offset += ahead;
+      const present = clocks.steady();
+      const drift = clocks.day() - present - dayOffset;
+      if (Math.abs(drift) > SUSPENSION_MILLISECONDS) {
+        dayOffset += drift;
+        const ahead = clocks.sinceBoot() - present - bootOffset;
+        if (ahead > SUSPENSION_MILLISECONDS) {
+          suspended += ahead;
+          bootOffset += ahead;
+        }
       }
       return present + suspended;
     },
--- a/packages/limits/src/placeQueue.ts
+++ b/packages/limits/src/placeQueue.ts
@@ -31,6 +31,8 @@
   withdraw(ticket: number): void;
   /** Ends waits and holds whose time is over. */
   expire(now: Milliseconds): readonly TicketOutcome[];
+  /** Time of the next end of a wait or hold; `null` when there is none. */
+  nextExpiry(): Milliseconds | null;
   /** Sets how many places there are; those taken beyond the number stay until released. */
   resize(places: number, now: Milliseconds): readonly TicketOutcome[];
   /** Forgets all holders, for an engine that has restarted. */
@@ -139,6 +141,13 @@
       });
       return [...refused, ...fill(now)];
     },
+    nextExpiry: () => {
+      const ends = [
+        ...waiters.map(({ until }) => until),
+        ...[...holders.values()].map(({ latestEnd }) => latestEnd),
+      ];
+      return ends.length === 0 ? null : Math.min(...ends);
+    },
     resize: (next, now) => {
       places = next;
       return fill(now);
--- a/packages/protocol/src/protocolDirectory.ts
+++ b/packages/protocol/src/protocolDirectory.ts
@@ -65,6 +65,8 @@
   readonly role: 'entry' | 'control' | 'agent';
   /** What an agent found its engine to hold, newer than the engine's own heartbeat. */
   readonly engine?: { readonly id: string; readonly models: readonly HeldModel[] };
+  /** Crash sightings of this control process that the caller knows, counted from its start. */
+  readonly crashRevision: number;
   /** Contents that the caller saw crash upstreams since its last call. */
   readonly crashes: readonly CrashSighting[];
 }
@@ -94,6 +96,9 @@
   readonly controls: readonly ControlPeer[];
   /** Entries that watch any control process, as far as this one knows. */
   readonly entries: number;
+  /** Crash sightings that this process has learned of, counted from its start. */
+  readonly crashRevision: number;
+  /** Sightings that the caller did not know. */
   readonly crashes: readonly CrashSighting[];
 }
 
@@ -138,6 +143,18 @@
   readonly place: number;
 }
 
+/** Asks an agent which chunks of a version it holds. */
+export interface ChunkList {
+  readonly model: string;
+  readonly version: number;
+}
+
+/** Answer to {@link ChunkList}. */
+export interface ChunkListReply {
+  /** One bit for each chunk, the lowest bit of the first byte first. */
+  readonly held: Uint8Array;
+}
+
 /** Asks an agent for a verified chunk of weights. */
 export interface ChunkRead {
   readonly model: string;
--- a/packages/protocol/src/protocolKinds.ts
+++ b/packages/protocol/src/protocolKinds.ts
@@ -24,6 +24,8 @@
   ProcessStatus,
 } from './protocolConfiguration.js';
 import type {
+  ChunkList,
+  ChunkListReply,
   ChunkRead,
   ChunkReadReply,
   DirectoryUpdateSet,
@@ -81,6 +83,7 @@
   'quarantine.report': CallShape<QuarantineReport, Record<string, never>>;
   'directory.watch': CallShape<DirectoryWatch, DirectoryUpdateSet>;
   'place.claim': CallShape<PlaceClaim, PlaceReply>;
+  'chunk.list': CallShape<ChunkList, ChunkListReply>;
   'chunk.read': CallShape<ChunkRead, ChunkReadReply>;
   'process.status': CallShape<Record<string, never>, ProcessStatus>;
 }
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -114,6 +114,11 @@
     level: 'info',
     text: 'The process takes configurations from another source.',
   },
+  processVitals: {
+    number: 1007,
+    level: 'info',
+    text: 'What the process has used and sent since its start.',
+  },
   settingsReloaded: {
     number: 1006,
     level: 'info',
--- a/packages/telemetry/src/metricRegistry.ts
+++ b/packages/telemetry/src/metricRegistry.ts
@@ -7,6 +7,8 @@
   count(name: string, labels?: Readonly<Record<string, string>>, amount?: number): void;
   /** Reads a value whenever the metrics are asked for. */
   gauge(name: string, help: string, read: () => number): void;
+  /** Adds families that are read whenever the metrics are asked for. */
+  families(read: () => readonly MetricFamily[]): void;
   /** Durations by team and class. */
   histogram(name: string): RequestHistograms;
   /** All metrics in the text exposition format. */
@@ -27,6 +29,7 @@
   const counters = new Map<string, Counter>();
   const gauges = new Map<string, { readonly help: string; readonly read: () => number }>();
   const histograms = new Map<string, RequestHistograms>();
+  const sources: (() => readonly MetricFamily[])[] = [];
 
   const counterFor = (name: string, labels: Readonly<Record<string, string>>): Counter => {
     const key = `${name}\n${Object.entries(labels).join('\n')}`;
@@ -65,6 +68,9 @@
     gauge: (name, help, read) => {
       gauges.set(name, { help, read });
     },
+    families: (read) => {
+      sources.push(read);
+    },
     histogram: (name) => {
       const known = histograms.get(name) ?? createRequestHistograms(name);
       histograms.set(name, known);
@@ -74,6 +80,7 @@
       metricsText([
         ...counterFamilies(),
         ...gaugeFamilies(),
+        ...sources.flatMap((read) => read()),
         ...[...histograms.values()].map((histogram) => histogram.family()),
       ]),
   };
--- a/packages/transport/src/messageKinds.ts
+++ b/packages/transport/src/messageKinds.ts
@@ -26,6 +26,7 @@
   'place.claim',
   'place.release',
   'chunk.read',
+  'chunk.list',
 ];
 
 const numberByKind: ReadonlyMap<string, number> = new Map(
