--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -4,7 +4,7 @@
 const testCalls = { from: 'package', name: ['describe', 'it', 'test'], package: 'node:test' };
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', '**/.scratch/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', '**/.scratch/**', 'target/**', 'journal/**'] },
   eslint.configs.recommended,
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/packages/agreement/__tests__/replicaSelfRepair.spec.ts
@@ -0,0 +1,146 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
+import { memberId, slotOf, type Member } from '../src/groupMembership.js';
+import { createReplica, type Replica } from '../src/replica.js';
+import type { ReplicaEffect, StoredReplica } from '../src/replicaEffect.js';
+import type { ReplicaMessage } from '../src/replicaMessage.js';
+import { defaultReplicaTiming } from '../src/replicaTiming.js';
+import { applyStoredRecord } from '../src/storedReplica.js';
+import { createListState } from './listState.js';
+
+const SILENCE_MILLISECONDS = 6_000;
+const TICK_MILLISECONDS = 50;
+
+interface Node {
+  readonly self: Member;
+  replica: Replica;
+  stored: StoredReplica | null;
+  up: boolean;
+}
+
+/** A group with reliable messages whose members come and go at any slot. */
+function createGroup(slots: readonly string[]) {
+  const nodes = new Map<string, Node>();
+  const contacts = [...slots];
+  let network: { readonly slot: string; readonly message: ReplicaMessage }[] = [];
+  let now = 0;
+  let incarnation = 1;
+
+  const add = (slot: string): Node => {
+    const self = { id: memberId(slot, String(incarnation++).padStart(6, '0')), durable: true };
+    const replica = createReplica({
+      self,
+      slots: contacts,
+      repair: { silenceMilliseconds: SILENCE_MILLISECONDS },
+      state: createListState(() => undefined),
+      timing: { ...defaultReplicaTiming, answersUnderLease: false },
+      random: createSeededRandom(incarnation),
+      stored: null,
+      now,
+    });
+    const node: Node = { self, replica, stored: null, up: true };
+    nodes.set(slot, node);
+    return node;
+  };
+  const carryOut = (node: Node, effects: readonly ReplicaEffect[]): void => {
+    for (const effect of effects) {
+      if (effect.kind === 'send') network.push(effect);
+      if (effect.kind !== 'persist') continue;
+      for (const record of effect.records) node.stored = applyStoredRecord(node.stored, record);
+      carryOut(node, node.replica.persisted(effect.sequence, now));
+    }
+  };
+  const deliver = (): void => {
+    for (let round = 0; round < 6; round += 1) {
+      const present = network;
+      network = [];
+      for (const { slot, message } of present) {
+        const node = nodes.get(slot);
+        if (node?.up === true) carryOut(node, node.replica.receive(message, now));
+      }
+    }
+  };
+  const run = (milliseconds: number): void => {
+    for (const end = now + milliseconds; now < end; now += TICK_MILLISECONDS) {
+      for (const node of nodes.values()) if (node.up) carryOut(node, node.replica.tick(now));
+      deliver();
+    }
+  };
+  const leader = (): Node | undefined =>
+    [...nodes.values()].find((node) => node.up && node.replica.status().role === 'leader');
+  const voters = (): readonly string[] =>
+    (leader()?.replica.status().membership.voters ?? []).map(({ id }) => slotOf(id)).sort();
+  const founders = slots.map(add);
+  const membership = { voters: founders.map(({ self }) => self), learners: [] };
+  for (const node of founders) carryOut(node, node.replica.found('founding', membership, now));
+  return { add, run, leader, voters, carryOut, node: (slot: string) => nodes.get(slot), now: () => now };
+}
+
+describe('a group that repairs itself', () => {
+  it('takes in an empty replica of an unlisted slot and drops the one that is lost', () => {
+    const group = createGroup(['a', 'b', 'c']);
+    group.run(3_000);
+    const lost = ['a', 'b', 'c'].find((slot) => group.leader() !== group.node(slot)) ?? '';
+    const node = group.node(lost);
+    assert.ok(node !== undefined);
+    node.up = false;
+    group.add('d');
+    group.run(12_000);
+    assert.deepEqual(group.voters(), ['a', 'b', 'c', 'd'].filter((slot) => slot !== lost));
+  });
+
+  it('keeps a silent voter of a group of odd size', () => {
+    const group = createGroup(['a', 'b', 'c']);
+    group.run(3_000);
+    const silent = ['a', 'b', 'c'].find((slot) => group.leader() !== group.node(slot)) ?? '';
+    const node = group.node(silent);
+    assert.ok(node !== undefined);
+    node.up = false;
+    group.run(20_000);
+    assert.deepEqual(group.voters(), ['a', 'b', 'c']);
+  });
+
+  it('lets a replica that lost its place come back', () => {
+    const group = createGroup(['a', 'b', 'c', 'd']);
+    group.run(3_000);
+    const silent = ['a', 'b', 'c', 'd'].find((slot) => group.leader() !== group.node(slot)) ?? '';
+    const node = group.node(silent);
+    assert.ok(node !== undefined);
+    node.up = false;
+    group.run(10_000);
+    assert.equal(group.voters().length, 3);
+    node.up = true;
+    group.run(6_000);
+    assert.deepEqual(group.voters(), ['a', 'b', 'c', 'd']);
+  });
+
+  it('calls nothing confirmed by a replica that lacks what the leader has committed', () => {
+    const group = createGroup(['a', 'b', 'c']);
+    group.run(3_000);
+    const leader = group.leader();
+    assert.ok(leader !== undefined);
+    const behind = createReplica({
+      self: { id: 'x#1', durable: true },
+      slots: [],
+      state: createListState(() => undefined),
+      timing: defaultReplicaTiming,
+      random: createSeededRandom(1),
+      stored: null,
+      now: 0,
+    });
+    const append = {
+      kind: 'append',
+      term: 3,
+      previousIndex: 9,
+      previousTerm: 3,
+      entries: [],
+      commitIndex: 9,
+      round: 1,
+      sentAt: 0,
+    } as const;
+    behind.found('founding', { voters: [{ id: 'x#1', durable: true }], learners: [] }, 0);
+    behind.receive({ groupId: 'founding', from: 'a#1', to: 'x#1', body: append }, 100);
+    assert.equal(behind.confirmedAge(100), Number.POSITIVE_INFINITY);
+  });
+});
--- /dev/null
+++ b/packages/fleet/__tests__/routeRegister.spec.ts
@@ -0,0 +1,37 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createRouteRegister } from '../src/routeRegister.js';
+
+const position = { index: 1, term: 1 };
+const document = (text: string): Uint8Array => Buffer.from(text);
+
+describe('the register of routes', () => {
+  it('keeps the highest version whatever the order of commands', () => {
+    const register = createRouteRegister();
+    register.apply({ kind: 'configure', version: 5, document: document('five') }, position);
+    const late = { kind: 'configure', version: 3, document: document('three') } as const;
+    assert.deepEqual(register.apply(late, position), { version: 5, taken: false });
+    assert.equal(register.query(null).configuration?.version, 5);
+  });
+
+  it('keeps the first document of a version', () => {
+    const register = createRouteRegister();
+    register.apply({ kind: 'configure', version: 5, document: document('first') }, position);
+    register.apply({ kind: 'configure', version: 5, document: document('other') }, position);
+    const held = register.query(null).configuration?.document ?? new Uint8Array();
+    assert.equal(Buffer.from(held).toString(), 'first');
+  });
+
+  it('survives its snapshot', () => {
+    const register = createRouteRegister();
+    register.apply({ kind: 'configure', version: 5, document: document('five') }, position);
+    register.apply({ kind: 'nameWeights', model: 'm', version: 2 }, position);
+    const restored = createRouteRegister();
+    restored.restore(register.snapshot());
+    assert.deepEqual(restored.query(null), register.query(null));
+    assert.equal(
+      restored.apply({ kind: 'nameWeights', model: 'm', version: 2 }, position).taken,
+      false,
+    );
+  });
+});
--- a/packages/gateway/src/agentPlaces.ts
+++ b/packages/gateway/src/agentPlaces.ts
@@ -21,7 +21,7 @@
   /** Id that the engine announces itself under; empty while unknown. */
   readonly engine: string;
   /** Version that may be served now; `null` when there is none. */
-  versionOf(model: string): number | null;
+  readonly versionOf: (model: string) => number | null;
   readonly rules: EngineRules | null;
   readonly slots: number;
 }
@@ -152,7 +152,6 @@
     return reply('granted', engine, present, outcome.place, 0);
   };
 
-
   return {
     get taken() {
       return queue.taken;
--- a/packages/gateway/src/agentRole.ts
+++ b/packages/gateway/src/agentRole.ts
@@ -92,7 +92,9 @@
   return {
     start: async () => {
       const handlers = mergeHandlers([places.handlers, weights.handlers]);
-      owned.use(await createPeerServer(settings.internal, context.identity, handlers, context.traffic));
+      owned.use(
+        await createPeerServer(settings.internal, context.identity, handlers, context.traffic),
+      );
       watch.start();
       watcher.start();
       weights.start();
--- a/packages/gateway/src/chunkFetch.ts
+++ b/packages/gateway/src/chunkFetch.ts
@@ -87,8 +87,7 @@
   const fetching = new Set<number>();
   let fromOrigin = 0;
   let lastChunkAt = time.now();
-  const isOver = (): boolean =>
-    signal.aborted || staged.verified.size === manifest.digests.length;
+  const isOver = (): boolean => signal.aborted || staged.verified.size === manifest.digests.length;
 
   const askWhatPeersHold = async (): Promise<void> => {
     while (!isOver()) {
@@ -108,7 +107,8 @@
     options.peers().map(({ agent, region }) => ({
       agent,
       region,
-      held: (avoidedUntil.get(agent) ?? 0) > now ? new Set<number>() : (held.get(agent) ?? new Set()),
+      held:
+        (avoidedUntil.get(agent) ?? 0) > now ? new Set<number>() : (held.get(agent) ?? new Set()),
       busy: busy.get(agent) ?? 0,
     }));
 
--- a/packages/gateway/src/controlBoard.ts
+++ b/packages/gateway/src/controlBoard.ts
@@ -127,7 +127,8 @@
   const controlPeers = (): readonly ControlPeer[] => {
     const members = group.members.map((address) => ({
       address,
-      dataCentre: address === self ? settings.dataCentre : (controls.get(address)?.dataCentre ?? ''),
+      dataCentre:
+        address === self ? settings.dataCentre : (controls.get(address)?.dataCentre ?? ''),
     }));
     return members;
   };
@@ -217,6 +218,8 @@
     };
   };
 
+  const hasStopped = (): boolean => stop.signal.aborted;
+
   /** Watches one other control process until it is no longer a contact. */
   const relay = async (address: string): Promise<void> => {
     let peer = '';
@@ -258,7 +261,7 @@
         lost = false;
       } catch (error) {
         connection.destroy();
-        if (stop.signal.aborted) return;
+        if (hasStopped()) return;
         if (!lost) log.write('controlLost', { control: address, reason: String(error) });
         lost = true;
         await pause(RELAY_PAUSE_MILLISECONDS);
--- a/packages/gateway/src/controlGroup.ts
+++ b/packages/gateway/src/controlGroup.ts
@@ -1,5 +1,4 @@
 import { join } from 'node:path';
-import type { AnyReplicatedState } from '@burdockrail/agreement/replicaState.js';
 import { defaultReplicaTiming, type ReplicaTiming } from '@burdockrail/agreement/replicaTiming.js';
 import { slotOf } from '@burdockrail/agreement/groupMembership.js';
 import { createGroupFounding, type GroupFounding } from '@burdockrail/daemon/groupFounding.js';
@@ -7,10 +6,7 @@
 import { risingName } from '@burdockrail/daemon/groupName.js';
 import { decodeReplicaMessage } from '@burdockrail/daemon/groupWire.js';
 import { openStorageLog } from '@burdockrail/daemon/storageLog.js';
-import {
-  createRouteRegister,
-  type RouteRegisterState,
-} from '@burdockrail/fleet/routeRegister.js';
+import { createRouteRegister, type RouteRegisterState } from '@burdockrail/fleet/routeRegister.js';
 import type { Outcome } from '@burdockrail/common/outcome.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { formatAddress } from '@burdockrail/protocol/protocolAddress.js';
@@ -92,7 +88,7 @@
     timing: groupTiming,
     repair: { silenceMilliseconds: MEMBER_SILENCE_MILLISECONDS },
     storage,
-    state: createRouteRegister() as AnyReplicatedState,
+    state: createRouteRegister(),
     onApplied: options.onApplied,
     onHalted: options.onHalted,
   });
--- a/packages/gateway/src/controlRole.ts
+++ b/packages/gateway/src/controlRole.ts
@@ -34,7 +34,9 @@
       const board = owned.use(createControlBoard(context, control, group));
       const orders = createControlOrders(context, group);
       const handlers = mergeHandlers([group.handlers, board.handlers]);
-      owned.use(await createPeerServer(control.internal, context.identity, handlers, context.traffic));
+      owned.use(
+        await createPeerServer(control.internal, context.identity, handlers, context.traffic),
+      );
       owned.use(await startControlServer(context, control, board, orders));
       board.start();
       const founding = foundWhenFirst(context, group, control.internal, stop.signal);
--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -53,8 +53,7 @@
   const putConfiguration = async (body: string): Promise<Reply> => {
     const startedAt = time.now();
     const decoded = dialect.decodeConfiguration(body);
-    const issue =
-      decoded.kind === 'failure' ? decoded.detail : configurationIssue(decoded.value);
+    const issue = decoded.kind === 'failure' ? decoded.detail : configurationIssue(decoded.value);
     if (decoded.kind === 'failure' || issue !== null) {
       log.write('orderTaken', { order: 'configure', outcome: 'invalid', reason: issue });
       return failed(400, ResultCode.FleetInvalid, issue ?? '');
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -1,3 +1,4 @@
+import type { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { Outcome } from '@burdockrail/common/outcome.js';
 import type { UpstreamRecord } from '@burdockrail/protocol/protocolDirectory.js';
 import type { RouteConfiguration } from '@burdockrail/routing/routeConfiguration.js';
@@ -119,6 +120,6 @@
   decodeLeave(body: string): number | null;
   decodeConfiguration(text: string): Outcome<RouteConfiguration>;
   decodeWeightsName(body: string): WeightsName | null;
-  errorBody(code: number, text: string): string;
+  errorBody(code: ResultCode, text: string): string;
   readonly weights: WeightsDialect;
 }
--- a/packages/gateway/src/directoryWatcher.ts
+++ b/packages/gateway/src/directoryWatcher.ts
@@ -98,6 +98,8 @@
     log.write('controlLost', { control: address, reason: message });
   };
 
+  const hasStopped = (): boolean => stop.signal.aborted;
+
   const run = async (): Promise<void> => {
     while (!stop.signal.aborted) {
       const address = addresses.choose(time.now());
@@ -105,7 +107,7 @@
       try {
         await ask(address);
       } catch (error) {
-        if (stop.signal.aborted) return;
+        if (hasStopped()) return;
         lost(address, error);
         await pause(RETRY_PAUSE_MILLISECONDS);
       }
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -84,7 +84,9 @@
 
   const isReady = (): boolean => {
     const age = time.now() - beliefs.confirmedAt;
-    return !draining && beliefs.table !== null && age < bounds.revocationMilliseconds * UNREADY_SHARE;
+    return (
+      !draining && beliefs.table !== null && age < bounds.revocationMilliseconds * UNREADY_SHARE
+    );
   };
 
   const startStatusServer = async (): Promise<void> => {
@@ -109,14 +111,20 @@
       server = started;
       owned.use(started);
       await startStatusServer();
-      metrics.gauge('burdockrail_requests_in_progress', 'Requests without a final answer.', () =>
-        started.inProgress,
+      metrics.gauge(
+        'burdockrail_requests_in_progress',
+        'Requests without a final answer.',
+        () => started.inProgress,
       );
-      metrics.gauge('burdockrail_configuration_version', 'Version in force.', () =>
-        beliefs.table?.configuration.version ?? 0,
+      metrics.gauge(
+        'burdockrail_configuration_version',
+        'Version in force.',
+        () => beliefs.table?.configuration.version ?? 0,
       );
-      metrics.gauge('burdockrail_confirmed_age_seconds', 'Age of committed knowledge.', () =>
-        (time.now() - beliefs.confirmedAt) / 1_000,
+      metrics.gauge(
+        'burdockrail_confirmed_age_seconds',
+        'Age of committed knowledge.',
+        () => (time.now() - beliefs.confirmedAt) / 1_000,
       );
       const forget = setInterval(() => {
         upstreams.retain();
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -22,7 +22,6 @@
   idleTimeoutMilliseconds: 15_000,
 };
 
-
 /** Takes callers' requests. */
 export interface EntryServer extends AsyncDisposable {
   /** Lets callers know that they should use other connections. */
@@ -54,7 +53,9 @@
 
 function contentDigest(key: string | null, request: IncomingMessage, body: Buffer | null): string {
   const digest = createHash('sha256')
-    .update(`${key ?? ''}\n${request.method ?? ''}\n${request.headers.host ?? ''}${request.url ?? ''}\n`)
+    .update(
+      `${key ?? ''}\n${request.method ?? ''}\n${request.headers.host ?? ''}${request.url ?? ''}\n`,
+    )
     .update(body ?? '');
   return digest.digest('base64').slice(0, 22);
 }
@@ -79,7 +80,12 @@
     id: string | null,
     answer: CallerAnswer,
     trace: RequestTrace,
-    facts: { readonly arrivedAt: number; readonly route: string; readonly team: string; readonly left: boolean },
+    facts: {
+      readonly arrivedAt: number;
+      readonly route: string;
+      readonly team: string;
+      readonly left: boolean;
+    },
   ): void => {
     const now = time.now();
     const total = now - facts.arrivedAt;
@@ -166,7 +172,12 @@
           trace.cause = 'deadline';
           left.abort();
           if (answer.begun) answer.breakOff();
-          else refuse({ code: ResultCode.DeadlineExceeded, detail: 'no answer in time', retryAfterMilliseconds: null });
+          else
+            refuse({
+              code: ResultCode.DeadlineExceeded,
+              detail: 'no answer in time',
+              retryAfterMilliseconds: null,
+            });
         },
         Math.max(0, deadline - time.now()),
       );
@@ -192,12 +203,21 @@
       }
     } catch (error) {
       if (error instanceof BodyTooLarge) {
-        refuse({ code: ResultCode.BodyTooLarge, detail: 'the body is too large', retryAfterMilliseconds: null });
+        refuse({
+          code: ResultCode.BodyTooLarge,
+          detail: 'the body is too large',
+          retryAfterMilliseconds: null,
+        });
       } else if (!left.signal.aborted) {
         log.write('requestFailed', { request: caller.requestId, reason: String(error) });
         trace.cause = 'internal';
         if (answer.begun) answer.breakOff();
-        else refuse({ code: ResultCode.InternalError, detail: 'internal', retryAfterMilliseconds: null });
+        else
+          refuse({
+            code: ResultCode.InternalError,
+            detail: 'internal',
+            retryAfterMilliseconds: null,
+          });
       }
     } finally {
       report(request, caller.requestId, answer, trace, facts);
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -51,6 +51,8 @@
   let mayHaveRun = false;
   let lastReason = '';
 
+  const hasLeft = (): boolean => signal.aborted;
+
   const mayGoOn = (): boolean => {
     if (signal.aborted || answer.end !== 'open') return false;
     if (mayHaveRun && !route.resumable) return false;
@@ -62,14 +64,12 @@
   const waitFor = (): number =>
     progress.events > 0 || sends > 0
       ? CONTINUE_WAIT_MILLISECONDS
-      : streamWait(
-          {
-            objectiveMilliseconds: route.objectiveMilliseconds,
-            elapsedMilliseconds: time.now() - request.arrivedAt,
-            promptTokens: caller.promptTokens,
-            readTokensPerSecond: engine?.readTokensPerSecond ?? 0,
-          },
-        );
+      : streamWait({
+          objectiveMilliseconds: route.objectiveMilliseconds,
+          elapsedMilliseconds: time.now() - request.arrivedAt,
+          promptTokens: caller.promptTokens,
+          readTokensPerSecond: engine?.readTokensPerSecond ?? 0,
+        });
 
   const runAt = async (place: GrantedPlace): Promise<StreamOutcome> => {
     upstreams.began(place.engine);
@@ -81,7 +81,8 @@
         },
         event: (bytes, id) => {
           // An engine that goes on repeats nothing, but a wrong number must not reach the caller.
-          if (id !== null && progress.lastEventId !== null && id <= progress.lastEventId) return true;
+          if (id !== null && progress.lastEventId !== null && id <= progress.lastEventId)
+            return true;
           if (id !== null) progress.lastEventId = id;
           progress.events += 1;
           return answer.write(bytes);
@@ -115,7 +116,7 @@
       return;
     }
     const { place } = outcome;
-    if (signal.aborted) {
+    if (hasLeft()) {
       place.release();
       return;
     }
--- a/packages/gateway/src/entryUpstreams.ts
+++ b/packages/gateway/src/entryUpstreams.ts
@@ -1,7 +1,10 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import type { DirectoryEntry } from '@burdockrail/membership/directoryView.js';
 import type { UpstreamCandidate } from '@burdockrail/routing/upstreamChoice.js';
-import { createUpstreamStandings, type AttemptVerdict } from '@burdockrail/routing/upstreamStanding.js';
+import {
+  createUpstreamStandings,
+  type AttemptVerdict,
+} from '@burdockrail/routing/upstreamStanding.js';
 import type { Beliefs } from './entryBeliefs.js';
 
 interface LoadSample {
@@ -28,10 +31,7 @@
   const own = new Map<string, number>();
   const loads = new Map<string, LoadSample>();
 
-  const candidate = (
-    { record, silent }: DirectoryEntry,
-    now: Milliseconds,
-  ): UpstreamCandidate => {
+  const candidate = ({ record, silent }: DirectoryEntry, now: Milliseconds): UpstreamCandidate => {
     const load = loads.get(record.id);
     return {
       id: record.id,
--- a/packages/gateway/src/gatewayMain.ts
+++ b/packages/gateway/src/gatewayMain.ts
@@ -6,7 +6,10 @@
 import type { PeerIdentity, Role } from '@burdockrail/protocol/protocolAddress.js';
 import { createBoundedLines } from '@burdockrail/telemetry/boundedLines.js';
 import { createEventLog } from '@burdockrail/telemetry/eventLog.js';
-import { createMetricRegistry, type MetricRegistry } from '@burdockrail/telemetry/metricRegistry.js';
+import {
+  createMetricRegistry,
+  type MetricRegistry,
+} from '@burdockrail/telemetry/metricRegistry.js';
 import { createTrafficMeter } from '@burdockrail/transport/trafficMeter.js';
 import { createPeerClient } from '@burdockrail/transport/peerClient.js';
 import { start as startActors, stop as stopActors } from 'nact';
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -65,10 +65,7 @@
     },
     dialect,
   );
-  const pause = Math.max(
-    LEAST_SILENCE_MILLISECONDS,
-    route.pauseMilliseconds * SILENT_PAUSES,
-  );
+  const pause = Math.max(LEAST_SILENCE_MILLISECONDS, route.pauseMilliseconds * SILENT_PAUSES);
   const { resolve, promise } = withResolver<StreamOutcome>();
   const splitter = createEventSplitter();
   let sent = false;
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -91,7 +91,7 @@
       };
       poolFor(address, maximumConnections).dispatch(
         {
-          method: request.method as Dispatcher.HttpMethod,
+          method: request.method,
           path: request.path,
           headers: [...request.headers],
           body: request.body,
@@ -107,7 +107,7 @@
           onResponseStart: (started, status, headers) => {
             if (status < 200) return;
             const raw = (started as unknown as { readonly rawHeaders?: unknown }).rawHeaders;
-            observer.head(status, headers as HeaderMap, rawHeaderTexts(raw));
+            observer.head(status, headers, rawHeaderTexts(raw));
           },
           onResponseData: (_controller, bytes) => {
             if (!isOver) observer.data(bytes);
--- /dev/null
+++ b/packages/limits/__tests__/placeQueue.spec.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
+import { createPlaceQueue, type PlaceRequest } from '../src/placeQueue.js';
+import { createSharedRetryBudget } from '../src/sharedRetryBudget.js';
+import { streamWait } from '../src/streamWait.js';
+
+function request(changes: Partial<PlaceRequest> = {}): PlaceRequest {
+  return {
+    expectedMilliseconds: 1_000,
+    waitMilliseconds: 150,
+    holdMilliseconds: 6_000,
+    rank: 0,
+    ...changes,
+  };
+}
+
+describe('the places of an engine', () => {
+  it('are never more than the engine has', () => {
+    const queue = createPlaceQueue(2);
+    assert.equal(queue.claim(request(), 0).kind, 'granted');
+    assert.equal(queue.claim(request(), 0).kind, 'granted');
+    const refused = queue.claim(request(), 0);
+    assert.deepEqual(refused, { kind: 'full', freeInMilliseconds: 1_000 });
+  });
+
+  it('refuse at once what would wait too long, and let wait what comes free in time', () => {
+    const queue = createPlaceQueue(1);
+    const first = queue.claim(request({ expectedMilliseconds: 500 }), 0);
+    assert.ok(first.kind === 'granted');
+    assert.equal(queue.claim(request(), 300).kind, 'full');
+    const waiting = queue.claim(request(), 400);
+    assert.ok(waiting.kind === 'waiting');
+    assert.equal(queue.claim(request({ rank: 1 }), 400).kind, 'waiting');
+    const [outcome] = queue.release(first.place, 480);
+    assert.equal(outcome?.kind, 'granted');
+    assert.equal(outcome.ticket, waiting.ticket);
+  });
+
+  it('go to the claim with the smallest rank', () => {
+    const queue = createPlaceQueue(1);
+    const first = queue.claim(request({ expectedMilliseconds: 0 }), 0);
+    assert.ok(first.kind === 'granted');
+    queue.claim(request({ rank: 5 }), 0);
+    const urgent = queue.claim(request({ rank: 1 }), 0);
+    assert.ok(urgent.kind === 'waiting');
+    assert.equal(queue.release(first.place, 10)[0]?.ticket, urgent.ticket);
+  });
+
+  it('come back without a release when the hold is over, and waits end in a refusal', () => {
+    const queue = createPlaceQueue(1);
+    queue.claim(request({ expectedMilliseconds: 0, holdMilliseconds: 1_000 }), 0);
+    const waiting = queue.claim(request(), 0);
+    assert.ok(waiting.kind === 'waiting');
+    assert.equal(queue.nextExpiry(), 150);
+    assert.equal(queue.expire(150)[0]?.kind, 'full');
+    queue.expire(1_001);
+    assert.equal(queue.taken, 0);
+  });
+
+  it('keep the first token in time while arrivals stay above what the engine serves', () => {
+    const random = createSeededRandom(7);
+    const queue = createPlaceQueue(16);
+    const ends: { readonly place: number; readonly at: number }[] = [];
+    const waits: number[] = [];
+    const startedAt = new Map<number, number>();
+    let refused = 0;
+    for (let now = 0; now < 20_000; now += 1) {
+      for (const end of ends.filter(({ at }) => at === now)) {
+        for (const outcome of queue.release(end.place, now)) {
+          if (outcome.kind !== 'granted') continue;
+          waits.push(now - (startedAt.get(outcome.ticket) ?? now));
+          ends.push({ place: outcome.place, at: now + 600 + random.below(1_600) });
+        }
+      }
+      refused += queue.expire(now).filter(({ kind }) => kind === 'full').length;
+      if (random.next() >= 0.02) continue;
+      const decision = queue.claim(request({ expectedMilliseconds: 1_400 }), now);
+      if (decision.kind === 'full') refused += 1;
+      if (decision.kind === 'waiting') startedAt.set(decision.ticket, now);
+      if (decision.kind !== 'granted') continue;
+      waits.push(0);
+      ends.push({ place: decision.place, at: now + 600 + random.below(1_600) });
+    }
+    assert.ok(refused > 50, `${refused} refused`);
+    assert.ok(Math.max(...waits) <= 150, `a wait of ${Math.max(...waits)} ms`);
+    const served = waits.length / 20;
+    assert.ok(served > 0.9 * (16 / 1.4), `${served} served a second`);
+  });
+});
+
+describe('the retries of all entries together', () => {
+  const allowance = { ratio: 0.2, slack: 100, windowMilliseconds: 10_000 };
+
+  it('stay below the allowance in every window, whatever each entry sees', () => {
+    const entries = 20;
+    const budgets = Array.from({ length: entries }, () => createSharedRetryBudget(allowance));
+    const resends: number[] = [];
+    let requests = 0;
+    for (let now = 0; now < 10_000; now += 10) {
+      for (const budget of budgets) {
+        budget.arrived('till', now);
+        requests += 1;
+        if (budget.trySpend('till', entries, now)) resends.push(now);
+      }
+    }
+    assert.ok(resends.length <= 0.2 * requests + 100, `${resends.length} of ${requests}`);
+    assert.ok(resends.length > 0.1 * requests);
+  });
+
+  it('come back when the window has moved on', () => {
+    const budget = createSharedRetryBudget({ ...allowance, slack: 2 });
+    assert.equal(budget.trySpend('till', 1, 0), true);
+    assert.equal(budget.trySpend('till', 1, 1), false);
+    assert.equal(budget.trySpend('till', 1, 10_002), true);
+  });
+});
+
+describe('the wait of a stream', () => {
+  const question = {
+    objectiveMilliseconds: 400,
+    elapsedMilliseconds: 10,
+    promptTokens: 800,
+    readTokensPerSecond: 19_100,
+  };
+
+  it('leaves the time that reading the prompt needs', () => {
+    assert.ok(streamWait(question) > 100);
+    assert.ok(streamWait({ ...question, promptTokens: 3_000 }) < 70);
+  });
+
+  it('is nothing when the objective is lost', () => {
+    assert.equal(streamWait({ ...question, elapsedMilliseconds: 390 }), 0);
+  });
+});
--- /dev/null
+++ b/packages/rollout/__tests__/chunkChoice.spec.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { nextChunkFetch, type ChunkHolder, type ChunkQuestion } from '../src/chunkChoice.js';
+
+const chunks = Array.from({ length: 96 }, (_value, chunk) => chunk);
+const regions = ['north', 'north', 'south', 'south', 'west', 'west'];
+const names = regions.map((_region, place) => `agent-${place}`);
+
+function question(place: number, changes: Partial<ChunkQuestion>): ChunkQuestion {
+  const others = names
+    .map((agent, other): ChunkHolder => ({
+      agent,
+      region: regions[other] ?? '',
+      held: new Set(),
+      busy: 0,
+    }))
+    .filter((_holder, other) => other !== place);
+  return {
+    self: names[place] ?? '',
+    region: regions[place] ?? '',
+    set: 'model 2',
+    missing: chunks,
+    others,
+    fromOrigin: 0,
+    idleMilliseconds: 0,
+    ...changes,
+  };
+}
+
+/** Plays rounds in which every agent fetches one chunk; counts where chunks came from. */
+function playRollout(): { origin: number; across: number; rounds: number } {
+  const held = names.map(() => new Set<number>());
+  const counts = { origin: 0, across: 0, rounds: 0 };
+  while (held.some((set) => set.size < chunks.length) && counts.rounds < 2_000) {
+    counts.rounds += 1;
+    const before = held.map((set) => new Set(set));
+    names.forEach((_name, place) => {
+      const base = question(place, {});
+      const others = base.others.map((holder) => ({
+        ...holder,
+        held: before[names.indexOf(holder.agent)] ?? new Set<number>(),
+      }));
+      const missing = chunks.filter((chunk) => held[place]?.has(chunk) !== true);
+      const fetch = nextChunkFetch({ ...base, others, missing });
+      if (fetch === null) return;
+      held[place]?.add(fetch.chunk);
+      if (fetch.source.kind === 'origin') counts.origin += 1;
+      else {
+        const from = regions[names.indexOf(fetch.source.agent)];
+        if (from !== regions[place]) counts.across += 1;
+      }
+    });
+  }
+  return counts;
+}
+
+describe('the choice of the next chunk', () => {
+  it('takes one copy from the origin and one into each further region', () => {
+    const { origin, across, rounds } = playRollout();
+    assert.equal(origin, chunks.length);
+    assert.equal(across, 2 * chunks.length);
+    assert.ok(rounds < 2 * chunks.length, `${rounds} rounds`);
+  });
+
+  it('takes over from owners that are lost after a while', () => {
+    const owned = chunks.filter(
+      (chunk) => nextChunkFetch(question(0, { missing: [chunk] })) !== null,
+    );
+    assert.ok(owned.length < chunks.length);
+    const foreign = chunks.filter((chunk) => !owned.includes(chunk));
+    const fetch = nextChunkFetch(question(0, { missing: foreign, idleMilliseconds: 5_000 }));
+    assert.equal(fetch?.source.kind, 'origin');
+  });
+
+  it('asks nothing of an agent that is busy with it already', () => {
+    const base = question(0, {});
+    const others = base.others.map((holder) => ({ ...holder, held: new Set([7]), busy: 2 }));
+    assert.equal(nextChunkFetch({ ...base, others, missing: [7] }), null);
+  });
+});
--- a/packages/rollout/src/chunkChoice.ts
+++ b/packages/rollout/src/chunkChoice.ts
@@ -13,8 +13,7 @@
 
 /** A place to fetch a chunk from. */
 export type ChunkSource =
-  | { readonly kind: 'origin' }
-  | { readonly kind: 'agent'; readonly agent: string };
+  { readonly kind: 'origin' } | { readonly kind: 'agent'; readonly agent: string };
 
 /** A fetch to begin. */
 export interface ChunkFetch {
--- a/packages/telemetry/src/boundedLines.ts
+++ b/packages/telemetry/src/boundedLines.ts
@@ -13,7 +13,7 @@
 
 /** Writes lines without ever waiting for whoever reads them. */
 export interface BoundedLines {
-  line(text: string): void;
+  readonly line: (text: string) => void;
   /** Lines that were left out because there were too many. */
   readonly dropped: number;
   /** Writes what is held at once, for the end of a process. */
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -5,21 +5,28 @@
 import { build, installIfMissing, workspaceRoot } from './workspace.mjs';
 
 /** Packages whose tests start many processes: they run after the others, few files at once. */
-const processTestPackages = new Set(['proofs', 'bench', 'harness']);
+const processTestPackages = new Set(['proofs', 'bench', 'harness', 'platform']);
 const processTestConcurrency = 2;
 const unitTestConcurrency = 8;
 
 /** Longest time that one test file may take, in milliseconds. */
 const fileTimeoutMilliseconds = 180_000;
 
+/** Folder of a package; the adapter stands beside the others. */
+function packageFolder(packageName) {
+  return packageName === 'platform'
+    ? join(workspaceRoot, packageName)
+    : join(workspaceRoot, 'packages', packageName);
+}
+
 function specFiles(packageName) {
-  const source = join(workspaceRoot, 'packages', packageName, '__tests__');
+  const source = join(packageFolder(packageName), '__tests__');
   if (!existsSync(source)) return [];
   return readdirSync(source)
     .filter((name) => name.endsWith('.spec.ts'))
     .sort()
     .map((name) => name.replace(/\.ts$/u, '.js'))
-    .map((name) => join(workspaceRoot, 'packages', packageName, 'dist', '__tests__', name));
+    .map((name) => join(packageFolder(packageName), 'dist', '__tests__', name));
 }
 
 /** Names of tests listed in KNOWN-RED.txt, one entry a line: `test name | command | seen | issue`. */
@@ -64,7 +71,7 @@
 installIfMissing();
 build();
 
-const packages = readdirSync(join(workspaceRoot, 'packages')).sort();
+const packages = [...readdirSync(join(workspaceRoot, 'packages')).sort(), 'platform'];
 const wanted = process.argv.slice(2);
 const chosen = wanted.length > 0 ? packages.filter((name) => wanted.includes(name)) : packages;
 const unitFiles = chosen.filter((name) => !processTestPackages.has(name)).flatMap(specFiles);
