feat(limits): places weigh prompts ahead, light engines first, turns for loading weights

Change: a claim first looks for an engine below 0.6 of its places and with few prompts ahead; prompts ahead are part of what bounds a claim; engines load a version in turns and let only requests in that end by then; weights may use 0.9 of the thin link; remote engines cost less.

--- a/packages/gateway/src/agentPlaces.ts
+++ b/packages/gateway/src/agentPlaces.ts
@@ -30,18 +30,25 @@
 export interface AgentPlaces extends AsyncDisposable {
   /** Forgets all holders, because the engine has restarted. */
   reset(): void;
+  /** Lets only requests in that end by a time, before the engine takes other weights. */
+  closeAt(time: Milliseconds | null): void;
   readonly handlers: Partial<PeerHandlers>;
   readonly taken: number;
   readonly waiting: number;
 }
 
+/** Time that an engine needs for a claim's prompt alone, in milliseconds. */
+function readMilliseconds(claim: PlaceClaim, rules: EngineRules | null): number {
+  if (rules === null) return 0;
+  return (claim.promptTokens * MILLISECONDS_PER_SECOND) / rules.readTokensPerSecond;
+}
+
 /** Time for which a request is expected to take a place, in milliseconds. */
 export function expectedMilliseconds(claim: PlaceClaim, rules: EngineRules | null): number {
   if (rules === null) return MILLISECONDS_PER_SECOND;
-  const reading = (claim.promptTokens * MILLISECONDS_PER_SECOND) / rules.readTokensPerSecond;
   const step = rules.stepMilliseconds + rules.stepPerRequestMilliseconds * rules.slots;
   const answer = claim.answerTokens === 0 ? rules.usualAnswer : claim.answerTokens;
-  return reading + answer * step;
+  return readMilliseconds(claim, rules) + answer * step;
 }
 
 /** Creates the places of the engine beside this agent. */
@@ -63,7 +70,7 @@
   let timer: NodeJS.Timeout | undefined;
   const scheduleExpiry = (): void => {
     clearTimeout(timer);
-    const next = queue.nextExpiry();
+    const next = queue.nextExpiry(time.now());
     if (next === null) return;
     const wait = Math.max(EXPIRE_MILLISECONDS, next - time.now());
     timer = setTimeout(() => {
@@ -86,6 +93,7 @@
     taken: queue.taken,
     waiting: queue.waiting,
     places: queue.places,
+    readingMilliseconds: queue.reading(time.now()),
     freeInMilliseconds,
   });
 
@@ -116,7 +124,10 @@
     const decision = queue.claim(
       {
         expectedMilliseconds: expectedMilliseconds(claim, rules),
+        readMilliseconds: readMilliseconds(claim, rules),
         waitMilliseconds: claim.waitMilliseconds,
+        mostReadingMilliseconds: claim.mostReadingMilliseconds,
+        mostTaken: claim.mostTaken ?? Number.MAX_SAFE_INTEGER,
         holdMilliseconds: claim.holdMilliseconds,
         rank: claim.rank * RANK_STEP + now + claim.waitMilliseconds,
       },
@@ -162,6 +173,9 @@
     reset: () => {
       settle(queue.reset(time.now()));
     },
+    closeAt: (closing) => {
+      queue.closeAt(closing);
+    },
     handlers: {
       calls: {
         'place.claim': async (claim, { signal }) => claimPlace(claim, signal),
--- a/packages/gateway/src/agentRole.ts
+++ b/packages/gateway/src/agentRole.ts
@@ -64,7 +64,16 @@
     }),
   );
   const weights = owned.use(
-    createAgentWeights({ context, agent: settings, beliefs, engine, watch }),
+    createAgentWeights({
+      context,
+      agent: settings,
+      beliefs,
+      engine,
+      watch,
+      closeAt: (closing) => {
+        places.closeAt(closing);
+      },
+    }),
   );
   const watcher = owned.use(
     createDirectoryWatcher({
--- a/packages/gateway/src/agentWeights.ts
+++ b/packages/gateway/src/agentWeights.ts
@@ -1,4 +1,6 @@
 import { setTimeout as pause } from 'node:timers/promises';
+import { rendezvousOrder } from '@burdockrail/common/rendezvousHash.js';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { createPacer } from '@burdockrail/rollout/rolloutPacer.js';
 import type { ChunkReadReply } from '@burdockrail/protocol/protocolDirectory.js';
 import { formatAddress } from '@burdockrail/protocol/protocolAddress.js';
@@ -21,11 +23,11 @@
 /** Bound on an order or a manifest, in milliseconds. */
 const CALL_MILLISECONDS = 2_000;
 
-/** Longest time by which loads are spread, so that engines do not all drain together. */
-const SPREAD_MILLISECONDS = 1_200;
+/** Part of the time for a version over which engines take their turns to load it. */
+const TURNS_SHARE = { from: 0.6, to: 0.84 } as const;
 
 /** Share of the link each way that weights may use; the rest is for requests and grants. */
-const LINK_SHARE = 0.8;
+const LINK_SHARE = 0.9;
 
 const BYTES_PER_MEGABIT = 125_000;
 
@@ -52,6 +54,8 @@
   readonly beliefs: Beliefs;
   readonly engine: HttpCaller;
   readonly watch: EngineWatch;
+  /** Lets only requests in that end by a time. */
+  readonly closeAt: (time: Milliseconds | null) => void;
 }
 
 /**
@@ -63,7 +67,7 @@
  */
 export function createAgentWeights(options: AgentWeightsOptions): AgentWeights {
   const { context, agent, beliefs, engine, watch } = options;
-  const { dialect, log, time, random, settings } = context;
+  const { dialect, log, time, settings } = context;
   const self = formatAddress(agent.internal);
   const stop = new AbortController();
   const sets = new Map<string, StagedChunks>();
@@ -133,7 +137,10 @@
       manifest,
     );
     sets.set(key, created);
-    await created.verifyAll();
+    // An engine that serves another version has that one's chunks staged, if any.
+    const report = watch.report(time.now());
+    const isOther = report?.models.some((held) => held.version !== target.version) ?? false;
+    if (!isOther) await created.verifyAll();
     return created;
   };
 
@@ -161,6 +168,20 @@
     await watch.refresh();
   };
 
+  /** Time until this engine's turn; engines that all drain at once would serve nobody. */
+  const turnWait = (target: Target): number => {
+    const now = time.now();
+    const namedAt = beliefs.weightsOf(target.model)?.namedAt ?? now;
+    const agents = [...peers().map(({ agent: peer }) => peer), self];
+    const order = rendezvousOrder(`${target.model} ${target.version}`, agents, (name) => name);
+    const bound = settings.bounds.versionMilliseconds;
+    const turns = bound * (TURNS_SHARE.to - TURNS_SHARE.from);
+    const turn = (order.indexOf(self) / Math.max(1, order.length - 1)) * turns;
+    const at = Math.max(now, namedAt + bound * TURNS_SHARE.from + turn);
+    options.closeAt(at);
+    return at - now;
+  };
+
   /** One step towards the target. */
   const bringTo = async (target: Target): Promise<void> => {
     const staged = await stagedSet(target);
@@ -185,9 +206,13 @@
       milliseconds: Math.round(time.now() - startedAt),
     });
     const isServing = (watch.report(time.now())?.models.length ?? 0) > 0;
-    if (isServing) await pause(random.next() * SPREAD_MILLISECONDS);
-    await staged.verifyAll();
-    if (isWhole(staged) && isStillWanted(target)) await order(target);
+    try {
+      if (isServing) await pause(turnWait(target));
+      await staged.verifyAll();
+      if (isWhole(staged) && isStillWanted(target)) await order(target);
+    } finally {
+      options.closeAt(null);
+    }
   };
 
   const run = async (): Promise<void> => {
--- a/packages/gateway/src/entryPlaces.ts
+++ b/packages/gateway/src/entryPlaces.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import type { DirectoryEntry } from '@burdockrail/membership/directoryView.js';
 import { formatAddress, type Address } from '@burdockrail/protocol/protocolAddress.js';
-import type { PlaceReply } from '@burdockrail/protocol/protocolDirectory.js';
+import type { PlaceClaim, PlaceReply } from '@burdockrail/protocol/protocolDirectory.js';
 import { orderEngines, type EngineView } from '@burdockrail/routing/engineOrder.js';
 import type { EntryContext } from './entryContext.js';
 import type { EntryRequest } from './entryRequest.js';
@@ -9,12 +9,24 @@
 import { mayServe } from './versionRule.js';
 
 /** Time beyond the wait after which an agent counts as silent, in milliseconds. */
-const ANSWER_MILLISECONDS = 150;
+const ANSWER_MILLISECONDS = 250;
 
 /** Time for which an agent that did not answer is passed over, in milliseconds. */
 const SILENT_AGENT_MILLISECONDS = 1_000;
 
-/** Engines that are asked for a free place before a request waits or is refused. */
+/** Engines that are asked whether they are lightly loaded before any engine is taken as it is. */
+const LIGHT_ENGINES_ASKED = 2;
+
+/** Part of an engine's places up to which it counts as lightly loaded. */
+const LIGHT_SHARE = 0.6;
+
+/** Prompts ahead up to which an engine counts as lightly loaded, in milliseconds of reading. */
+const LIGHT_READING_MILLISECONDS = 60;
+
+/** Prompts ahead that weigh as much as all places taken, in milliseconds of reading. */
+const FULL_READING_MILLISECONDS = 300;
+
+/** Engines that are asked for any place before a request waits or is refused. */
 const ENGINES_ASKED = 5;
 
 /** Share of an engine's places that entries take in all when its agent does not answer. */
@@ -45,6 +57,9 @@
   ): Promise<PlaceOutcome>;
 }
 
+/** Terms under which a place is wanted. */
+type ClaimTerms = Pick<PlaceClaim, 'waitMilliseconds' | 'mostTaken' | 'mostReadingMilliseconds'>;
+
 interface AgentView {
   readonly reply: PlaceReply;
   readonly at: Milliseconds;
@@ -75,13 +90,22 @@
     };
   };
 
+  /** Load of an engine by its agent's latest answer, in shares of its places. */
+  const seenLoad = (id: string): number => {
+    const reply = views.get(id)?.reply;
+    if (reply === undefined) return 0;
+    if (reply.kind === 'unloaded') return Number.MAX_SAFE_INTEGER;
+    const load = (reply.taken + reply.waiting) / Math.max(1, reply.places);
+    return load + reply.readingMilliseconds / FULL_READING_MILLISECONDS;
+  };
+
   const isAgentSilent = (agent: Address, now: Milliseconds): boolean =>
     (silentUntil.get(formatAddress(agent)) ?? 0) > now;
 
   const ask = async (
     request: EntryRequest,
     agent: Address,
-    waitMilliseconds: number,
+    terms: ClaimTerms,
   ): Promise<PlaceReply | null> => {
     const { caller, admitted } = request;
     const connection = client.to(agent);
@@ -95,11 +119,14 @@
           model: caller.model,
           promptTokens: caller.promptTokens,
           answerTokens: Math.min(most, caller.answerEstimate ?? usual),
-          waitMilliseconds,
+          ...terms,
           holdMilliseconds: Math.max(0, admitted.deadline - time.now()),
           rank: admitted.team?.priority ?? admitted.route.priority,
         },
-        { timeoutMilliseconds: waitMilliseconds + ANSWER_MILLISECONDS, signal: request.signal },
+        {
+          timeoutMilliseconds: terms.waitMilliseconds + ANSWER_MILLISECONDS,
+          signal: request.signal,
+        },
       );
     } catch (error) {
       if (request.signal.aborted) return null;
@@ -162,7 +189,7 @@
       let best: { readonly id: string; readonly freeIn: number } | null = null;
       let fallback: GrantedPlace | null = null;
       let asked = 0;
-      const claimAt = async (id: string, wait: number): Promise<GrantedPlace | null> => {
+      const claimAt = async (id: string, terms: ClaimTerms): Promise<GrantedPlace | null> => {
         const record = beliefs.directory.get(id)?.record;
         if (record === undefined) return null;
         const agent = agentOf(record.address);
@@ -171,7 +198,7 @@
           return null;
         }
         asked += 1;
-        const reply = await ask(request, agent, wait);
+        const reply = await ask(request, agent, terms);
         if (reply === null) {
           fallback ??= ungranted(record, request.caller.model, time.now());
           return null;
@@ -182,14 +209,33 @@
         if (reply.kind === 'full' && isBetter) best = { id, freeIn: reply.freeInMilliseconds };
         return null;
       };
-      for (const id of order.slice(0, ENGINES_ASKED)) {
-        const place = await claimAt(id, 0);
+      for (const id of order.slice(0, LIGHT_ENGINES_ASKED)) {
+        const slots = beliefs.directory.get(id)?.record.slots ?? 0;
+        const place = await claimAt(id, {
+          waitMilliseconds: 0,
+          mostTaken: Math.ceil(slots * LIGHT_SHARE),
+          mostReadingMilliseconds: LIGHT_READING_MILLISECONDS,
+        });
+        if (place !== null) return { kind: 'granted', place };
+        if (request.signal.aborted) return { kind: 'absent' };
+      }
+      const anyPlace = {
+        waitMilliseconds: 0,
+        mostTaken: null,
+        mostReadingMilliseconds: waitMilliseconds,
+      };
+      best = null;
+      const seen = order
+        .slice(0, ENGINES_ASKED)
+        .toSorted((left, right) => seenLoad(left) - seenLoad(right));
+      for (const id of seen) {
+        const place = await claimAt(id, anyPlace);
         if (place !== null) return { kind: 'granted', place };
         if (request.signal.aborted) return { kind: 'absent' };
       }
       const shortest = best as { readonly id: string; readonly freeIn: number } | null;
       if (shortest !== null && shortest.freeIn <= waitMilliseconds) {
-        const place = await claimAt(shortest.id, waitMilliseconds);
+        const place = await claimAt(shortest.id, { ...anyPlace, waitMilliseconds });
         if (place !== null) return { kind: 'granted', place };
       }
       const unguarded = fallback as GrantedPlace | null;
--- a/packages/gateway/src/versionRule.ts
+++ b/packages/gateway/src/versionRule.ts
@@ -7,7 +7,7 @@
  *
  * The rest is for requests that wait at an engine which drains before it loads.
  */
-const OLD_VERSION_SHARE = 0.78;
+const OLD_VERSION_SHARE = 0.86;
 
 /** Tells whether a version may still be served, given what operators named last. */
 export function mayServe(
--- a/packages/limits/src/placeQueue.ts
+++ b/packages/limits/src/placeQueue.ts
@@ -4,8 +4,14 @@
 export interface PlaceRequest {
   /** Expected time for which the place is taken, in milliseconds. */
   readonly expectedMilliseconds: number;
+  /** Expected time for reading the prompt, in milliseconds. */
+  readonly readMilliseconds: number;
   /** Longest wait, in milliseconds. */
   readonly waitMilliseconds: number;
+  /** Prompts that may be ahead at the engine, in milliseconds of reading. */
+  readonly mostReadingMilliseconds: number;
+  /** Places that may be taken already; a claim that asks for fewer than all does not wait. */
+  readonly mostTaken: number;
   /** Time after which the place is free again even without a release, in milliseconds. */
   readonly holdMilliseconds: number;
   /** Claims with a smaller rank are granted first. */
@@ -31,12 +37,16 @@
   withdraw(ticket: number): void;
   /** Ends waits and holds whose time is over. */
   expire(now: Milliseconds): readonly TicketOutcome[];
-  /** Time of the next end of a wait or hold; `null` when there is none. */
-  nextExpiry(): Milliseconds | null;
+  /** Time of the next end of a wait or hold, or of the prompts ahead of a wait; `null` when there is none. */
+  nextExpiry(now: Milliseconds): Milliseconds | null;
   /** Sets how many places there are; those taken beyond the number stay until released. */
   resize(places: number, now: Milliseconds): readonly TicketOutcome[];
   /** Forgets all holders, for an engine that has restarted. */
   reset(now: Milliseconds): readonly TicketOutcome[];
+  /** Time that the engine needs for the prompts that were granted, in milliseconds. */
+  reading(now: Milliseconds): Milliseconds;
+  /** Lets only claims in that are expected to end by a time; `null` lets all in again. */
+  closeAt(time: Milliseconds | null): void;
   readonly taken: number;
   readonly waiting: number;
   readonly places: number;
@@ -53,6 +63,12 @@
   readonly until: Milliseconds;
 }
 
+/** Part of an engine's time that goes into prompts while others write. */
+const READING_SHARE = 0.6;
+
+/** Time by which a claim may end after the engine closes, in milliseconds. */
+const CLOSING_SLACK_MILLISECONDS = 250;
+
 /** Prediction for a place whose holder is already later than expected, in milliseconds. */
 const OVERDUE_MILLISECONDS = 50;
 
@@ -65,6 +81,10 @@
  * refused at once when the expected ends of the holders and the claims ahead of it say that its
  * turn comes too late. One owner grants all places, so entries cannot send more than the engine
  * runs, however old their knowledge of its load is.
+ *
+ * Prompts that come together stretch the pauses of all streams at the engine and the time to each
+ * other's first token, so claims also wait for the prompts ahead of them. Before the engine takes
+ * other weights only short requests are let in, so that its places stay used while it drains.
  */
 export function createPlaceQueue(initialPlaces: number): PlaceQueue {
   const holders = new Map<number, Holder>();
@@ -72,8 +92,21 @@
   let places = initialPlaces;
   let nextPlace = 1;
   let nextTicket = 1;
+  let readUntil = Number.NEGATIVE_INFINITY;
+  let closing: Milliseconds | null = null;
+
+  const reading = (now: Milliseconds): number => Math.max(0, readUntil - now);
+
+  const isOpenFor = (request: PlaceRequest, now: Milliseconds): boolean =>
+    closing === null || now + request.expectedMilliseconds <= closing + CLOSING_SLACK_MILLISECONDS;
+
+  const hasRoom = (request: PlaceRequest, now: Milliseconds): boolean =>
+    holders.size < Math.min(places, request.mostTaken) &&
+    reading(now) <= request.mostReadingMilliseconds &&
+    isOpenFor(request, now);
 
   const grant = (request: PlaceRequest, now: Milliseconds): number => {
+    readUntil = Math.max(now, readUntil) + request.readMilliseconds / READING_SHARE;
     const place = nextPlace++;
     holders.set(place, {
       expectedEnd: now + request.expectedMilliseconds,
@@ -87,16 +120,17 @@
     const ends = [...holders.values()]
       .map(({ expectedEnd }) => Math.max(expectedEnd, now + OVERDUE_MILLISECONDS))
       .sort((left, right) => left - right);
-    const index = ahead + Math.max(0, holders.size - places);
-    const end = ends[Math.min(index, ends.length - 1)] ?? now;
-    return Math.max(0, end - now);
+    const index = ahead + holders.size - places;
+    const end = index < 0 ? now : (ends[Math.min(index, ends.length - 1)] ?? now);
+    return Math.max(0, end - now, reading(now));
   };
 
   const fill = (now: Milliseconds): readonly TicketOutcome[] => {
     const granted: TicketOutcome[] = [];
-    while (holders.size < places) {
-      const next = waiters.shift();
+    for (;;) {
+      const next = waiters.find(({ request }) => hasRoom(request, now));
       if (next === undefined) break;
+      waiters = waiters.filter((waiter) => waiter !== next);
       granted.push({ kind: 'granted', ticket: next.ticket, place: grant(next.request, now) });
     }
     return granted;
@@ -113,9 +147,12 @@
       return places;
     },
     claim: (request, now) => {
-      if (holders.size < places && waiters.length === 0) {
+      if (waiters.length === 0 && hasRoom(request, now)) {
         return { kind: 'granted', place: grant(request, now) };
       }
+      if (request.mostTaken < places || !isOpenFor(request, now)) {
+        return { kind: 'full', freeInMilliseconds: predictedWait(waiters.length, now) };
+      }
       const ahead = waiters.filter(({ request: other }) => other.rank <= request.rank).length;
       const wait = predictedWait(ahead, now);
       if (wait > request.waitMilliseconds) return { kind: 'full', freeInMilliseconds: wait };
@@ -141,19 +178,25 @@
       });
       return [...refused, ...fill(now)];
     },
-    nextExpiry: () => {
+    nextExpiry: (now) => {
       const ends = [
         ...waiters.map(({ until }) => until),
         ...[...holders.values()].map(({ latestEnd }) => latestEnd),
+        ...(waiters.length > 0 && readUntil > now ? [readUntil] : []),
       ];
       return ends.length === 0 ? null : Math.min(...ends);
     },
+    reading,
+    closeAt: (time) => {
+      closing = time;
+    },
     resize: (next, now) => {
       places = next;
       return fill(now);
     },
     reset: (now) => {
       holders.clear();
+      readUntil = now;
       return fill(now);
     },
   };
--- a/packages/protocol/src/protocolDirectory.ts
+++ b/packages/protocol/src/protocolDirectory.ts
@@ -117,6 +117,10 @@
   readonly answerTokens: number;
   /** Longest wait for a place, in milliseconds. */
   readonly waitMilliseconds: number;
+  /** Places that may be taken already; `null` for all. */
+  readonly mostTaken: number | null;
+  /** Prompts that may be ahead at the engine, in milliseconds of reading. */
+  readonly mostReadingMilliseconds: number;
   /** Longest time that the place is held, in milliseconds. */
   readonly holdMilliseconds: number;
   /** Smaller values go first. */
@@ -134,6 +138,8 @@
   readonly taken: number;
   readonly waiting: number;
   readonly places: number;
+  /** Prompts ahead at the engine, in milliseconds of reading. */
+  readonly readingMilliseconds: number;
   /** Predicted time until a place is free, in milliseconds. */
   readonly freeInMilliseconds: number;
 }
--- a/packages/routing/__tests__/routeTable.spec.ts
+++ b/packages/routing/__tests__/routeTable.spec.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { configurationIssue, type Route, type RouteConfiguration } from '../src/routeConfiguration.js';
+import {
+  configurationIssue,
+  type Route,
+  type RouteConfiguration,
+} from '../src/routeConfiguration.js';
 import { chooseService, createRouteTable } from '../src/routeTable.js';
 
 function route(changes: Partial<Route>): Route {
--- a/packages/routing/src/engineOrder.ts
+++ b/packages/routing/src/engineOrder.ts
@@ -23,7 +23,7 @@
 const VIEW_HALF_LIFE_MILLISECONDS = 800;
 
 /** Cost of another data centre, in shares of an engine's places. */
-const REMOTE_COST = 0.5;
+const REMOTE_COST = 0.25;
 
 /** Cost of an engine that is not known to hold a model. */
 const UNLOADED_COST = 4;
