--- a/packages/gateway/src/agentRole.ts
+++ b/packages/gateway/src/agentRole.ts
@@ -1,4 +1,5 @@
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import { createForeignLoad } from '@burdockrail/limits/foreignLoad.js';
 import { formatAddress } from '@burdockrail/protocol/protocolAddress.js';
 import type { UpstreamRecord } from '@burdockrail/protocol/protocolDirectory.js';
 import { mergeHandlers } from '@burdockrail/transport/peerHandlers.js';
@@ -22,6 +23,8 @@
   const engine = owned.use(createHttpCaller(settings.engine, context.settings.host));
   const engineAddress = formatAddress(settings.engine);
 
+  const foreign = createForeignLoad();
+
   const engineRecord = (): UpstreamRecord | undefined =>
     beliefs.directory.entries
       .map(({ record }) => record)
@@ -45,7 +48,7 @@
       engine: isReady ? record.id : '',
       versionOf,
       rules,
-      slots: record?.slots ?? rules?.slots ?? 0,
+      slots: Math.max(0, (record?.slots ?? rules?.slots ?? 0) - foreign.requests),
     };
   };
 
@@ -56,6 +59,9 @@
       dialect: dialect.weights,
       time,
       log,
+      onReport: (report) => {
+        foreign.report(report.running + report.waiting, places.taken);
+      },
       onChange: (_report, restarted) => {
         if (!restarted) return;
         places.reset();
--- a/packages/gateway/src/directoryWatcher.ts
+++ b/packages/gateway/src/directoryWatcher.ts
@@ -15,6 +15,9 @@
 /** Time beyond the wait after which a control process counts as lost, in milliseconds. */
 const ANSWER_MILLISECONDS = 400;
 
+/** Interval at which the settings are read while no control process answers, in milliseconds. */
+const SEEDS_MILLISECONDS = 1_000;
+
 /** Pause after a failed call, in milliseconds. */
 const RETRY_PAUSE_MILLISECONDS = 60;
 
@@ -59,6 +62,7 @@
   let revision = 0;
   let crashRevision = 0;
   let lostAt: Milliseconds | null = null;
+  let seedsReadAt = Number.NEGATIVE_INFINITY;
 
   const ask = async (address: string): Promise<void> => {
     const askedAt = time.now();
@@ -90,8 +94,16 @@
     lostAt = null;
   };
 
+  /** Takes seeds that the settings file names by now; nobody signals such a change. */
+  const readSeeds = (now: Milliseconds): void => {
+    if (lostAt === null || now - seedsReadAt < SEEDS_MILLISECONDS) return;
+    seedsReadAt = now;
+    addresses.addSeeds(context.presentSeeds() ?? []);
+  };
+
   const lost = (address: string, error: unknown): void => {
     addresses.failed(address, time.now());
+    readSeeds(time.now());
     if (lostAt !== null) return;
     lostAt = time.now();
     const { message } = toResultError(error, ResultCode.ConnectionLost);
--- a/packages/gateway/src/engineWatch.ts
+++ b/packages/gateway/src/engineWatch.ts
@@ -27,6 +27,7 @@
   readonly dialect: WeightsDialect;
   readonly time: TimeSource;
   readonly log: EventLog;
+  readonly onReport: (report: EngineReport) => void;
   /** Called when the engine restarted, or holds or does something else than before. */
   readonly onChange: (report: EngineReport | null, restarted: boolean) => void;
 }
@@ -67,6 +68,7 @@
       if (report !== null) {
         latest = report;
         answeredAt = time.now();
+        options.onReport(report);
       }
     } catch {
       // Silence is part of the state and is noted below.
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -1,6 +1,6 @@
 import type { SeededRandom } from '@burdockrail/common/seededRandom.js';
 import type { TimeSource } from '@burdockrail/common/timeSource.js';
-import type { PeerIdentity } from '@burdockrail/protocol/protocolAddress.js';
+import type { Address, PeerIdentity } from '@burdockrail/protocol/protocolAddress.js';
 import type { EventLog } from '@burdockrail/telemetry/eventLog.js';
 import type { MetricRegistry } from '@burdockrail/telemetry/metricRegistry.js';
 import type { PeerClient } from '@burdockrail/transport/peerClient.js';
@@ -22,6 +22,8 @@
   readonly metrics: MetricRegistry;
   readonly actors: ActorSystemRef;
   readonly dialect: Dialect;
+  /** Reads the seeds of the settings file as it is now; `null` when it cannot be read. */
+  readonly presentSeeds: () => readonly Address[] | null;
 }
 
 /** A role that runs in a process. Disposal ends it at once; draining comes before. */
--- a/packages/gateway/src/gatewayMain.ts
+++ b/packages/gateway/src/gatewayMain.ts
@@ -135,6 +135,7 @@
     metrics,
     actors: startActors(),
     dialect,
+    presentSeeds: () => options.reload()?.seeds ?? null,
   };
   try {
     await using owned = createDisposalStack();
--- a/packages/limits/__tests__/placeQueue.spec.ts
+++ b/packages/limits/__tests__/placeQueue.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
+import { createForeignLoad } from '../src/foreignLoad.js';
 import { createPlaceQueue, type PlaceRequest } from '../src/placeQueue.js';
 import { createSharedRetryBudget } from '../src/sharedRetryBudget.js';
 import { streamWait } from '../src/streamWait.js';
@@ -146,6 +147,20 @@
   });
 });
 
+describe('requests that no place was granted for', () => {
+  it('count once two reports in a row show them', () => {
+    const load = createForeignLoad();
+    load.report(12, 0);
+    assert.equal(load.requests, 0);
+    load.report(10, 0);
+    assert.equal(load.requests, 10);
+    load.report(10, 9);
+    assert.equal(load.requests, 1);
+    load.report(5, 9);
+    assert.equal(load.requests, 0);
+  });
+});
+
 describe('the wait of a stream', () => {
   const question = {
     objectiveMilliseconds: 400,
