--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,11 +1,12 @@
 import { mkdirSync } from 'node:fs';
 import { join } from 'node:path';
-import { build as bundle } from 'esbuild';
+
 import { build, installIfMissing, workspaceRoot } from './workspace.mjs';
 
 /** Makes one file of the platform's program, since modules one by one take longer to load. */
 installIfMissing();
 build();
+const { build: bundle } = await import('esbuild');
 mkdirSync(join(workspaceRoot, 'target'), { recursive: true });
 await bundle({
   entryPoints: [join(workspaceRoot, 'platform', 'dist', 'src', 'platformMain.js')],
