--- /dev/null
+++ b/packages/gateway/__tests__/upstreamConnections.spec.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { describe, it } from 'node:test';
+import { createUpstreamConnections } from '../src/upstreamConnections.js';
+
+/** How a server ends the connection after it has sent its bytes. */
+type Ending = (socket: Socket) => void;
+
+const endings: Readonly<Record<'close' | 'reset', Ending>> = {
+  close: (socket) => socket.end(),
+  reset: (socket) => {
+    setTimeout(() => socket.resetAndDestroy(), 30);
+  },
+};
+
+async function outcomeOf(answer: string, ending: Ending): Promise<string> {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write(answer);
+      ending(socket);
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  await using connections = createUpstreamConnections('127.0.0.1');
+  try {
+    return await new Promise((resolve) => {
+      connections.run(
+        `127.0.0.1:${port}`,
+        2,
+        { method: 'GET', path: '/', headers: [], body: null },
+        {
+          sent: () => undefined,
+          head: () => undefined,
+          data: () => undefined,
+          end: () => {
+            resolve('end');
+          },
+          failed: () => {
+            resolve('failed');
+          },
+        },
+      );
+    });
+  } finally {
+    server.close();
+  }
+}
+
+describe('an answer of an upstream', () => {
+  const unframed = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart';
+
+  it('without a length ends with an orderly close', async () => {
+    assert.equal(await outcomeOf(unframed, endings.close), 'end');
+  });
+
+  it('without a length is not whole when its connection is reset', async () => {
+    assert.equal(await outcomeOf(unframed, endings.reset), 'failed');
+  });
+
+  it('with a length is not whole before all of it has come', async () => {
+    const framed = 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart';
+    assert.equal(await outcomeOf(framed, endings.close), 'failed');
+    assert.equal(await outcomeOf(framed, endings.reset), 'failed');
+  });
+
+  it('in chunks is not whole without the last one', async () => {
+    const chunked = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n';
+    assert.equal(await outcomeOf(chunked, endings.close), 'failed');
+  });
+});
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -1,4 +1,4 @@
-import { Pool, type Dispatcher } from 'undici';
+import { buildConnector, Pool, type Dispatcher } from 'undici';
 import type { HeaderMap } from './dialect.js';
 
 /** Time after which an upstream that takes no connection counts as lost, in milliseconds. */
@@ -28,7 +28,7 @@
   sent(): void;
   head(status: number, headers: HeaderMap, rawHeaders: readonly string[]): void;
   data(bytes: Buffer): void;
-  /** The answer came to its proper end. */
+  /** The answer came to its proper end; one without a length ended with an orderly close. */
   end(): void;
   failed(error: Error): void;
 }
@@ -60,6 +60,25 @@
 /** Creates a set without connections. */
 export function createUpstreamConnections(localAddress: string): UpstreamConnections {
   const pools = new Map<string, Pool>();
+  const connectSocket = buildConnector({ timeout: CONNECT_MILLISECONDS, localAddress });
+  let isSocketFailing = false;
+
+  /**
+   * The client takes an answer without a length as whole when its connection is reset. The reset is
+   * noted here first and seen when the client reports the end within the same event.
+   */
+  const connect: buildConnector.connector = (options, callback) => {
+    connectSocket(options, (error, socket) => {
+      socket?.on('error', () => {
+        isSocketFailing = true;
+        queueMicrotask(() => {
+          isSocketFailing = false;
+        });
+      });
+      if (socket === null) callback(error ?? new Error('no connection'), null);
+      else callback(null, socket);
+    });
+  };
 
   const poolFor = (address: string, connections: number): Pool => {
     const known = pools.get(address);
@@ -67,7 +86,7 @@
     const pool = new Pool(`http://${address}`, {
       connections,
       pipelining: 1,
-      connect: { timeout: CONNECT_MILLISECONDS, localAddress },
+      connect,
       keepAliveTimeout: IDLE_MILLISECONDS,
       keepAliveMaxTimeout: IDLE_MILLISECONDS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MILLISECONDS,
@@ -113,8 +132,10 @@
             if (!isOver) observer.data(bytes);
           },
           onResponseEnd: () => {
+            const wasReset = isSocketFailing;
             finish(() => {
-              observer.end();
+              if (wasReset) observer.failed(new Error('reset inside an answer without a length'));
+              else observer.end();
             });
           },
           onResponseError: (_controller, error) => {
