fix(gateway): each named version ends older ones by its own time; claims by the slack of their objective

Change: all namings are kept; a claim is granted when the expected first event at the present load and the prompts ahead leave it in time, and large prompts are not refused for their own size.

--- a/packages/gateway/src/agentPlaces.ts
+++ b/packages/gateway/src/agentPlaces.ts
@@ -99,7 +99,7 @@
 
   const refuse = (claim: PlaceClaim, answer: PlaceReply): PlaceReply => {
     metrics.count('burdockrail_places_total', { outcome: answer.kind });
-    if (claim.waitMilliseconds > 0 || answer.kind === 'unloaded') {
+    if (claim.mayWait || answer.kind === 'unloaded') {
       log.write('placeRefused', {
         request: claim.requestId,
         reason: answer.kind,
@@ -107,7 +107,7 @@
         waiting: answer.waiting,
         places: answer.places,
         freeIn: Math.round(answer.freeInMilliseconds),
-        waited: Math.round(claim.waitMilliseconds),
+        slack: Math.round(claim.slackMilliseconds),
       });
     }
     return answer;
@@ -125,11 +125,12 @@
       {
         expectedMilliseconds: expectedMilliseconds(claim, rules),
         readMilliseconds: readMilliseconds(claim, rules),
-        waitMilliseconds: claim.waitMilliseconds,
-        mostReadingMilliseconds: claim.mostReadingMilliseconds,
+        slackMilliseconds: claim.slackMilliseconds,
+        mayWait: claim.mayWait,
+        mostReadingMilliseconds: claim.mostReadingMilliseconds ?? Number.POSITIVE_INFINITY,
         mostTaken: claim.mostTaken ?? Number.MAX_SAFE_INTEGER,
         holdMilliseconds: claim.holdMilliseconds,
-        rank: claim.rank * RANK_STEP + now + claim.waitMilliseconds,
+        rank: claim.rank * RANK_STEP + now + claim.slackMilliseconds,
       },
       now,
     );
--- a/packages/gateway/src/agentWeights.ts
+++ b/packages/gateway/src/agentWeights.ts
@@ -76,9 +76,10 @@
   let running: Promise<void> = Promise.resolve();
   let preparing = false;
   const fence = Date.now();
-  const linkRate = (): number => agent.linkMegabits * BYTES_PER_MEGABIT * LINK_SHARE;
-  const uplink = createPacer(linkRate);
-  const downlink = createPacer(linkRate);
+  const linkRate = agent.linkMegabits * BYTES_PER_MEGABIT;
+  const isServing = (): boolean => (watch.report(time.now())?.models.length ?? 0) > 0;
+  const uplink = createPacer(() => linkRate * LINK_SHARE);
+  const downlink = createPacer(() => linkRate * (isServing() ? LINK_SHARE : 1));
 
   const originCaller = (): HttpCaller | null => {
     const services = beliefs.table?.configuration.services ?? [];
@@ -109,7 +110,7 @@
         .flatMap(({ record }) => record.models)
         .filter((held) => held.model === model)
         .map(({ version }) => version);
-      const named = beliefs.weightsOf(model)?.version ?? Math.max(FIRST_VERSION, ...inUse);
+      const named = beliefs.weightsOf(model).at(-1)?.version ?? Math.max(FIRST_VERSION, ...inUse);
       const held = report.models.find((known) => known.model === model);
       if (held === undefined || held.version < named) return { model, version: named };
     }
@@ -171,7 +172,7 @@
   /** Time until this engine's turn; engines that all drain at once would serve nobody. */
   const turnWait = (target: Target): number => {
     const now = time.now();
-    const namedAt = beliefs.weightsOf(target.model)?.namedAt ?? now;
+    const namedAt = beliefs.weightsOf(target.model).at(-1)?.namedAt ?? now;
     const agents = [...peers().map(({ agent: peer }) => peer), self];
     const order = rendezvousOrder(`${target.model} ${target.version}`, agents, (name) => name);
     const bound = settings.bounds.versionMilliseconds;
@@ -205,9 +206,8 @@
       chunks: staged.verified.size,
       milliseconds: Math.round(time.now() - startedAt),
     });
-    const isServing = (watch.report(time.now())?.models.length ?? 0) > 0;
     try {
-      if (isServing) await pause(turnWait(target));
+      if (isServing()) await pause(turnWait(target));
       await staged.verifyAll();
       if (isWhole(staged) && isStillWanted(target)) await order(target);
     } finally {
--- a/packages/gateway/src/controlBoard.ts
+++ b/packages/gateway/src/controlBoard.ts
@@ -43,6 +43,9 @@
 /** Time for which an entry counts after its last watch, in milliseconds. */
 const ENTRY_SEEN_MILLISECONDS = 3_000;
 
+/** Namings of weights that are passed on, the newest ones. */
+const MAXIMUM_NAMINGS = 16;
+
 /** Crash sightings that are kept and passed on, the newest ones. */
 const MAXIMUM_CRASHES = 200;
 
@@ -78,7 +81,10 @@
   const controls = new Map<string, SeenPeer>();
   const entries = new Map<string, Milliseconds>();
   const entriesOfPeers = new Map<string, { readonly count: number; readonly at: Milliseconds }>();
-  const weightsKnownAt = new Map<string, Milliseconds>();
+  const weightsKnownAt = new Map<
+    string,
+    { readonly model: string; readonly version: number; readonly at: Milliseconds }
+  >();
   const relays = new Map<string, Promise<void>>();
   let crashes: readonly CrashSighting[] = [];
   let crashRevision = 0;
@@ -106,13 +112,23 @@
     return taken;
   };
 
-  const namedWeights = (now: Milliseconds): readonly NamedWeights[] =>
-    group.state.weights.map(([model, version]) => {
+  /** All versions whose naming this process has seen, for a newer one does not put off the older. */
+  const namedWeights = (now: Milliseconds): readonly NamedWeights[] => {
+    for (const [model, version] of group.state.weights) {
       const key = `${model}@${version}`;
-      const since = weightsKnownAt.get(key) ?? now;
-      weightsKnownAt.set(key, since);
-      return { model, version, ageMilliseconds: now - since };
-    });
+      if (weightsKnownAt.has(key)) continue;
+      weightsKnownAt.set(key, { model, version, at: now });
+      const [oldest] = weightsKnownAt.keys();
+      if (weightsKnownAt.size > MAXIMUM_NAMINGS && oldest !== undefined) {
+        weightsKnownAt.delete(oldest);
+      }
+    }
+    return [...weightsKnownAt.values()].map(({ model, version, at }) => ({
+      model,
+      version,
+      ageMilliseconds: now - at,
+    }));
+  };
 
   const ownEntries = (now: Milliseconds): number =>
     [...entries.values()].filter((at) => now - at < ENTRY_SEEN_MILLISECONDS).length;
@@ -293,6 +309,7 @@
       log.write('upstreamChanged', { upstream: id, state: 'gone', source: 'upstream' });
     },
     stateChanged: () => {
+      namedWeights(time.now());
       signal.notify();
     },
     start: () => {
--- a/packages/gateway/src/entryBeliefs.ts
+++ b/packages/gateway/src/entryBeliefs.ts
@@ -7,17 +7,15 @@
   PackedConfiguration,
 } from '@burdockrail/protocol/protocolDirectory.js';
 import { createRouteTable, type RouteTable } from '@burdockrail/routing/routeTable.js';
+import type { NamedVersion } from './versionRule.js';
 import type { GatewayContext } from './gatewayContext.js';
 
+/** Named versions of a model that are remembered; older ones are long out of service. */
+const VERSIONS_KEPT = 8;
+
 /** Entries assumed while no control process has told how many there are. */
 const ASSUMED_ENTRIES = 8;
 
-/** A named version of a model's weights and when this process first knew of it. */
-export interface KnownWeights {
-  readonly version: number;
-  readonly namedAt: Milliseconds;
-}
-
 /** What an entry or agent believes; each belief has an age. */
 export interface Beliefs {
   readonly table: RouteTable | null;
@@ -25,9 +23,8 @@
   /** Time up to which everything committed is known here. */
   readonly confirmedAt: Milliseconds;
   readonly entries: number;
-  weightsOf(model: string): KnownWeights | undefined;
-  /** Models that weights were named for. */
-  readonly models: readonly string[];
+  /** Versions that were named for a model, the newest last. */
+  weightsOf(model: string): readonly NamedVersion[];
   apply(update: DirectoryUpdateSet, askedAt: Milliseconds, now: Milliseconds): void;
 }
 
@@ -48,7 +45,7 @@
 export function createBeliefs(context: GatewayContext, options: BeliefsOptions): Beliefs {
   const { log, dialect } = context;
   const directory = createDirectoryView();
-  const weights = new Map<string, KnownWeights>();
+  const weights = new Map<string, readonly NamedVersion[]>();
   let table: RouteTable | null = null;
   let confirmedAt = Number.NEGATIVE_INFINITY;
   let entries = ASSUMED_ENTRIES;
@@ -75,14 +72,19 @@
     let changed = false;
     for (const { model, version, ageMilliseconds } of update.weights) {
       const namedAt = now - ageMilliseconds;
-      const known = weights.get(model);
-      if (known !== undefined && known.version > version) continue;
-      if (known?.version === version && known.namedAt <= namedAt) continue;
-      if (known?.version !== version) {
+      const known = weights.get(model) ?? [];
+      const same = known.find((named) => named.version === version);
+      if (same !== undefined && same.namedAt <= namedAt) continue;
+      if (same === undefined) {
         log.write('weightsNamed', { model, version, ageMilliseconds: Math.round(ageMilliseconds) });
         changed = true;
       }
-      weights.set(model, { version, namedAt });
+      const others = known.filter((named) => named.version !== version);
+      const all = [...others, { version, namedAt }];
+      weights.set(
+        model,
+        all.sort((left, right) => left.version - right.version).slice(-VERSIONS_KEPT),
+      );
     }
     if (changed) options.onWeights?.();
   };
@@ -98,10 +100,7 @@
     get entries() {
       return entries;
     },
-    get models() {
-      return [...weights.keys()];
-    },
-    weightsOf: (model) => weights.get(model),
+    weightsOf: (model) => weights.get(model) ?? [],
     apply: (update, askedAt, now) => {
       if (update.configuration !== null) adopt(update.configuration);
       learnWeights(update, now);
--- a/packages/gateway/src/entryPlaces.ts
+++ b/packages/gateway/src/entryPlaces.ts
@@ -8,6 +8,9 @@
 import { parseAddress } from './controlAddresses.js';
 import { mayServe } from './versionRule.js';
 
+/** Longest wait of a claim at an agent, in milliseconds. */
+const WAIT_MILLISECONDS = 160;
+
 /** Time beyond the wait after which an agent counts as silent, in milliseconds. */
 const ANSWER_MILLISECONDS = 250;
 
@@ -53,12 +56,15 @@
   claim(
     request: EntryRequest,
     tried: ReadonlySet<string>,
-    waitMilliseconds: Milliseconds,
+    slackMilliseconds: Milliseconds,
   ): Promise<PlaceOutcome>;
 }
 
 /** Terms under which a place is wanted. */
-type ClaimTerms = Pick<PlaceClaim, 'waitMilliseconds' | 'mostTaken' | 'mostReadingMilliseconds'>;
+type ClaimTerms = Pick<
+  PlaceClaim,
+  'slackMilliseconds' | 'mayWait' | 'mostTaken' | 'mostReadingMilliseconds'
+>;
 
 interface AgentView {
   readonly reply: PlaceReply;
@@ -124,7 +130,7 @@
           rank: admitted.team?.priority ?? admitted.route.priority,
         },
         {
-          timeoutMilliseconds: terms.waitMilliseconds + ANSWER_MILLISECONDS,
+          timeoutMilliseconds: (terms.mayWait ? WAIT_MILLISECONDS : 0) + ANSWER_MILLISECONDS,
           signal: request.signal,
         },
       );
@@ -176,7 +182,7 @@
   };
 
   return {
-    claim: async (request, tried, waitMilliseconds) => {
+    claim: async (request, tried, slackMilliseconds) => {
       const ready = beliefs.directory
         .ready(request.admitted.service)
         .filter(({ record }) => !tried.has(record.id));
@@ -212,7 +218,8 @@
       for (const id of order.slice(0, LIGHT_ENGINES_ASKED)) {
         const slots = beliefs.directory.get(id)?.record.slots ?? 0;
         const place = await claimAt(id, {
-          waitMilliseconds: 0,
+          slackMilliseconds,
+          mayWait: false,
           mostTaken: Math.ceil(slots * LIGHT_SHARE),
           mostReadingMilliseconds: LIGHT_READING_MILLISECONDS,
         });
@@ -220,9 +227,10 @@
         if (request.signal.aborted) return { kind: 'absent' };
       }
       const anyPlace = {
-        waitMilliseconds: 0,
+        slackMilliseconds,
+        mayWait: false,
         mostTaken: null,
-        mostReadingMilliseconds: waitMilliseconds,
+        mostReadingMilliseconds: null,
       };
       best = null;
       const seen = order
@@ -234,8 +242,8 @@
         if (request.signal.aborted) return { kind: 'absent' };
       }
       const shortest = best as { readonly id: string; readonly freeIn: number } | null;
-      if (shortest !== null && shortest.freeIn <= waitMilliseconds) {
-        const place = await claimAt(shortest.id, { ...anyPlace, waitMilliseconds });
+      if (shortest !== null && shortest.freeIn <= WAIT_MILLISECONDS) {
+        const place = await claimAt(shortest.id, { ...anyPlace, mayWait: true });
         if (place !== null) return { kind: 'granted', place };
       }
       const unguarded = fallback as GrantedPlace | null;
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -1,5 +1,5 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
-import { streamWait } from '@burdockrail/limits/streamWait.js';
+import { streamSlack } from '@burdockrail/limits/streamSlack.js';
 import type { EntryContext } from './entryContext.js';
 import type { EntryPlaces, GrantedPlace } from './entryPlaces.js';
 import type { EntryRequest } from './entryRequest.js';
@@ -8,8 +8,8 @@
 /** Least time left with which a stream is worth starting, in milliseconds. */
 const LEAST_ATTEMPT_MILLISECONDS = 50;
 
-/** Longest wait for a place at which a broken stream goes on, in milliseconds. */
-const CONTINUE_WAIT_MILLISECONDS = 600;
+/** Slack of a stream that goes on, in milliseconds: its pause counts, not its first event. */
+const CONTINUE_SLACK_MILLISECONDS = 600;
 
 /** Shortest and longest time to come back after a refusal, in milliseconds. */
 const SHORTEST_RETRY_MILLISECONDS = 50;
@@ -61,10 +61,10 @@
     return sends < most && admitted.deadline - time.now() > LEAST_ATTEMPT_MILLISECONDS;
   };
 
-  const waitFor = (): number =>
+  const slack = (): number =>
     progress.events > 0 || sends > 0
-      ? CONTINUE_WAIT_MILLISECONDS
-      : streamWait({
+      ? CONTINUE_SLACK_MILLISECONDS
+      : streamSlack({
           objectiveMilliseconds: route.objectiveMilliseconds,
           elapsedMilliseconds: time.now() - request.arrivedAt,
           promptTokens: caller.promptTokens,
@@ -100,7 +100,7 @@
   while (mayGoOn()) {
     const now = time.now();
     if (sends > 0 && !retries.trySpend(service, beliefs.entries, now)) break;
-    const outcome = await places.claim(request, tried, waitFor());
+    const outcome = await places.claim(request, tried, slack());
     if (outcome.kind !== 'granted') {
       if (signal.aborted) return;
       if (sends > 0) break;
--- a/packages/gateway/src/versionRule.ts
+++ b/packages/gateway/src/versionRule.ts
@@ -1,5 +1,4 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
-import type { KnownWeights } from './entryBeliefs.js';
 import type { GatewayBounds } from './gatewaySettings.js';
 
 /**
@@ -9,13 +8,26 @@
  */
 const OLD_VERSION_SHARE = 0.86;
 
-/** Tells whether a version may still be served, given what operators named last. */
+/** A version that operators named, and when this process first knew of it. */
+export interface NamedVersion {
+  readonly version: number;
+  readonly namedAt: Milliseconds;
+}
+
+/**
+ * Tells whether a version may still be served.
+ *
+ * @remarks
+ * Each newer version ends it by its own time: one that is named later does not put that off.
+ *
+ * @param named - all versions that are known to have been named.
+ */
 export function mayServe(
   version: number,
-  named: KnownWeights | undefined,
+  named: readonly NamedVersion[],
   bounds: Pick<GatewayBounds, 'versionMilliseconds'>,
   now: Milliseconds,
 ): boolean {
-  if (named === undefined || version >= named.version) return true;
-  return now - named.namedAt < bounds.versionMilliseconds * OLD_VERSION_SHARE;
+  const bound = bounds.versionMilliseconds * OLD_VERSION_SHARE;
+  return named.every((newer) => newer.version <= version || now - newer.namedAt < bound);
 }
--- a/packages/limits/src/placeQueue.ts
+++ b/packages/limits/src/placeQueue.ts
@@ -1,3 +1,4 @@
+import { firstEventMilliseconds } from './firstEventTime.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 
 /** A claim for one of an engine's places. */
@@ -6,11 +7,13 @@
   readonly expectedMilliseconds: number;
   /** Expected time for reading the prompt, in milliseconds. */
   readonly readMilliseconds: number;
-  /** Longest wait, in milliseconds. */
-  readonly waitMilliseconds: number;
+  /** Time left for waiting and for the engine's other work, in milliseconds. */
+  readonly slackMilliseconds: number;
+  /** False for a claim that wants its answer at once. */
+  readonly mayWait: boolean;
   /** Prompts that may be ahead at the engine, in milliseconds of reading. */
   readonly mostReadingMilliseconds: number;
-  /** Places that may be taken already; a claim that asks for fewer than all does not wait. */
+  /** Places that may be taken already. */
   readonly mostTaken: number;
   /** Time after which the place is free again even without a release, in milliseconds. */
   readonly holdMilliseconds: number;
@@ -63,6 +66,18 @@
   readonly until: Milliseconds;
 }
 
+/** Longest wait, in milliseconds: beyond it a queue only moves the refusal. */
+const LONGEST_WAIT_MILLISECONDS = 160;
+
+/** Wait that every claim is allowed, in milliseconds: about the time between two ends at an engine. */
+const SHORTEST_WAIT_MILLISECONDS = 60;
+
+/**
+ * Time beyond the expected first event on a full engine, in milliseconds, that is granted to claims
+ * whose own prompt leaves less: large prompts would never be served at the peak otherwise.
+ */
+const LARGE_PROMPT_MILLISECONDS = 40;
+
 /** Part of an engine's time that goes into prompts while others write. */
 const READING_SHARE = 0.6;
 
@@ -100,11 +115,25 @@
   const isOpenFor = (request: PlaceRequest, now: Milliseconds): boolean =>
     closing === null || now + request.expectedMilliseconds <= closing + CLOSING_SLACK_MILLISECONDS;
 
+  const fullEngine = (): number => firstEventMilliseconds(Math.max(0, places - 1));
+
+  const isInTime = (request: PlaceRequest, now: Milliseconds): boolean => {
+    const needed = firstEventMilliseconds(holders.size) + reading(now);
+    return needed <= Math.max(request.slackMilliseconds, fullEngine() + LARGE_PROMPT_MILLISECONDS);
+  };
+
   const hasRoom = (request: PlaceRequest, now: Milliseconds): boolean =>
     holders.size < Math.min(places, request.mostTaken) &&
     reading(now) <= request.mostReadingMilliseconds &&
+    isInTime(request, now) &&
     isOpenFor(request, now);
 
+  const longestWait = (request: PlaceRequest): number =>
+    Math.min(
+      LONGEST_WAIT_MILLISECONDS,
+      Math.max(SHORTEST_WAIT_MILLISECONDS, request.slackMilliseconds - fullEngine()),
+    );
+
   const grant = (request: PlaceRequest, now: Milliseconds): number => {
     readUntil = Math.max(now, readUntil) + request.readMilliseconds / READING_SHARE;
     const place = nextPlace++;
@@ -150,14 +179,14 @@
       if (waiters.length === 0 && hasRoom(request, now)) {
         return { kind: 'granted', place: grant(request, now) };
       }
-      if (request.mostTaken < places || !isOpenFor(request, now)) {
+      if (!request.mayWait || !isOpenFor(request, now)) {
         return { kind: 'full', freeInMilliseconds: predictedWait(waiters.length, now) };
       }
       const ahead = waiters.filter(({ request: other }) => other.rank <= request.rank).length;
       const wait = predictedWait(ahead, now);
-      if (wait > request.waitMilliseconds) return { kind: 'full', freeInMilliseconds: wait };
+      if (wait > longestWait(request)) return { kind: 'full', freeInMilliseconds: wait };
       const ticket = nextTicket++;
-      const waiter = { ticket, request, until: now + request.waitMilliseconds };
+      const waiter = { ticket, request, until: now + longestWait(request) };
       const later = waiters.findIndex(({ request: other }) => other.rank > request.rank);
       waiters = waiters.toSpliced(later < 0 ? waiters.length : later, 0, waiter);
       return { kind: 'waiting', ticket };
--- a/packages/protocol/src/protocolDirectory.ts
+++ b/packages/protocol/src/protocolDirectory.ts
@@ -115,12 +115,14 @@
   readonly model: string;
   readonly promptTokens: number;
   readonly answerTokens: number;
-  /** Longest wait for a place, in milliseconds. */
-  readonly waitMilliseconds: number;
+  /** Time of the objective left for waiting and for the engine's other work, in milliseconds. */
+  readonly slackMilliseconds: number;
+  /** False for a claim that wants its answer at once. */
+  readonly mayWait: boolean;
   /** Places that may be taken already; `null` for all. */
   readonly mostTaken: number | null;
-  /** Prompts that may be ahead at the engine, in milliseconds of reading. */
-  readonly mostReadingMilliseconds: number;
+  /** Prompts that may be ahead at the engine, in milliseconds of reading; `null` for any. */
+  readonly mostReadingMilliseconds: number | null;
   /** Longest time that the place is held, in milliseconds. */
   readonly holdMilliseconds: number;
   /** Smaller values go first. */
--- a/packages/telemetry/src/boundedLines.ts
+++ b/packages/telemetry/src/boundedLines.ts
@@ -7,7 +7,7 @@
 const MAXIMUM_LINES_PER_SECOND = 400;
 
 /** Time for which lines are collected into one write, in milliseconds. */
-const FLUSH_MILLISECONDS = 200;
+const FLUSH_MILLISECONDS = 400;
 
 const SECOND_MILLISECONDS = 1_000;
 
