fix(gateway): the end of an upstream spreads, lost owners of chunks are replaced in turn, silent agents wait longer

Attempts that a caller's leaving ended counted against the upstream. Each entry asked agents behind a cut every second, 250 ms each. Change: a gone record ends its incarnation; takeover by place in the order of owners every 350 ms; left callers count only after a while; silences double up to 8 s; manifests must come twice alike.

--- a/packages/gateway/src/agentWeights.ts
+++ b/packages/gateway/src/agentWeights.ts
@@ -8,6 +8,7 @@
 import { agentAddress, fetchChunks, packChunks, type FetchPeer } from './chunkFetch.js';
 import { parseAddress } from './controlAddresses.js';
 import { createHttpCaller, type HttpCaller } from './engineClient.js';
+import type { WeightsManifest } from './dialect.js';
 import type { EngineWatch } from './engineWatch.js';
 import type { Beliefs } from './entryBeliefs.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -26,8 +27,11 @@
 /** Part of the time for a version over which engines take their turns to load it. */
 const TURNS_SHARE = { from: 0.6, to: 0.84 } as const;
 
+/** Manifests asked for until two are alike. */
+const MANIFEST_TRIES = 5;
+
 /** Share of the link each way that weights may use; the rest is for requests and grants. */
-const LINK_SHARE = 0.9;
+const LINK_SHARE = 0.85;
 
 const BYTES_PER_MEGABIT = 125_000;
 
@@ -117,16 +121,33 @@
     return null;
   };
 
+  /** Digests that came twice alike: the origin may hand out wrong bytes, and nothing checks these. */
+  const fetchManifest = async (
+    caller: HttpCaller,
+    { model, version }: Target,
+  ): Promise<WeightsManifest | null> => {
+    const seen = new Set<string>();
+    for (let tries = 0; tries < MANIFEST_TRIES; tries += 1) {
+      const request = dialect.weights.manifest(model, version);
+      const { status, body } = await caller.call(request, CALL_MILLISECONDS);
+      const text = body.toString('utf8');
+      const manifest = status === SUCCESS_STATUS ? dialect.weights.decodeManifest(text) : null;
+      if (manifest === null) continue;
+      const key = manifest.digests.join();
+      if (seen.has(key)) return manifest;
+      seen.add(key);
+    }
+    log.write('rolloutFailed', { model, version, reason: 'no two manifests are alike' });
+    return null;
+  };
+
   const stagedSet = async (target: Target): Promise<StagedChunks | null> => {
     const key = `${target.model} ${target.version}`;
     const known = sets.get(key);
     if (known !== undefined) return known;
     const caller = originCaller();
     if (caller === null) return null;
-    const request = dialect.weights.manifest(target.model, target.version);
-    const { status, body } = await caller.call(request, CALL_MILLISECONDS);
-    const manifest =
-      status === SUCCESS_STATUS ? dialect.weights.decodeManifest(body.toString('utf8')) : null;
+    const manifest = await fetchManifest(caller, target);
     if (manifest === null) return null;
     // A version takes the place of the one before it in the engine's staging.
     sets.clear();
--- a/packages/gateway/src/chunkFetch.ts
+++ b/packages/gateway/src/chunkFetch.ts
@@ -14,7 +14,7 @@
 import type { StagedChunks } from './stagedChunks.js';
 
 /** Chunks that are fetched at the same time: enough to fill a thin link over a short delay. */
-const FETCHES_AT_ONCE = 4;
+const FETCHES_AT_ONCE = 3;
 
 /** Bound on one fetch from an agent, in milliseconds: some chunks of a thin link. */
 const AGENT_MILLISECONDS = 1_500;
--- a/packages/gateway/src/entryPlaces.ts
+++ b/packages/gateway/src/entryPlaces.ts
@@ -14,9 +14,12 @@
 /** Time beyond the wait after which an agent counts as silent, in milliseconds. */
 const ANSWER_MILLISECONDS = 250;
 
-/** Time for which an agent that did not answer is passed over, in milliseconds. */
+/** Time for which an agent that did not answer is passed over at first, in milliseconds. */
 const SILENT_AGENT_MILLISECONDS = 1_000;
 
+/** Longest such time; it doubles with each question that is not answered. */
+const LONGEST_SILENCE_MILLISECONDS = 8_000;
+
 /** Engines that are asked whether they are lightly loaded before any engine is taken as it is. */
 const LIGHT_ENGINES_ASKED = 2;
 
@@ -75,13 +78,16 @@
 export function createEntryPlaces(entry: EntryContext, agentPort: number): EntryPlaces {
   const { client, time, beliefs, upstreams, random, log } = entry;
   const views = new Map<string, AgentView>();
-  const silentUntil = new Map<string, Milliseconds>();
+  const silences = new Map<string, { readonly until: Milliseconds; readonly length: number }>();
 
   const agentOf = (engineAddress: string): Address => ({
     host: parseAddress(engineAddress).host,
     port: agentPort,
   });
 
+  const isAgentSilent = (agent: Address, now: Milliseconds): boolean =>
+    (silences.get(formatAddress(agent))?.until ?? 0) > now;
+
   const engineView = ({ record, silent }: DirectoryEntry, now: Milliseconds): EngineView => {
     const view = views.get(record.id);
     return {
@@ -93,6 +99,7 @@
       ownRequests: upstreams.ownRequests(record.id),
       loaded: record.models.length > 0,
       suspended: silent || upstreams.isSuspended(record.id, now),
+      ungranted: isAgentSilent(agentOf(record.address), now),
     };
   };
 
@@ -105,8 +112,12 @@
     return load + reply.readingMilliseconds / FULL_READING_MILLISECONDS;
   };
 
-  const isAgentSilent = (agent: Address, now: Milliseconds): boolean =>
-    (silentUntil.get(formatAddress(agent)) ?? 0) > now;
+  const noteSilence = (agent: Address): void => {
+    const key = formatAddress(agent);
+    const former = silences.get(key)?.length ?? SILENT_AGENT_MILLISECONDS / 2;
+    const length = Math.min(LONGEST_SILENCE_MILLISECONDS, former * 2);
+    silences.set(key, { until: time.now() + length, length });
+  };
 
   const ask = async (
     request: EntryRequest,
@@ -118,7 +129,7 @@
     const usual = beliefs.table?.service(admitted.service)?.engine?.usualAnswer ?? 0;
     const most = caller.answerTokens === 0 ? usual : caller.answerTokens;
     try {
-      return await connection.call(
+      const reply = await connection.call(
         'place.claim',
         {
           requestId: request.id,
@@ -134,10 +145,12 @@
           signal: request.signal,
         },
       );
+      silences.delete(formatAddress(agent));
+      return reply;
     } catch (error) {
       if (request.signal.aborted) return null;
       connection.destroy();
-      silentUntil.set(formatAddress(agent), time.now() + SILENT_AGENT_MILLISECONDS);
+      noteSilence(agent);
       log.write('placeRefused', {
         request: request.id,
         agent: formatAddress(agent),
--- a/packages/gateway/src/entryPlain.ts
+++ b/packages/gateway/src/entryPlain.ts
@@ -147,8 +147,21 @@
   });
 }
 
-function noteOutcome(entry: EntryContext, id: string, outcome: PlainOutcome): void {
+function noteOutcome(
+  entry: EntryContext,
+  request: EntryRequest,
+  id: string,
+  outcome: PlainOutcome,
+  sentAt: number,
+): void {
   const now = entry.time.now();
+  if (request.signal.aborted) {
+    // The caller left or the deadline passed: that speaks against an upstream only after a while.
+    const { objectiveMilliseconds } = request.admitted.route;
+    const isSilent = now - sentAt > objectiveMilliseconds * PATIENCE_OBJECTIVES;
+    if (isSilent) entry.upstreams.note(id, 'silent', now);
+    return;
+  }
   if (outcome.kind !== 'answered') entry.upstreams.note(id, outcome.verdict, now);
   else entry.upstreams.note(id, outcome.status >= FAILURE_STATUS ? 'failed' : 'answered', now);
 }
@@ -216,7 +229,7 @@
     const patience = hasOther ? Math.min(left, patient) : left;
     const outcome = await attemptPlain(entry, request, { id, address }, patience);
     upstreams.ended(id);
-    noteOutcome(entry, id, outcome);
+    noteOutcome(entry, request, id, outcome, now);
     last = outcome;
     if (outcome.kind === 'answered') {
       const isFailure = outcome.status >= FAILURE_STATUS;
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -2,7 +2,7 @@
 import type { HeaderMap } from './dialect.js';
 
 /** Time after which an upstream that takes no connection counts as lost, in milliseconds. */
-const CONNECT_MILLISECONDS = 400;
+const CONNECT_MILLISECONDS = 250;
 
 /** Time for which an idle connection is kept when the upstream says nothing, in milliseconds. */
 const IDLE_MILLISECONDS = 4_000;
--- a/packages/membership/__tests__/upstreamBoard.spec.ts
+++ b/packages/membership/__tests__/upstreamBoard.spec.ts
@@ -40,6 +40,15 @@
     assert.equal(board.records[0]?.record.state, 'gone');
   });
 
+  it('takes the end of an upstream from another control process, whatever was heard last', () => {
+    const [here, there] = [createUpstreamBoard(), createUpstreamBoard()];
+    here.take(record({ sequence: 5 }), 0);
+    there.take(record({ sequence: 4 }), 0);
+    there.leave('i-1', 10);
+    for (const shared of there.since(0, true, 20)) here.take(shared.record, 20);
+    assert.equal(here.records[0]?.record.state, 'gone');
+  });
+
   it('takes a later incarnation under the same id, whose counts start anew', () => {
     const board = createUpstreamBoard();
     board.take(record({ sequence: 40 }), 0);
--- a/packages/membership/src/upstreamBoard.ts
+++ b/packages/membership/src/upstreamBoard.ts
@@ -41,6 +41,8 @@
 function isNewer(next: UpstreamRecord, held: UpstreamRecord): boolean {
   if (next.startedAt !== held.startedAt) return next.startedAt > held.startedAt;
   if (held.state === 'gone') return false;
+  // The word that an upstream leaves has no sequence of its own and ends its incarnation.
+  if (next.state === 'gone') return true;
   return next.sequence > held.sequence;
 }
 
--- a/packages/rollout/__tests__/chunkChoice.spec.ts
+++ b/packages/rollout/__tests__/chunkChoice.spec.ts
@@ -72,9 +72,18 @@
     assert.equal(fetch?.source.kind, 'origin');
   });
 
+  it('lets owners take over one after the other, not all at once', () => {
+    const asking = (idleMilliseconds: number): number =>
+      names.filter((_name, place) => {
+        const fetch = nextChunkFetch(question(place, { missing: [11], idleMilliseconds }));
+        return fetch?.source.kind === 'origin';
+      }).length;
+    assert.deepEqual([0, 400, 800, 5_000].map(asking), [1, 2, 3, 6]);
+  });
+
   it('asks nothing of an agent that is busy with it already', () => {
     const base = question(0, {});
-    const others = base.others.map((holder) => ({ ...holder, held: new Set([7]), busy: 2 }));
+    const others = base.others.map((holder) => ({ ...holder, held: new Set([7]), busy: 1 }));
     assert.equal(nextChunkFetch({ ...base, others, missing: [7] }), null);
   });
 });
--- a/packages/rollout/src/chunkChoice.ts
+++ b/packages/rollout/src/chunkChoice.ts
@@ -41,10 +41,10 @@
 const ORIGIN_FETCHES = 2;
 
 /** Fetches from one other agent at the same time: its link is as thin as the own one. */
-const FETCHES_FROM_AGENT = 2;
+const FETCHES_FROM_AGENT = 1;
 
-/** Time without a chunk after which the origin is asked for chunks of other owners. */
-const STALLED_MILLISECONDS = 1_500;
+/** Time without a chunk after which the next in the order of owners takes over, in milliseconds. */
+const TAKEOVER_MILLISECONDS = 350;
 
 function leastBusy(holders: readonly ChunkHolder[]): ChunkHolder | undefined {
   const free = holders.filter(({ busy }) => busy < FETCHES_FROM_AGENT);
@@ -71,14 +71,16 @@
     return chosen === undefined ? null : agentSource(chosen);
   }
   const order = owners(question, chunk);
-  const isStalled = question.idleMilliseconds > STALLED_MILLISECONDS;
-  const regionOwner = order.find((holder) => holder.region === region);
-  const mayCross = regionOwner?.agent === self || isStalled;
+  const patience = (place: number): number => place * TAKEOVER_MILLISECONDS;
+  const placeIn = (members: readonly ChunkHolder[]): number =>
+    members.findIndex(({ agent }) => agent === self);
+  const regionOrder = order.filter((holder) => holder.region === region);
+  const mayCross = question.idleMilliseconds >= patience(placeIn(regionOrder));
   if (holders.length > 0) {
     const chosen = mayCross ? leastBusy(holders) : undefined;
     return chosen === undefined ? null : agentSource(chosen);
   }
-  const isOwner = order[0]?.agent === self || isStalled;
+  const isOwner = question.idleMilliseconds >= patience(placeIn(order));
   const mayAsk = isOwner && question.fromOrigin < ORIGIN_FETCHES;
   return mayAsk ? { kind: 'origin' } : null;
 }
@@ -90,7 +92,8 @@
  * Answers a version that is named while links are thin. One agent fetches each chunk from the
  * origin, one agent in each further region fetches it from another region, and all others fetch it
  * inside their region from whoever holds it. All agents compute the same plan, so no message is
- * needed to agree on it. An agent that got nothing for a while takes over for owners that are lost.
+ * needed to agree on it. Agents that got
+ * nothing for a while take over one after the other for owners that are lost or slow.
  */
 export function nextChunkFetch(question: ChunkQuestion): ChunkFetch | null {
   for (const chunk of question.missing) {
--- a/packages/routing/__tests__/upstreamChoice.spec.ts
+++ b/packages/routing/__tests__/upstreamChoice.spec.ts
@@ -84,6 +84,7 @@
     ownRequests: 0,
     loaded: true,
     suspended: false,
+    ungranted: false,
     ...changes,
   });
   const order = (engines: readonly EngineView[]): readonly string[] =>
@@ -93,9 +94,10 @@
     const engines = [
       engine({ id: 'unloaded', loaded: false }),
       engine({ id: 'full', taken: 16 }),
+      engine({ id: 'nobody', ungranted: true }),
       engine({ id: 'far', dataCentre: 'south' }),
       engine({ id: 'near' }),
     ];
-    assert.deepEqual(order(engines), ['near', 'far', 'full', 'unloaded']);
+    assert.deepEqual(order(engines), ['near', 'far', 'full', 'nobody', 'unloaded']);
   });
 });
--- a/packages/routing/src/engineOrder.ts
+++ b/packages/routing/src/engineOrder.ts
@@ -10,6 +10,8 @@
   /** True when the engine is known to hold a model. */
   readonly loaded: boolean;
   readonly suspended: boolean;
+  /** True when the agent that grants its places did not answer a moment ago. */
+  readonly ungranted: boolean;
 }
 
 /** What the order depends on besides the engines. */
@@ -31,6 +33,9 @@
 /** Cost of an engine that failed a moment ago. */
 const SUSPENDED_COST = 8;
 
+/** Cost of an engine whose places nobody grants: its load is not known. */
+const UNGRANTED_COST = 1.5;
+
 /** Spread of random costs, so that entries with equal views do not all ask the same engine. */
 const SPREAD = 0.25;
 
@@ -43,6 +48,7 @@
     (engine.dataCentre === question.dataCentre ? 0 : REMOTE_COST) +
     (engine.loaded ? 0 : UNLOADED_COST) +
     (engine.suspended ? SUSPENDED_COST : 0) +
+    (engine.ungranted ? UNGRANTED_COST : 0) +
     question.draw() * SPREAD
   );
 }
