--- a/packages/gateway/src/agentWeights.ts
+++ b/packages/gateway/src/agentWeights.ts
@@ -37,6 +37,10 @@
 
 const SUCCESS_STATUS = 200;
 const ACCEPTED_STATUS = 202;
+const FENCED_STATUS = 412;
+
+/** Step by which a fencing token rises after a refusal: a minute of a clock in milliseconds. */
+const FENCE_STEP = 60_000;
 
 /** Brings an engine to the version of weights that is wanted. */
 export interface AgentWeights extends AsyncDisposable {
@@ -79,7 +83,7 @@
   let round = new AbortController();
   let running: Promise<void> = Promise.resolve();
   let preparing = false;
-  const fence = Date.now();
+  let fence = Date.now();
   const linkRate = agent.linkMegabits * BYTES_PER_MEGABIT;
   const isServing = (): boolean => (watch.report(time.now())?.models.length ?? 0) > 0;
   const uplink = createPacer(() => linkRate * LINK_SHARE);
@@ -180,6 +184,8 @@
     const request = dialect.weights.load({ ...target, orders: report.orders, fence });
     const { status, body } = await engine.call(request, CALL_MILLISECONDS);
     const isTaken = status === SUCCESS_STATUS || status === ACCEPTED_STATUS;
+    // A clock that was set back, or a former agent, leaves a higher token at the engine.
+    if (status === FENCED_STATUS) fence += FENCE_STEP;
     log.write('weightsOrdered', {
       model: target.model,
       version: target.version,
