fix(gateway): a refused connection does not end the entry; slow holders of chunks are left out of the plan

Change: the error decides; an agent that fails a fetch leaves the plan for a time that doubles, so the next owner goes to the origin.

--- a/packages/gateway/__tests__/upstreamConnections.spec.ts
+++ b/packages/gateway/__tests__/upstreamConnections.spec.ts
@@ -50,6 +50,36 @@
   }
 }
 
+describe('an upstream that takes no connection', () => {
+  it('fails the attempt before anything was sent, and nothing else', async () => {
+    await using connections = createUpstreamConnections('127.0.0.1');
+    const server = createServer();
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, 'close');
+    const seen = await new Promise<readonly string[]>((resolve) => {
+      const calls: string[] = [];
+      connections.run(
+        `127.0.0.1:${port}`,
+        2,
+        { method: 'GET', path: '/', headers: [], body: null },
+        {
+          sent: () => calls.push('sent'),
+          head: () => calls.push('head'),
+          data: () => calls.push('data'),
+          end: () => calls.push('end'),
+          failed: () => {
+            resolve(calls);
+          },
+        },
+      );
+    });
+    assert.deepEqual(seen, []);
+  });
+});
+
 describe('an answer of an upstream', () => {
   const unframed = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart';
 
--- a/packages/gateway/src/chunkFetch.ts
+++ b/packages/gateway/src/chunkFetch.ts
@@ -17,7 +17,7 @@
 const FETCHES_AT_ONCE = 3;
 
 /** Bound on one fetch from an agent, in milliseconds: some chunks of a thin link. */
-const AGENT_MILLISECONDS = 1_500;
+const AGENT_MILLISECONDS = 700;
 
 /** Bound on one fetch from the origin, in milliseconds: all agents share its link at first. */
 const ORIGIN_MILLISECONDS = 4_000;
@@ -31,8 +31,15 @@
 /** Pause while nothing can be fetched, in milliseconds. */
 const IDLE_PAUSE_MILLISECONDS = 20;
 
-/** Time for which an agent that failed a fetch is not asked, in milliseconds. */
-const AVOID_MILLISECONDS = 1_000;
+/**
+ * Time for which an agent that failed a fetch is left out at first, in milliseconds.
+ *
+ * Others then take over its part of the plan, so that a squeezed link does not hold up everyone.
+ */
+const AVOID_MILLISECONDS = 1_500;
+
+/** Longest such time; it doubles with each failure in a row. */
+const LONGEST_AVOID_MILLISECONDS = 12_000;
 
 const SUCCESS_STATUS = 200;
 const BITS_PER_BYTE = 8;
@@ -83,7 +90,7 @@
   const { model, version, manifest } = staged;
   const held = new Map<string, ReadonlySet<number>>();
   const busy = new Map<string, number>();
-  const avoidedUntil = new Map<string, Milliseconds>();
+  const avoided = new Map<string, { readonly until: Milliseconds; readonly length: number }>();
   const fetching = new Set<number>();
   let fromOrigin = 0;
   let lastChunkAt = time.now();
@@ -103,14 +110,22 @@
     }
   };
 
+  const avoid = (agent: string): void => {
+    const former = avoided.get(agent)?.length ?? AVOID_MILLISECONDS / 2;
+    const length = Math.min(LONGEST_AVOID_MILLISECONDS, former * 2);
+    avoided.set(agent, { until: time.now() + length, length });
+  };
+
   const holders = (now: Milliseconds): readonly ChunkHolder[] =>
-    options.peers().map(({ agent, region }) => ({
-      agent,
-      region,
-      held:
-        (avoidedUntil.get(agent) ?? 0) > now ? new Set<number>() : (held.get(agent) ?? new Set()),
-      busy: busy.get(agent) ?? 0,
-    }));
+    options
+      .peers()
+      .filter(({ agent }) => (avoided.get(agent)?.until ?? 0) <= now)
+      .map(({ agent, region }) => ({
+        agent,
+        region,
+        held: held.get(agent) ?? new Set(),
+        busy: busy.get(agent) ?? 0,
+      }));
 
   const read = async (source: ChunkSource, chunk: number): Promise<Uint8Array | null> => {
     if (source.kind === 'agent') {
@@ -138,14 +153,16 @@
       if (signal.aborted) return;
       const isSound = bytes !== null && (await staged.write(chunk, bytes));
       metrics.count('burdockrail_chunks_total', { source: source.kind, sound: String(isSound) });
-      if (isSound) lastChunkAt = time.now();
-      else {
+      if (isSound) {
+        lastChunkAt = time.now();
+        avoided.delete(name);
+      } else {
         log.write('chunkRejected', { model, version, chunk, source: name, came: bytes !== null });
-        avoidedUntil.set(name, time.now() + AVOID_MILLISECONDS);
+        avoid(name);
       }
     } catch (error) {
       if (signal.aborted) return;
-      avoidedUntil.set(name, time.now() + AVOID_MILLISECONDS);
+      avoid(name);
       log.write('rolloutFailed', { model, version, chunk, source: name, reason: String(error) });
     } finally {
       mark(source, -1);
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { buildConnector, Pool, type Dispatcher } from 'undici';
 import type { HeaderMap } from './dialect.js';
 
@@ -7,6 +8,9 @@
 /** Time for which an idle connection is kept when the upstream says nothing, in milliseconds. */
 const IDLE_MILLISECONDS = 4_000;
 
+/** Longest time for which an idle connection is kept when the upstream says how long it does. */
+const LONGEST_IDLE_MILLISECONDS = 30_000;
+
 /** Time by which an idle connection is closed before the upstream would, in milliseconds. */
 const IDLE_MARGIN_MILLISECONDS = 900;
 
@@ -69,14 +73,15 @@
    */
   const connect: buildConnector.connector = (options, callback) => {
     connectSocket(options, (error, socket) => {
-      socket?.on('error', () => {
+      (socket as Socket | null | undefined)?.on('error', () => {
         isSocketFailing = true;
         queueMicrotask(() => {
           isSocketFailing = false;
         });
       });
-      if (socket === null) callback(error ?? new Error('no connection'), null);
-      else callback(null, socket);
+      // A failed connection comes with an error and, against the types, without a second argument.
+      if (error === null) callback(null, socket);
+      else callback(error, null);
     });
   };
 
@@ -88,7 +93,7 @@
       pipelining: 1,
       connect,
       keepAliveTimeout: IDLE_MILLISECONDS,
-      keepAliveMaxTimeout: IDLE_MILLISECONDS,
+      keepAliveMaxTimeout: LONGEST_IDLE_MILLISECONDS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MILLISECONDS,
       headersTimeout: 0,
       bodyTimeout: 0,
