--- a/packages/gateway/__tests__/upstreamConnections.spec.ts
+++ b/packages/gateway/__tests__/upstreamConnections.spec.ts
@@ -7,7 +7,13 @@
 /** How a server ends the connection after it has sent its bytes. */
 type Ending = (socket: Socket) => void;
 
-const endings: Readonly<Record<'close' | 'reset', Ending>> = {
+const endings: Readonly<Record<'close' | 'reset' | 'resetAtOnce' | 'resetAfterTurn', Ending>> = {
+  resetAtOnce: (socket) => {
+    socket.write('', () => socket.resetAndDestroy());
+  },
+  resetAfterTurn: (socket) => {
+    setImmediate(() => socket.resetAndDestroy());
+  },
   close: (socket) => socket.end(),
   reset: (socket) => {
     setTimeout(() => socket.resetAndDestroy(), 30);
@@ -89,6 +95,16 @@
 
   it('without a length is not whole when its connection is reset', async () => {
     assert.equal(await outcomeOf(unframed, endings.reset), 'failed');
+    assert.equal(await outcomeOf(unframed, endings.resetAtOnce), 'failed');
+    assert.equal(await outcomeOf(unframed, endings.resetAfterTurn), 'failed');
+  });
+
+  it('without a length or a word on the connection is not whole when that is reset', async () => {
+    const silent = 'HTTP/1.1 200 OK\r\n\r\npart';
+    for (const ending of [endings.reset, endings.resetAtOnce, endings.resetAfterTurn]) {
+      assert.equal(await outcomeOf(silent, ending), 'failed');
+    }
+    assert.equal(await outcomeOf(silent, endings.close), 'end');
   });
 
   it('with a length is not whole before all of it has come', async () => {
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -64,20 +64,44 @@
 /** Creates a set without connections. */
 export function createUpstreamConnections(localAddress: string): UpstreamConnections {
   const pools = new Map<string, Pool>();
-  const connectSocket = buildConnector({ timeout: CONNECT_MILLISECONDS, localAddress });
-  let isSocketFailing = false;
+  // Half open, so that the end of an answer can be told from a reset by a write.
+  const connectSocket = buildConnector({
+    timeout: CONNECT_MILLISECONDS,
+    localAddress,
+    allowHalfOpen: true,
+  });
+  let ending: Promise<boolean> | null = null;
 
   /**
-   * The client takes an answer without a length as whole when its connection is reset. The reset is
-   * noted here first and seen when the client reports the end within the same event.
+   * Tells whether the peer has reset a connection that was reported as ended.
+   *
+   * An answer without a length ends with its connection, and bytes that arrive together with a reset
+   * are reported in the same way as an orderly close. Only a write fails after a reset; an empty
+   * line after the last answer means nothing to a peer that has closed.
    */
+  const probe = async (socket: Socket): Promise<boolean> =>
+    new Promise((resolve) => {
+      socket.write('\r\n', (error) => {
+        resolve(error !== undefined && error !== null);
+      });
+    });
+
+  /** Remembers the verdict while the client handles the same event. */
+  const note = (wasReset: Promise<boolean>): void => {
+    ending = wasReset;
+    queueMicrotask(() => {
+      ending = null;
+    });
+  };
+
   const connect: buildConnector.connector = (options, callback) => {
     connectSocket(options, (error, socket) => {
-      (socket as Socket | null | undefined)?.on('error', () => {
-        isSocketFailing = true;
-        queueMicrotask(() => {
-          isSocketFailing = false;
-        });
+      const opened = socket as Socket | null | undefined;
+      opened?.on('end', () => {
+        note(probe(opened));
+      });
+      opened?.on('error', () => {
+        note(Promise.resolve(true));
       });
       // A failed connection comes with an error and, against the types, without a second argument.
       if (error === null) callback(null, socket);
@@ -137,10 +161,14 @@
             if (!isOver) observer.data(bytes);
           },
           onResponseEnd: () => {
-            const wasReset = isSocketFailing;
             finish(() => {
-              if (wasReset) observer.failed(new Error('reset inside an answer without a length'));
-              else observer.end();
+              if (ending === null) observer.end();
+              else
+                void ending.then((wasReset) => {
+                  if (wasReset)
+                    observer.failed(new Error('reset inside an answer without a length'));
+                  else observer.end();
+                });
             });
           },
           onResponseError: (_controller, error) => {
