perf(gateway): an engine lets only short requests in before it drains for new weights

Change: the time of the load is predicted from the chunks that are missing; holders are asked every 80 ms.

--- a/packages/gateway/src/agentWeights.ts
+++ b/packages/gateway/src/agentWeights.ts
@@ -27,6 +27,11 @@
 /** Part of the time for a version over which engines take their turns to load it. */
 const TURNS_SHARE = { from: 0.6, to: 0.84 } as const;
 
+/** Time before a load in which only requests that end by then are let in, in milliseconds. */
+const CLOSING_MILLISECONDS = 2_000;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** Manifests asked for until two are alike. */
 const MANIFEST_TRIES = 5;
 
@@ -196,8 +201,8 @@
     await watch.refresh();
   };
 
-  /** Time until this engine's turn; engines that all drain at once would serve nobody. */
-  const turnWait = (target: Target): number => {
+  /** Time of this engine's turn; engines that all drain at once would serve nobody. */
+  const turnAt = (target: Target): Milliseconds => {
     const now = time.now();
     const namedAt = beliefs.weightsOf(target.model).at(-1)?.namedAt ?? now;
     const agents = [...peers().map(({ agent: peer }) => peer), self];
@@ -205,9 +210,19 @@
     const bound = settings.bounds.versionMilliseconds;
     const turns = bound * (TURNS_SHARE.to - TURNS_SHARE.from);
     const turn = (order.indexOf(self) / Math.max(1, order.length - 1)) * turns;
-    const at = Math.max(now, namedAt + bound * TURNS_SHARE.from + turn);
-    options.closeAt(at);
-    return at - now;
+    return namedAt + bound * TURNS_SHARE.from + turn;
+  };
+
+  /** Lets only requests in that end before the load, once the time of the load can be told. */
+  const announceLoad = (target: Target): void => {
+    const staged = sets.get(`${target.model} ${target.version}`);
+    if (staged === undefined || !isServing()) return;
+    const now = time.now();
+    const missing = staged.manifest.digests.length - staged.verified.size;
+    const chunkTime = staged.largestChunkBytes / (linkRate * LINK_SHARE);
+    const stagedAt = now + missing * chunkTime * MILLISECONDS_PER_SECOND;
+    const loadAt = Math.max(stagedAt, turnAt(target));
+    if (loadAt - now < CLOSING_MILLISECONDS) options.closeAt(loadAt);
   };
 
   /** One step towards the target. */
@@ -233,13 +248,9 @@
       chunks: staged.verified.size,
       milliseconds: Math.round(time.now() - startedAt),
     });
-    try {
-      if (isServing()) await pause(turnWait(target));
-      await staged.verifyAll();
-      if (isWhole(staged) && isStillWanted(target)) await order(target);
-    } finally {
-      options.closeAt(null);
-    }
+    if (isServing()) await pause(Math.max(0, turnAt(target) - time.now()));
+    await staged.verifyAll();
+    if (isWhole(staged) && isStillWanted(target)) await order(target);
   };
 
   const run = async (): Promise<void> => {
@@ -250,6 +261,7 @@
         round = new AbortController();
         const current = round;
         const check = setInterval(() => {
+          announceLoad(target);
           if (!isStillWanted(target) || stop.signal.aborted) current.abort();
         }, ROUND_MILLISECONDS);
         try {
@@ -259,6 +271,7 @@
           log.write('rolloutFailed', { model, version, reason: String(error) });
         } finally {
           clearInterval(check);
+          options.closeAt(null);
         }
       }
       await pause(ROUND_MILLISECONDS);
--- a/packages/gateway/src/chunkFetch.ts
+++ b/packages/gateway/src/chunkFetch.ts
@@ -23,7 +23,7 @@
 const ORIGIN_MILLISECONDS = 4_000;
 
 /** Interval at which other agents are asked what they hold, in milliseconds. */
-const LIST_MILLISECONDS = 120;
+const LIST_MILLISECONDS = 80;
 
 /** Bound on such a question, in milliseconds. */
 const LIST_ANSWER_MILLISECONDS = 500;
