--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -13,7 +13,7 @@
 
 /** Shortest and longest time to come back after a refusal, in milliseconds. */
 const SHORTEST_RETRY_MILLISECONDS = 50;
-const LONGEST_RETRY_MILLISECONDS = 600;
+const LONGEST_RETRY_MILLISECONDS = 1_800;
 
 /** Time to come back when no engine is there, in milliseconds. */
 const ABSENT_RETRY_MILLISECONDS = 300;
--- a/packages/limits/__tests__/placeQueue.spec.ts
+++ b/packages/limits/__tests__/placeQueue.spec.ts
@@ -96,7 +96,8 @@
   it('take only short requests before the engine closes', () => {
     const queue = createPlaceQueue(4);
     queue.closeAt(1_000);
-    assert.equal(queue.claim(request({ expectedMilliseconds: 2_000 }), 0).kind, 'full');
+    const refused = queue.claim(request({ expectedMilliseconds: 2_000 }), 0);
+    assert.deepEqual(refused, { kind: 'full', freeInMilliseconds: 1_700 });
     assert.equal(queue.claim(request({ expectedMilliseconds: 900 }), 0).kind, 'granted');
     queue.closeAt(null);
     assert.equal(queue.claim(request({ expectedMilliseconds: 2_000 }), 0).kind, 'granted');
--- a/packages/limits/src/placeQueue.ts
+++ b/packages/limits/src/placeQueue.ts
@@ -84,6 +84,9 @@
 /** Time by which a claim may end after the engine closes, in milliseconds. */
 const CLOSING_SLACK_MILLISECONDS = 250;
 
+/** Time from the closing of an engine until it takes requests again, in milliseconds. */
+const CLOSED_MILLISECONDS = 700;
+
 /** Prediction for a place whose holder is already later than expected, in milliseconds. */
 const OVERDUE_MILLISECONDS = 50;
 
@@ -122,6 +125,9 @@
     return needed <= Math.max(request.slackMilliseconds, fullEngine() + LARGE_PROMPT_MILLISECONDS);
   };
 
+  const reopensIn = (now: Milliseconds): number =>
+    Math.max(0, (closing ?? now) - now) + CLOSED_MILLISECONDS;
+
   const hasRoom = (request: PlaceRequest, now: Milliseconds): boolean =>
     holders.size < Math.min(places, request.mostTaken) &&
     reading(now) <= request.mostReadingMilliseconds &&
@@ -179,7 +185,10 @@
       if (waiters.length === 0 && hasRoom(request, now)) {
         return { kind: 'granted', place: grant(request, now) };
       }
-      if (!request.mayWait || !isOpenFor(request, now)) {
+      if (!isOpenFor(request, now)) {
+        return { kind: 'full', freeInMilliseconds: reopensIn(now) };
+      }
+      if (!request.mayWait) {
         return { kind: 'full', freeInMilliseconds: predictedWait(waiters.length, now) };
       }
       const ahead = waiters.filter(({ request: other }) => other.rank <= request.rank).length;
