--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -141,12 +141,10 @@
       const age = (): number => time.now() - startedAt;
       server?.startClosing();
       const bound = bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
-      while (age() < bound) {
-        const isIdle = (server?.inProgress ?? 0) === 0;
-        if (isIdle && age() > BALANCER_MILLISECONDS) break;
-        await pause(IDLE_CHECK_MILLISECONDS);
-      }
-      server?.closeIdle();
+      // A balancer that finds too few entries ready keeps sending, so this one has to turn away.
+      await pause(Math.min(BALANCER_MILLISECONDS, bound / 2));
+      server?.stopListening();
+      while (age() < bound && (server?.inProgress ?? 0) > 0) await pause(IDLE_CHECK_MILLISECONDS);
     },
     [Symbol.asyncDispose]: async () => owned[Symbol.asyncDispose](),
   };
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -30,7 +30,8 @@
   applyLimits(): void;
   /** Requests that have not had their final answer. */
   readonly inProgress: number;
-  closeIdle(): void;
+  /** Takes no further connections; those without a request are closed. */
+  stopListening(): void;
 }
 
 class BodyTooLarge extends Error {}
@@ -60,6 +61,15 @@
   return digest.digest('base64').slice(0, 22);
 }
 
+async function connectionsOf(server: Server): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.getConnections((error, count) => {
+      if (error === null) resolve(count);
+      else reject(error);
+    });
+  });
+}
+
 /** Starts to listen for callers. */
 export async function startEntryServer(
   entry: EntryContext,
@@ -250,12 +260,15 @@
     get inProgress() {
       return inProgress;
     },
-    closeIdle: () => {
+    stopListening: () => {
+      server.close();
       server.closeIdleConnections();
     },
     [Symbol.asyncDispose]: async () => {
       const closed = once(server, 'close');
-      server.close();
+      // A server that no longer listens tells its end when the last connection is gone.
+      if (server.listening) server.close();
+      else if ((await connectionsOf(server)) === 0) return;
       server.closeAllConnections();
       await closed;
     },
