--- a/packages/gateway/src/entryPlaces.ts
+++ b/packages/gateway/src/entryPlaces.ts
@@ -20,6 +20,9 @@
 /** Longest such time; it doubles with each question that is not answered. */
 const LONGEST_SILENCE_MILLISECONDS = 8_000;
 
+/** Time for which an engine that had no weights is not asked again, in milliseconds. */
+const UNLOADED_MILLISECONDS = 300;
+
 /** Engines that are asked whether they are lightly loaded before any engine is taken as it is. */
 const LIGHT_ENGINES_ASKED = 2;
 
@@ -112,6 +115,11 @@
     return load + reply.readingMilliseconds / FULL_READING_MILLISECONDS;
   };
 
+  const saidUnloaded = (id: string, now: Milliseconds): boolean => {
+    const view = views.get(id);
+    return view?.reply.kind === 'unloaded' && now - view.at < UNLOADED_MILLISECONDS;
+  };
+
   const noteSilence = (agent: Address): void => {
     const key = formatAddress(agent);
     const former = silences.get(key)?.length ?? SILENT_AGENT_MILLISECONDS / 2;
@@ -201,8 +209,9 @@
         .filter(({ record }) => !tried.has(record.id));
       if (ready.length === 0) return { kind: 'absent' };
       const now = time.now();
+      const loaded = ready.filter(({ record }) => !saidUnloaded(record.id, now));
       const order = orderEngines(
-        ready.map((engine) => engineView(engine, now)),
+        (loaded.length > 0 ? loaded : ready).map((engine) => engineView(engine, now)),
         { dataCentre: entry.settings.dataCentre, draw: () => random.next() },
       );
       let best: { readonly id: string; readonly freeIn: number } | null = null;
