--- a/packages/gateway/src/agentWeights.ts
+++ b/packages/gateway/src/agentWeights.ts
@@ -1,6 +1,6 @@
 import { setTimeout as pause } from 'node:timers/promises';
-import { rendezvousOrder } from '@burdockrail/common/rendezvousHash.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import { expectedStagedAt, loadTurnAt } from '@burdockrail/rollout/loadTurn.js';
 import { createPacer } from '@burdockrail/rollout/rolloutPacer.js';
 import type { ChunkReadReply } from '@burdockrail/protocol/protocolDirectory.js';
 import { formatAddress } from '@burdockrail/protocol/protocolAddress.js';
@@ -8,11 +8,12 @@
 import { agentAddress, fetchChunks, packChunks, type FetchPeer } from './chunkFetch.js';
 import { parseAddress } from './controlAddresses.js';
 import { createHttpCaller, type HttpCaller } from './engineClient.js';
-import type { WeightsManifest } from './dialect.js';
+import type { WeightsName } from './dialect.js';
 import type { EngineWatch } from './engineWatch.js';
 import type { Beliefs } from './entryBeliefs.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { AgentSettings } from './gatewaySettings.js';
+import { fetchManifest } from './weightsManifest.js';
 import { createStagedChunks, type StagedChunks } from './stagedChunks.js';
 
 /** Version that engines serve before any other is named. */
@@ -24,17 +25,9 @@
 /** Bound on an order or a manifest, in milliseconds. */
 const CALL_MILLISECONDS = 2_000;
 
-/** Part of the time for a version over which engines take their turns to load it. */
-const TURNS_SHARE = { from: 0.6, to: 0.84 } as const;
-
 /** Time before a load in which only requests that end by then are let in, in milliseconds. */
 const CLOSING_MILLISECONDS = 2_000;
 
-const MILLISECONDS_PER_SECOND = 1_000;
-
-/** Manifests asked for until two are alike. */
-const MANIFEST_TRIES = 5;
-
 /** Share of the link each way that weights may use; the rest is for requests and grants. */
 const LINK_SHARE = 0.85;
 
@@ -55,11 +48,6 @@
   readonly handlers: Partial<PeerHandlers>;
 }
 
-interface Target {
-  readonly model: string;
-  readonly version: number;
-}
-
 /** Options of {@link createAgentWeights}. */
 export interface AgentWeightsOptions {
   readonly context: GatewayContext;
@@ -114,7 +102,7 @@
       .filter((peer) => peer.agent !== self);
 
   /** What the engine should serve and does not; `null` when all is well. */
-  const wanted = (): Target | null => {
+  const wanted = (): WeightsName | null => {
     const report = watch.report(time.now());
     const models = beliefs.table?.service(agent.service)?.engine?.models ?? [];
     if (report === null) return null;
@@ -130,33 +118,13 @@
     return null;
   };
 
-  /** Digests that came twice alike: the origin may hand out wrong bytes, and nothing checks these. */
-  const fetchManifest = async (
-    caller: HttpCaller,
-    { model, version }: Target,
-  ): Promise<WeightsManifest | null> => {
-    const seen = new Set<string>();
-    for (let tries = 0; tries < MANIFEST_TRIES; tries += 1) {
-      const request = dialect.weights.manifest(model, version);
-      const { status, body } = await caller.call(request, CALL_MILLISECONDS);
-      const text = body.toString('utf8');
-      const manifest = status === SUCCESS_STATUS ? dialect.weights.decodeManifest(text) : null;
-      if (manifest === null) continue;
-      const key = manifest.digests.join();
-      if (seen.has(key)) return manifest;
-      seen.add(key);
-    }
-    log.write('rolloutFailed', { model, version, reason: 'no two manifests are alike' });
-    return null;
-  };
-
-  const stagedSet = async (target: Target): Promise<StagedChunks | null> => {
+  const stagedSet = async (target: WeightsName): Promise<StagedChunks | null> => {
     const key = `${target.model} ${target.version}`;
     const known = sets.get(key);
     if (known !== undefined) return known;
     const caller = originCaller();
     if (caller === null) return null;
-    const manifest = await fetchManifest(caller, target);
+    const manifest = await fetchManifest(context, caller, target);
     if (manifest === null) return null;
     // A version takes the place of the one before it in the engine's staging.
     sets.clear();
@@ -178,12 +146,12 @@
   const isWhole = (staged: StagedChunks): boolean =>
     staged.verified.size === staged.manifest.digests.length;
 
-  const isStillWanted = (target: Target): boolean => {
+  const isStillWanted = (target: WeightsName): boolean => {
     const present = wanted();
     return present?.model === target.model && present.version === target.version;
   };
 
-  const order = async (target: Target): Promise<void> => {
+  const order = async (target: WeightsName): Promise<void> => {
     const report = await watch.refresh();
     if (report === null || report.busy) return;
     const request = dialect.weights.load({ ...target, orders: report.orders, fence });
@@ -201,32 +169,29 @@
     await watch.refresh();
   };
 
-  /** Time of this engine's turn; engines that all drain at once would serve nobody. */
-  const turnAt = (target: Target): Milliseconds => {
-    const now = time.now();
-    const namedAt = beliefs.weightsOf(target.model).at(-1)?.namedAt ?? now;
-    const agents = [...peers().map(({ agent: peer }) => peer), self];
-    const order = rendezvousOrder(`${target.model} ${target.version}`, agents, (name) => name);
-    const bound = settings.bounds.versionMilliseconds;
-    const turns = bound * (TURNS_SHARE.to - TURNS_SHARE.from);
-    const turn = (order.indexOf(self) / Math.max(1, order.length - 1)) * turns;
-    return namedAt + bound * TURNS_SHARE.from + turn;
-  };
+  const turnAt = (target: WeightsName): Milliseconds =>
+    loadTurnAt({
+      set: `${target.model} ${target.version}`,
+      self,
+      agents: [...peers().map(({ agent: peer }) => peer), self],
+      namedAt: beliefs.weightsOf(target.model).at(-1)?.namedAt ?? time.now(),
+      boundMilliseconds: settings.bounds.versionMilliseconds,
+    });
 
   /** Lets only requests in that end before the load, once the time of the load can be told. */
-  const announceLoad = (target: Target): void => {
+  const announceLoad = (target: WeightsName): void => {
     const staged = sets.get(`${target.model} ${target.version}`);
     if (staged === undefined || !isServing()) return;
     const now = time.now();
     const missing = staged.manifest.digests.length - staged.verified.size;
-    const chunkTime = staged.largestChunkBytes / (linkRate * LINK_SHARE);
-    const stagedAt = now + missing * chunkTime * MILLISECONDS_PER_SECOND;
+    const rate = linkRate * LINK_SHARE;
+    const stagedAt = expectedStagedAt(missing, staged.largestChunkBytes, rate, now);
     const loadAt = Math.max(stagedAt, turnAt(target));
     if (loadAt - now < CLOSING_MILLISECONDS) options.closeAt(loadAt);
   };
 
   /** One step towards the target. */
-  const bringTo = async (target: Target): Promise<void> => {
+  const bringTo = async (target: WeightsName): Promise<void> => {
     const staged = await stagedSet(target);
     if (staged === null) return;
     const startedAt = time.now();
