feat(limits): callers that come back are told by their deadline, and may wait although they are late

Change: what a deadline lacks of the usual one of its route has been spent; late claims stand behind those in time and may wait 0.45 s. Not measured yet.

--- a/packages/gateway/src/agentPlaces.ts
+++ b/packages/gateway/src/agentPlaces.ts
@@ -13,6 +13,9 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** Place of late claims behind those in time, as a slack in milliseconds. */
+const LATE_RANK = 10_000;
+
 /** Distance between two ranks; waits in milliseconds decide inside a rank. */
 const RANK_STEP = 1e9;
 
@@ -130,7 +133,8 @@
         mostReadingMilliseconds: claim.mostReadingMilliseconds ?? Number.POSITIVE_INFINITY,
         mostTaken: claim.mostTaken ?? Number.MAX_SAFE_INTEGER,
         holdMilliseconds: claim.holdMilliseconds,
-        rank: claim.rank * RANK_STEP + now + claim.slackMilliseconds,
+        // Claims that can still be in time go before those that are late in any case.
+        rank: claim.rank * RANK_STEP + now + (claim.slackMilliseconds || LATE_RANK),
       },
       now,
     );
--- a/packages/gateway/src/entryContext.ts
+++ b/packages/gateway/src/entryContext.ts
@@ -1,3 +1,4 @@
+import type { CallerElapsed } from '@burdockrail/limits/callerElapsed.js';
 import type { QuarantineState } from '@burdockrail/limits/quarantineState.js';
 import type { SharedRetryBudget } from '@burdockrail/limits/sharedRetryBudget.js';
 import type { CrashSighting } from '@burdockrail/protocol/protocolDirectory.js';
@@ -12,6 +13,7 @@
   readonly upstreams: EntryUpstreams;
   readonly connections: UpstreamConnections;
   readonly retries: SharedRetryBudget;
+  readonly callerElapsed: CallerElapsed;
   readonly quarantine: QuarantineState;
   /** Tells the other entries of an upstream that ended while it ran a content. */
   reportCrash(sighting: CrashSighting): void;
--- a/packages/gateway/src/entryPlaces.ts
+++ b/packages/gateway/src/entryPlaces.ts
@@ -9,7 +9,7 @@
 import { mayServe } from './versionRule.js';
 
 /** Longest wait of a claim at an agent, in milliseconds. */
-const WAIT_MILLISECONDS = 160;
+const WAIT_MILLISECONDS = 450;
 
 /** Time beyond the wait after which an agent counts as silent, in milliseconds. */
 const ANSWER_MILLISECONDS = 250;
--- a/packages/gateway/src/entryRequest.ts
+++ b/packages/gateway/src/entryRequest.ts
@@ -17,6 +17,8 @@
   readonly caller: CallerHeaders;
   readonly admitted: AdmittedRequest;
   readonly arrivedAt: Milliseconds;
+  /** Time that the caller has spent on former attempts, in milliseconds. */
+  readonly elapsedBefore: Milliseconds;
   /** Digest of what an upstream would run. */
   readonly content: string;
   readonly answer: CallerAnswer;
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import { createCallerElapsed } from '@burdockrail/limits/callerElapsed.js';
 import { createQuarantineState } from '@burdockrail/limits/quarantineState.js';
 import { createSharedRetryBudget } from '@burdockrail/limits/sharedRetryBudget.js';
 import type { CrashSighting } from '@burdockrail/protocol/protocolDirectory.js';
@@ -62,6 +63,7 @@
     connections,
     retries: createSharedRetryBudget(bounds.retries),
     quarantine,
+    callerElapsed: createCallerElapsed(),
     reportCrash: (sighting) => {
       learnCrash(sighting);
       pendingCrashes.push(sighting);
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -200,6 +200,7 @@
         caller,
         admitted: decision,
         arrivedAt,
+        elapsedBefore: entry.callerElapsed.note(route.name, caller.deadlineMilliseconds),
         content,
         answer,
         signal: left.signal,
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -66,7 +66,7 @@
       ? CONTINUE_SLACK_MILLISECONDS
       : streamSlack({
           objectiveMilliseconds: route.objectiveMilliseconds,
-          elapsedMilliseconds: time.now() - request.arrivedAt,
+          elapsedMilliseconds: request.elapsedBefore + time.now() - request.arrivedAt,
           promptTokens: caller.promptTokens,
           readTokensPerSecond: engine?.readTokensPerSecond ?? 0,
         });
--- a/packages/limits/__tests__/placeQueue.spec.ts
+++ b/packages/limits/__tests__/placeQueue.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
+import { createCallerElapsed } from '../src/callerElapsed.js';
 import { createForeignLoad } from '../src/foreignLoad.js';
 import { createPlaceQueue, type PlaceRequest } from '../src/placeQueue.js';
 import { createSharedRetryBudget } from '../src/sharedRetryBudget.js';
@@ -161,6 +162,29 @@
   });
 });
 
+describe('the time that a caller has spent', () => {
+  it('is what its deadline lacks of the usual one', () => {
+    const elapsed = createCallerElapsed();
+    assert.equal(elapsed.note('r', 6_033), 0);
+    assert.equal(elapsed.note('r', 6_033), 0);
+    const late = elapsed.note('r', 5_500);
+    assert.ok(late > 500 && late < 534, `${late} ms`);
+    assert.equal(elapsed.note('other', 1_500), 0);
+    assert.equal(elapsed.note('r', null), 0);
+  });
+
+  it('lets a late claim wait longer, behind those that are in time', () => {
+    const queue = createPlaceQueue(1);
+    const first = queue.claim(request({ expectedMilliseconds: 300 }), 0);
+    assert.ok(first.kind === 'granted');
+    const late = queue.claim(request({ slackMilliseconds: 0, rank: 100 }), 0);
+    assert.equal(late.kind, 'waiting');
+    const inTime = queue.claim(request({ slackMilliseconds: 400, rank: 1 }), 200);
+    assert.ok(inTime.kind === 'waiting');
+    assert.equal(queue.release(first.place, 290)[0]?.ticket, inTime.ticket);
+  });
+});
+
 describe('requests that no place was granted for', () => {
   it('count once two reports in a row show them', () => {
     const load = createForeignLoad();
--- a/packages/limits/src/placeQueue.ts
+++ b/packages/limits/src/placeQueue.ts
@@ -69,6 +69,13 @@
 /** Longest wait, in milliseconds: beyond it a queue only moves the refusal. */
 const LONGEST_WAIT_MILLISECONDS = 160;
 
+/**
+ * Wait of a claim whose objective is lost, in milliseconds.
+ *
+ * A late answer is worth something to a caller that has been refused before, another refusal is not.
+ */
+const LATE_WAIT_MILLISECONDS = 450;
+
 /** Wait that every claim is allowed, in milliseconds: about the time between two ends at an engine. */
 const SHORTEST_WAIT_MILLISECONDS = 60;
 
@@ -135,10 +142,12 @@
     isOpenFor(request, now);
 
   const longestWait = (request: PlaceRequest): number =>
-    Math.min(
-      LONGEST_WAIT_MILLISECONDS,
-      Math.max(SHORTEST_WAIT_MILLISECONDS, request.slackMilliseconds - fullEngine()),
-    );
+    request.slackMilliseconds <= 0
+      ? LATE_WAIT_MILLISECONDS
+      : Math.min(
+          LONGEST_WAIT_MILLISECONDS,
+          Math.max(SHORTEST_WAIT_MILLISECONDS, request.slackMilliseconds - fullEngine()),
+        );
 
   const grant = (request: PlaceRequest, now: Milliseconds): number => {
     readUntil = Math.max(now, readUntil) + request.readMilliseconds / READING_SHARE;
