--- a/packages/gateway/src/entryPlain.ts
+++ b/packages/gateway/src/entryPlain.ts
@@ -21,6 +21,15 @@
 /** Largest answer that is held before it is passed on, in bytes. */
 const MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
 
+/** The upstream has not run the request and will not. */
+export interface NotRun {
+  readonly kind: 'notRun';
+  readonly verdict: AttemptVerdict;
+  readonly reason: string;
+  /** False when not a byte of the request was sent. */
+  readonly sent: boolean;
+}
+
 /** How one attempt ended. */
 export type PlainOutcome =
   | {
@@ -28,10 +37,8 @@
       readonly status: number;
       readonly rawHeaders: readonly string[];
       readonly body: Buffer;
-      readonly signed: boolean;
     }
-  /** The upstream has not run the request and will not. */
-  | { readonly kind: 'notRun'; readonly verdict: AttemptVerdict; readonly reason: string }
+  | NotRun
   /** It may have run. */
   | { readonly kind: 'unknown'; readonly verdict: AttemptVerdict; readonly reason: string };
 
@@ -55,16 +62,19 @@
   body: Buffer,
 ): PlainOutcome {
   if (status === MISDIRECTED_STATUS) {
-    return { kind: 'notRun', verdict: 'replaced', reason: 'another upstream has the address' };
+    const reason = 'another upstream has the address';
+    return { kind: 'notRun', verdict: 'replaced', reason, sent: true };
   }
   if (headers.requestId !== null && headers.requestId !== requestId) {
     return { kind: 'unknown', verdict: 'failed', reason: 'the answer belongs to another request' };
   }
-  if (headers.notRun) return { kind: 'notRun', verdict: 'full', reason: `refused with ${status}` };
+  if (headers.notRun) {
+    return { kind: 'notRun', verdict: 'full', reason: `refused with ${status}`, sent: true };
+  }
   if (!headers.signed || headers.requestId === null) {
     return { kind: 'unknown', verdict: 'failed', reason: `unsigned answer ${status}` };
   }
-  return { kind: 'answered', status, rawHeaders, body, signed: headers.signed };
+  return { kind: 'answered', status, rawHeaders, body };
 }
 
 /** Sends a request to one upstream and collects its whole answer. */
@@ -131,7 +141,7 @@
           const verdict = timedOut ? 'silent' : 'broken';
           const { message } = error;
           if (sent) settle({ kind: 'unknown', verdict, reason: message });
-          else settle({ kind: 'notRun', verdict, reason: `not sent: ${message}` });
+          else settle({ kind: 'notRun', verdict, reason: message, sent });
         },
       },
     );
@@ -247,10 +257,10 @@
       upstream: id,
       outcome: outcome.kind,
       verdict: outcome.verdict,
+      sent: outcome.kind === 'unknown' || outcome.sent,
       reason: outcome.reason,
     });
-    const wasSent = outcome.kind === 'unknown' || !outcome.reason.startsWith('not sent');
-    if (wasSent) sends += 1;
+    if (outcome.kind === 'unknown' || outcome.sent) sends += 1;
     if (outcome.kind === 'unknown') mayHaveRun = true;
     if (outcome.kind === 'unknown' && outcome.verdict === 'broken' && !signal.aborted) {
       entry.reportCrash({ content: request.content, upstream: id });
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -155,6 +155,7 @@
       upstream: place.engine,
       outcome: ended.kind,
       verdict: ended.verdict,
+      sent: ended.kind === 'broken' || ended.sent,
       reason: ended.reason,
       events: progress.events,
     });
@@ -165,7 +166,7 @@
         lost += 1;
         entry.reportCrash({ content: request.content, upstream: place.engine });
       }
-    } else if (!ended.reason.startsWith('not sent')) sends += 1;
+    } else if (ended.sent) sends += 1;
   }
   if (signal.aborted || answer.end !== 'open') return;
   trace.cause = lastReason;
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -3,7 +3,7 @@
 import type { GrantedPlace } from './entryPlaces.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
 import { createEventSplitter } from './eventSplitter.js';
-import { judgeAnswer } from './entryPlain.js';
+import { judgeAnswer, type NotRun } from './entryPlain.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 
 /** Longest silence before the first event, in milliseconds: a late first event is worth waiting for. */
@@ -23,8 +23,7 @@
 /** How one engine's part of a stream ended. */
 export type StreamOutcome =
   | { readonly kind: 'complete' }
-  /** The engine has not run the request and will not. */
-  | { readonly kind: 'notRun'; readonly verdict: AttemptVerdict; readonly reason: string }
+  | NotRun
   /** The engine answered with something other than a stream. */
   | {
       readonly kind: 'whole';
@@ -159,7 +158,7 @@
         const verdict = silent ? 'silent' : 'broken';
         const reason = silent ? 'no event in time' : error.message;
         if (sent) settle({ kind: 'broken', verdict, reason });
-        else settle({ kind: 'notRun', verdict, reason: `not sent: ${reason}` });
+        else settle({ kind: 'notRun', verdict, reason, sent });
       },
     },
   );
