--- a/packages/gateway/__tests__/entryDecisions.spec.ts
+++ b/packages/gateway/__tests__/entryDecisions.spec.ts
@@ -5,7 +5,7 @@
 import { createRouteTable } from '@burdockrail/routing/routeTable.js';
 import fc from 'fast-check';
 import { admitRequest, isRefusal, type AdmissionQuestion } from '../src/entryAdmission.js';
-import { judgeAnswer } from '../src/entryPlain.js';
+import { judgeAnswer } from '../src/attemptOutcome.js';
 import { createEventSplitter } from '../src/eventSplitter.js';
 import { createSuspendClock } from '../src/suspendClock.js';
 import { mayServe } from '../src/versionRule.js';
--- a/packages/gateway/src/entryPlain.ts
+++ b/packages/gateway/src/entryPlain.ts
@@ -1,10 +1,10 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { chooseUpstream } from '@burdockrail/routing/upstreamChoice.js';
-import type { AttemptVerdict } from '@burdockrail/routing/upstreamStanding.js';
-import type { AnswerHeaders, HeaderMap } from './dialect.js';
-import { connectionLimit, type EntryContext } from './entryContext.js';
+import type { PlainOutcome } from './attemptOutcome.js';
+import type { EntryContext } from './entryContext.js';
 import type { Refusal } from './entryAdmission.js';
-import { outgoingRequest, type EntryRequest } from './entryRequest.js';
+import type { EntryRequest } from './entryRequest.js';
+import { attemptPlain } from './plainAttempt.js';
 
 /** Least time left with which an attempt is worth sending, in milliseconds: a local round trip. */
 const LEAST_ATTEMPT_MILLISECONDS = 8;
@@ -18,145 +18,8 @@
 /** Time to come back when no upstream is there, in milliseconds. */
 const ABSENT_RETRY_MILLISECONDS = 250;
 
-/** Largest answer that is held before it is passed on, in bytes. */
-const MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
-
-/** The upstream has not run the request and will not. */
-export interface NotRun {
-  readonly kind: 'notRun';
-  readonly verdict: AttemptVerdict;
-  readonly reason: string;
-  /** False when not a byte of the request was sent. */
-  readonly sent: boolean;
-}
-
-/** How one attempt ended. */
-export type PlainOutcome =
-  | {
-      readonly kind: 'answered';
-      readonly status: number;
-      readonly rawHeaders: readonly string[];
-      readonly body: Buffer;
-    }
-  | NotRun
-  /** It may have run. */
-  | { readonly kind: 'unknown'; readonly verdict: AttemptVerdict; readonly reason: string };
-
-const MISDIRECTED_STATUS = 421;
 const FAILURE_STATUS = 500;
 
-interface Collected {
-  readonly status: number;
-  readonly headers: AnswerHeaders;
-  readonly rawHeaders: readonly string[];
-  readonly parts: Buffer[];
-  size: number;
-}
-
-/** What a complete answer says of the attempt; answers of other requests are never passed on. */
-export function judgeAnswer(
-  requestId: string,
-  status: number,
-  headers: AnswerHeaders,
-  rawHeaders: readonly string[],
-  body: Buffer,
-): PlainOutcome {
-  if (status === MISDIRECTED_STATUS) {
-    const reason = 'another upstream has the address';
-    return { kind: 'notRun', verdict: 'replaced', reason, sent: true };
-  }
-  if (headers.requestId !== null && headers.requestId !== requestId) {
-    return { kind: 'unknown', verdict: 'failed', reason: 'the answer belongs to another request' };
-  }
-  if (headers.notRun) {
-    return { kind: 'notRun', verdict: 'full', reason: `refused with ${status}`, sent: true };
-  }
-  if (!headers.signed || headers.requestId === null) {
-    return { kind: 'unknown', verdict: 'failed', reason: `unsigned answer ${status}` };
-  }
-  return { kind: 'answered', status, rawHeaders, body };
-}
-
-/** Sends a request to one upstream and collects its whole answer. */
-async function attemptPlain(
-  entry: EntryContext,
-  request: EntryRequest,
-  upstream: { readonly id: string; readonly address: string },
-  patience: number,
-): Promise<PlainOutcome> {
-  const { connections, dialect, time, upstreams } = entry;
-  const { admitted, signal } = request;
-  const outgoing = outgoingRequest(
-    request,
-    {
-      deadlineMilliseconds: Math.floor(admitted.deadline - time.now()),
-      upstreamId: upstream.id,
-      team: admitted.team?.name ?? null,
-      version: null,
-      lastEventId: null,
-    },
-    dialect,
-  );
-  return new Promise((resolve) => {
-    let sent = false;
-    let collected: Collected | null = null;
-    let timedOut = false;
-    const settle = (outcome: PlainOutcome): void => {
-      clearTimeout(timer);
-      signal.removeEventListener('abort', onAbort);
-      resolve(outcome);
-    };
-    const attempt = connections.run(
-      upstream.address,
-      connectionLimit(entry, admitted.service),
-      outgoing,
-      {
-        sent: () => {
-          sent = true;
-        },
-        head: (status, headers: HeaderMap, rawHeaders) => {
-          const read = dialect.readAnswer(headers);
-          if (read.load !== null) {
-            const { running, waiting } = read.load;
-            upstreams.reported(upstream.id, running + waiting, time.now());
-          }
-          collected = { status, headers: read, rawHeaders, parts: [], size: 0 };
-        },
-        data: (bytes) => {
-          if (collected === null) return;
-          collected.parts.push(bytes);
-          collected.size += bytes.length;
-          if (collected.size > MAXIMUM_ANSWER_BYTES) attempt.abort();
-        },
-        end: () => {
-          if (collected === null) {
-            settle({ kind: 'unknown', verdict: 'broken', reason: 'no answer' });
-            return;
-          }
-          const { status, headers, rawHeaders, parts, size } = collected;
-          const body = Buffer.concat(parts, size);
-          settle(judgeAnswer(request.id, status, headers, rawHeaders, body));
-        },
-        failed: (error) => {
-          const verdict = timedOut ? 'silent' : 'broken';
-          const { message } = error;
-          if (sent) settle({ kind: 'unknown', verdict, reason: message });
-          else settle({ kind: 'notRun', verdict, reason: message, sent });
-        },
-      },
-    );
-    const onAbort = (): void => {
-      attempt.abort();
-    };
-    const timer = setTimeout(() => {
-      timedOut = true;
-      attempt.abort();
-    }, patience);
-    signal.addEventListener('abort', onAbort, { once: true });
-    if (signal.aborted) onAbort();
-  });
-}
-
 function noteOutcome(
   entry: EntryContext,
   request: EntryRequest,
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -3,7 +3,7 @@
 import type { GrantedPlace } from './entryPlaces.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
 import { createEventSplitter } from './eventSplitter.js';
-import { judgeAnswer, type NotRun } from './entryPlain.js';
+import { judgeAnswer, type NotRun } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 
 /** Longest silence before the first event, in milliseconds: a late first event is worth waiting for. */
