--- a/packages/fleet/__tests__/routeRegister.spec.ts
+++ b/packages/fleet/__tests__/routeRegister.spec.ts
@@ -22,15 +22,29 @@
     assert.equal(Buffer.from(held).toString(), 'first');
   });
 
+  it('keeps the time of a naming, and of the ones before it', () => {
+    const register = createRouteRegister();
+    for (const version of [2, 3, 2]) {
+      register.apply({ kind: 'nameWeights', model: 'm', version, namedAt: version }, position);
+    }
+    assert.deepEqual(
+      register.query(null).weights.map(({ version, namedAt }) => [version, namedAt]),
+      [
+        [2, 2],
+        [3, 3],
+      ],
+    );
+  });
+
   it('survives its snapshot', () => {
     const register = createRouteRegister();
     register.apply({ kind: 'configure', version: 5, document: document('five') }, position);
-    register.apply({ kind: 'nameWeights', model: 'm', version: 2 }, position);
+    register.apply({ kind: 'nameWeights', model: 'm', version: 2, namedAt: 7 }, position);
     const restored = createRouteRegister();
     restored.restore(register.snapshot());
     assert.deepEqual(restored.query(null), register.query(null));
     assert.equal(
-      restored.apply({ kind: 'nameWeights', model: 'm', version: 2 }, position).taken,
+      restored.apply({ kind: 'nameWeights', model: 'm', version: 2, namedAt: 9 }, position).taken,
       false,
     );
   });
--- a/packages/fleet/src/routeRegister.ts
+++ b/packages/fleet/src/routeRegister.ts
@@ -8,7 +8,15 @@
       /** Document as operators sent it, compressed. */
       readonly document: Uint8Array;
     }
-  | { readonly kind: 'nameWeights'; readonly model: string; readonly version: number };
+  | ({ readonly kind: 'nameWeights' } & WeightsNaming);
+
+/** A version of a model's weights that operators named. */
+export interface WeightsNaming {
+  readonly model: string;
+  readonly version: number;
+  /** Time of day of the process that took the order, in Unix milliseconds. */
+  readonly namedAt: number;
+}
 
 /** Version in force after a command. */
 export interface RouteResult {
@@ -26,13 +34,16 @@
 /** The whole state. */
 export interface RouteRegisterState {
   readonly configuration: RegisteredRoutes | null;
-  /** Newest named version of each model. */
-  readonly weights: readonly (readonly [model: string, version: number])[];
+  /** Latest namings of each model, in the order in which they were committed. */
+  readonly weights: readonly WeightsNaming[];
 }
 
 /** Replicated state of a deployment whose operators number their configurations. */
 export type RouteRegister = ReplicatedState<RouteCommand, RouteResult, null, RouteRegisterState>;
 
+/** Namings of a model that are kept: one may come before the former is in place. */
+const NAMINGS_KEPT = 4;
+
 /**
  * Creates an empty register.
  *
@@ -42,8 +53,8 @@
  */
 export function createRouteRegister(): RouteRegister {
   let configuration: RegisteredRoutes | null = null;
-  let weights = new Map<string, number>();
-  const state = (): RouteRegisterState => ({ configuration, weights: [...weights] });
+  let weights: readonly WeightsNaming[] = [];
+  const state = (): RouteRegisterState => ({ configuration, weights });
 
   const configure = (version: number, document: Uint8Array): RouteResult => {
     const held = configuration?.version ?? 0;
@@ -52,10 +63,13 @@
     return { version, taken: true };
   };
 
-  const nameWeights = (model: string, version: number): RouteResult => {
-    const held = weights.get(model) ?? 0;
+  const nameWeights = ({ model, version, namedAt }: WeightsNaming): RouteResult => {
+    const ofModel = weights.filter((naming) => naming.model === model);
+    const held = ofModel.at(-1)?.version ?? 0;
     if (version <= held) return { version: held, taken: false };
-    weights.set(model, version);
+    const kept = ofModel.slice(1 - NAMINGS_KEPT);
+    const others = weights.filter((naming) => naming.model !== model);
+    weights = [...others, ...kept, { model, version, namedAt }];
     return { version, taken: true };
   };
 
@@ -63,13 +77,13 @@
     apply: (command) =>
       command.kind === 'configure'
         ? configure(command.version, command.document)
-        : nameWeights(command.model, command.version),
+        : nameWeights(command),
     query: state,
     snapshot: state,
     restore: (snapshot) => {
       const restored = snapshot as RouteRegisterState;
       configuration = restored.configuration;
-      weights = new Map(restored.weights);
+      weights = restored.weights;
     },
   };
 }
--- a/packages/gateway/__tests__/entryDecisions.spec.ts
+++ b/packages/gateway/__tests__/entryDecisions.spec.ts
@@ -8,7 +8,7 @@
 import { judgeAnswer } from '../src/attemptOutcome.js';
 import { createEventSplitter } from '../src/eventSplitter.js';
 import { createSuspendClock } from '../src/suspendClock.js';
-import { mayServe } from '../src/versionRule.js';
+import { mayServe, namingAge } from '../src/versionRule.js';
 
 const route: Route = {
   name: 'r',
@@ -142,6 +142,12 @@
 });
 
 describe('the rule of versions', () => {
+  it('counts from the naming also in a process that has just started', () => {
+    assert.equal(namingAge(10, 1_000, 6_000), 5_000);
+    assert.equal(namingAge(4_000, 1_000, 2_000), 4_000);
+    assert.equal(namingAge(0, 5_000, 1_000), 0);
+  });
+
   it('does not put off the end of a version when a further one is named', () => {
     const bounds = { versionMilliseconds: 8_000 };
     const named = [
--- a/packages/gateway/src/controlBoard.ts
+++ b/packages/gateway/src/controlBoard.ts
@@ -18,6 +18,7 @@
 import { parseAddress } from './controlAddresses.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ControlSettings } from './gatewaySettings.js';
+import { namingAge } from './versionRule.js';
 
 /** Heartbeats that may stay out before an upstream counts as silent. */
 const MISSED_HEARTBEATS = 3;
@@ -43,9 +44,6 @@
 /** Time for which an entry counts after its last watch, in milliseconds. */
 const ENTRY_SEEN_MILLISECONDS = 3_000;
 
-/** Namings of weights that are passed on, the newest ones. */
-const MAXIMUM_NAMINGS = 16;
-
 /** Crash sightings that are kept and passed on, the newest ones. */
 const MAXIMUM_CRASHES = 200;
 
@@ -81,10 +79,7 @@
   const controls = new Map<string, SeenPeer>();
   const entries = new Map<string, Milliseconds>();
   const entriesOfPeers = new Map<string, { readonly count: number; readonly at: Milliseconds }>();
-  const weightsKnownAt = new Map<
-    string,
-    { readonly model: string; readonly version: number; readonly at: Milliseconds }
-  >();
+  const weightsKnownAt = new Map<string, Milliseconds>();
   const relays = new Map<string, Promise<void>>();
   let crashes: readonly CrashSighting[] = [];
   let crashRevision = 0;
@@ -112,23 +107,17 @@
     return taken;
   };
 
-  /** All versions whose naming this process has seen, for a newer one does not put off the older. */
-  const namedWeights = (now: Milliseconds): readonly NamedWeights[] => {
-    for (const [model, version] of group.state.weights) {
+  /**
+   * Ages of the namings: by the time that this process has known of them, or by the time of day of
+   * their naming if that is longer, since a process that has just started knows of them for a moment.
+   */
+  const namedWeights = (now: Milliseconds): readonly NamedWeights[] =>
+    group.state.weights.map(({ model, version, namedAt }) => {
       const key = `${model}@${version}`;
-      if (weightsKnownAt.has(key)) continue;
-      weightsKnownAt.set(key, { model, version, at: now });
-      const [oldest] = weightsKnownAt.keys();
-      if (weightsKnownAt.size > MAXIMUM_NAMINGS && oldest !== undefined) {
-        weightsKnownAt.delete(oldest);
-      }
-    }
-    return [...weightsKnownAt.values()].map(({ model, version, at }) => ({
-      model,
-      version,
-      ageMilliseconds: now - at,
-    }));
-  };
+      const since = weightsKnownAt.get(key) ?? now;
+      weightsKnownAt.set(key, since);
+      return { model, version, ageMilliseconds: namingAge(now - since, namedAt, Date.now()) };
+    });
 
   const ownEntries = (now: Milliseconds): number =>
     [...entries.values()].filter((at) => now - at < ENTRY_SEEN_MILLISECONDS).length;
--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -84,7 +84,7 @@
   const nameWeights = async (body: string): Promise<Reply> => {
     const name = dialect.decodeWeightsName(body);
     if (name === null) return failed(400, ResultCode.FleetInvalid, 'no model or version');
-    const outcome = await orders.propose({ kind: 'nameWeights', ...name });
+    const outcome = await orders.propose({ kind: 'nameWeights', ...name, namedAt: Date.now() });
     const result = outcome.kind === 'success' ? 'acknowledged' : resultName(outcome.code);
     log.write('orderTaken', { order: 'nameWeights', ...name, outcome: result });
     return outcome.kind === 'success' ? done : failed(503, outcome.code, outcome.detail);
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -3,6 +3,7 @@
 import type { EntryContext } from './entryContext.js';
 import type { EntryPlaces, GrantedPlace } from './entryPlaces.js';
 import type { EntryRequest } from './entryRequest.js';
+import { mayServe } from './versionRule.js';
 import { attemptStream, type StreamOutcome } from './streamAttempt.js';
 
 /** Least time left with which a stream is worth starting, in milliseconds. */
@@ -121,6 +122,14 @@
       return;
     }
     tried.add(place.engine);
+    // The grant may have been long on its way.
+    if (
+      !mayServe(place.version, beliefs.weightsOf(caller.model), entry.settings.bounds, time.now())
+    ) {
+      place.release();
+      lastReason = 'granted for an older version';
+      continue;
+    }
     trace.attempts += 1;
     trace.upstreams.push(place.engine);
     if (progress.events > 0) {
