--- a/packages/agreement/__tests__/replicaSimulation.ts
+++ b/packages/agreement/__tests__/replicaSimulation.ts
@@ -35,8 +35,16 @@
   readonly fromSlot: string;
   readonly toSlot: string;
   readonly message: ReplicaMessage;
+  /** Times that the message was doubled on its way. */
+  readonly doublings: number;
 }
 
+/**
+ * Most doublings of one message: without a bound, messages to a frozen replica multiply for as long as
+ * it is frozen, and a schedule may never end.
+ */
+const MAXIMUM_DOUBLINGS = 3;
+
 /** Longest time of one turn, in milliseconds. */
 const TURN_MILLISECONDS = 40;
 
@@ -133,7 +141,8 @@
       if (effect.kind === 'persist') slot.unsynced.push(effect);
       else if (effect.kind === 'answer') onAnswer(effect);
       else if (effect.kind === 'send') {
-        network.push({ fromSlot: slot.name, toSlot: effect.slot, message: effect.message });
+        const { slot: toSlot, message } = effect;
+        network.push({ fromSlot: slot.name, toSlot, message, doublings: 0 });
       }
     }
     noteLeader(slot);
@@ -152,10 +161,11 @@
     if (last > 0) carryOut(slot, slot.replica.persisted(last, clock(slot)));
   };
   const linkOf = (from: string, to: string): string => `${from}>${to}`;
-  const receive = ({ fromSlot, toSlot, message }: Travelling): void => {
+  const receive = (item: Travelling): void => {
+    const { fromSlot, toSlot, message } = item;
     const slot = slots.find((candidate) => candidate.name === toSlot);
     if (slot === undefined || cuts.has(linkOf(fromSlot, toSlot))) return;
-    if (slot.frozen) network.push({ fromSlot, toSlot, message });
+    if (slot.frozen) network.push(item);
     else carryOut(slot, slot.replica.receive(message, clock(slot)));
   };
   const deliverSome = (): void => {
@@ -163,9 +173,11 @@
     network = [];
     for (const item of travelling) {
       if (random.next() < weather.lost) continue;
-      if (random.next() < weather.doubled) network.push(item);
-      if (random.next() < weather.delivered) receive(item);
-      else network.push(item);
+      const isDoubled = random.next() < weather.doubled && item.doublings < MAXIMUM_DOUBLINGS;
+      const onward = isDoubled ? { ...item, doublings: item.doublings + 1 } : item;
+      if (isDoubled) network.push(onward);
+      if (random.next() < weather.delivered) receive(onward);
+      else network.push(onward);
     }
   };
   const syncSome = (): void => {
