perf(rollout): what others wait for is fetched first, without hashing at each look

Agents took 5.4 to 6.4 s for a version whose copy takes 2.6 s over the origin's link, all of them finished at 24.7 s and drained together, and streams were late all the while. Read from the code: each look for a chunk hashed every missing chunk against every agent (some 2,000 digests with 24 agents), sources were always the first agent in the list, fetches were counted as busy only after a pause, a chunk held for the region was fetched in no order, and a chunk went out in one piece of 24 KiB in front of claims and events.

One fetch from the origin an agent. Chunks go out whole one after the other, in paced parts of 8 KiB. Turns begin at 0.45 of the time for a version instead of 0.6, as chunks are there sooner.

--- a/packages/gateway/src/agentWeights.ts
+++ b/packages/gateway/src/agentWeights.ts
@@ -1,11 +1,13 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import { packChunks } from '@burdockrail/rollout/chunkBits.js';
+import type { ChunkPeer } from '@burdockrail/rollout/chunkDuties.js';
 import { expectedStagedAt, loadTurnAt } from '@burdockrail/rollout/loadTurn.js';
 import { createPacer } from '@burdockrail/rollout/rolloutPacer.js';
-import type { ChunkReadReply } from '@burdockrail/protocol/protocolDirectory.js';
 import { formatAddress } from '@burdockrail/protocol/protocolAddress.js';
-import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
-import { agentAddress, fetchChunks, packChunks, type FetchPeer } from './chunkFetch.js';
+import type { ChunkRead } from '@burdockrail/protocol/protocolDirectory.js';
+import type { PeerHandlers, StreamSink } from '@burdockrail/transport/peerHandlers.js';
+import { agentAddress, fetchChunks } from './chunkFetch.js';
 import { parseAddress } from './controlAddresses.js';
 import { createHttpCaller, type HttpCaller } from './engineClient.js';
 import type { WeightsName } from './dialect.js';
@@ -29,7 +31,12 @@
 const CLOSING_MILLISECONDS = 2_000;
 
 /** Share of the link each way that weights may use; the rest is for requests and grants. */
-const LINK_SHARE = 0.85;
+const LINK_SHARE = 0.8;
+
+/** Part of a chunk that is sent in one go, in bytes: requests on the same link wait for one at most. */
+const PART_BYTES = 8_192;
+
+const MILLISECONDS_PER_SECOND = 1_000;
 
 const BYTES_PER_MEGABIT = 125_000;
 
@@ -92,7 +99,7 @@
     return origin.caller;
   };
 
-  const peers = (): readonly FetchPeer[] =>
+  const peers = (): readonly ChunkPeer[] =>
     beliefs.directory.entries
       .filter(({ record, silent }) => record.service === agent.service && !silent)
       .map(({ record }) => ({
@@ -203,6 +210,7 @@
         self,
         peers,
         pacer: downlink,
+        peerBytesPerSecond: linkRate * LINK_SHARE,
         signal: round.signal,
       });
     }
@@ -243,17 +251,22 @@
     }
   };
 
-  const readChunk = async (
-    model: string,
-    version: number,
-    chunk: number,
+  const sendChunk = async (
+    { model, version, chunk }: ChunkRead,
+    sink: StreamSink<Uint8Array>,
     signal: AbortSignal,
-  ): Promise<ChunkReadReply> => {
+  ): Promise<void> => {
     const staged = sets.get(`${model} ${version}`);
-    if (staged?.verified.has(chunk) !== true) return { bytes: null };
+    if (staged?.verified.has(chunk) !== true) return;
     const bytes = await staged.read(chunk);
-    if (bytes !== null) await pause(uplink.reserve(bytes.length, time.now()));
-    return { bytes: signal.aborted ? null : bytes };
+    if (bytes === null) return;
+    // Whole chunks go one after the other: another agent can pass on a chunk only when it is whole.
+    const begin = time.now() + uplink.reserve(bytes.length, time.now());
+    for (let from = 0; from < bytes.length; from += PART_BYTES) {
+      const due = begin + (from * MILLISECONDS_PER_SECOND) / (linkRate * LINK_SHARE);
+      await pause(Math.max(0, due - time.now()), undefined, { signal });
+      await sink.write(bytes.subarray(from, from + PART_BYTES));
+    }
   };
 
   /** Lets an engine that serves a version pass on what is staged there. */
@@ -285,10 +298,11 @@
           const staged = sets.get(`${model} ${version}`);
           const count = staged?.manifest.digests.length ?? 0;
           const held = packChunks(staged?.verified ?? new Set(), count);
-          return Promise.resolve({ held });
+          return Promise.resolve({ held, queuedMilliseconds: uplink.waitMilliseconds(time.now()) });
         },
-        'chunk.read': async ({ model, version, chunk }, { signal }) =>
-          readChunk(model, version, chunk, signal),
+      },
+      streams: {
+        'chunk.read': async (request, sink, { signal }) => sendChunk(request, sink, signal),
       },
     },
     [Symbol.asyncDispose]: async () => {
--- a/packages/protocol/src/protocolDirectory.ts
+++ b/packages/protocol/src/protocolDirectory.ts
@@ -161,16 +161,13 @@
 export interface ChunkListReply {
   /** One bit for each chunk, the lowest bit of the first byte first. */
   readonly held: Uint8Array;
+  /** Time until the agent's link is free for another chunk, in milliseconds. */
+  readonly queuedMilliseconds: number;
 }
 
-/** Asks an agent for a verified chunk of weights. */
+/** Asks an agent for a verified chunk of weights, which comes in parts; none when it is not held. */
 export interface ChunkRead {
   readonly model: string;
   readonly version: number;
   readonly chunk: number;
 }
-
-/** Answer to {@link ChunkRead}; `null` when the agent does not hold the chunk. */
-export interface ChunkReadReply {
-  readonly bytes: Uint8Array | null;
-}
--- a/packages/protocol/src/protocolKinds.ts
+++ b/packages/protocol/src/protocolKinds.ts
@@ -27,7 +27,6 @@
   ChunkList,
   ChunkListReply,
   ChunkRead,
-  ChunkReadReply,
   DirectoryUpdateSet,
   DirectoryWatch,
   PlaceClaim,
@@ -84,12 +83,12 @@
   'directory.watch': CallShape<DirectoryWatch, DirectoryUpdateSet>;
   'place.claim': CallShape<PlaceClaim, PlaceReply>;
   'chunk.list': CallShape<ChunkList, ChunkListReply>;
-  'chunk.read': CallShape<ChunkRead, ChunkReadReply>;
   'process.status': CallShape<Record<string, never>, ProcessStatus>;
 }
 
 /** Streams between processes by kind. */
 export interface PeerStreams {
+  'chunk.read': StreamShape<ChunkRead, Uint8Array>;
   'attempt.run': StreamShape<AttemptStart, AttemptItem>;
   'configuration.watch': StreamShape<{ readonly knownRevision: number }, ConfigurationWatchItem>;
 }
--- a/packages/rollout/src/chunkChoice.ts
+++ b/packages/rollout/src/chunkChoice.ts
@@ -1,5 +1,5 @@
-import { rendezvousOrder } from '@burdockrail/common/rendezvousHash.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import type { ChunkDuties } from './chunkDuties.js';
 
 /** An agent that may pass on chunks of a version. */
 export interface ChunkHolder {
@@ -9,6 +9,8 @@
   readonly held: ReadonlySet<number>;
   /** Fetches from it that are in progress. */
   readonly busy: number;
+  /** Time until its link is free, as it said last and as fetches since have added, in milliseconds. */
+  readonly queuedMilliseconds: number;
 }
 
 /** A place to fetch a chunk from. */
@@ -23,11 +25,9 @@
 
 /** What the choice of the next fetch depends on. */
 export interface ChunkQuestion {
-  readonly self: string;
   readonly region: string;
-  /** Names model and version. */
-  readonly set: string;
-  /** Chunks that are neither held nor being fetched. */
+  readonly duties: ChunkDuties;
+  /** Chunks that are neither held nor being fetched, in an order of this agent's own. */
   readonly missing: readonly number[];
   /** Other agents that take part. */
   readonly others: readonly ChunkHolder[];
@@ -37,8 +37,12 @@
   readonly idleMilliseconds: Milliseconds;
 }
 
-/** Fetches of one agent from the origin at the same time. */
-const ORIGIN_FETCHES = 2;
+/**
+ * Fetches of one agent from the origin at the same time.
+ *
+ * All agents share its thin link, and a chunk that comes whole sooner is passed on sooner.
+ */
+const ORIGIN_FETCHES = 1;
 
 /** Fetches from one other agent at the same time: its link is as thin as the own one. */
 const FETCHES_FROM_AGENT = 1;
@@ -46,43 +50,66 @@
 /** Time without a chunk after which the next in the order of owners takes over, in milliseconds. */
 const TAKEOVER_MILLISECONDS = 350;
 
-function leastBusy(holders: readonly ChunkHolder[]): ChunkHolder | undefined {
-  const free = holders.filter(({ busy }) => busy < FETCHES_FROM_AGENT);
-  return free.toSorted((left, right) => left.busy - right.busy)[0];
+const patience = (place: number): Milliseconds => place * TAKEOVER_MILLISECONDS;
+
+/** The holder whose link is free soonest; `undefined` when all are busy with this agent already. */
+function soonest(holders: readonly ChunkHolder[]): ChunkHolder | undefined {
+  let best: ChunkHolder | undefined;
+  for (const holder of holders) {
+    if (holder.busy >= FETCHES_FROM_AGENT) continue;
+    if (best === undefined || holder.queuedMilliseconds < best.queuedMilliseconds) best = holder;
+  }
+  return best;
+}
+
+function fromAgent(chunk: number, holder: ChunkHolder | undefined): ChunkFetch | null {
+  if (holder === undefined) return null;
+  return { chunk, source: { kind: 'agent', agent: holder.agent } };
+}
+
+/** How many agents hold a chunk, and those in the own region. */
+interface Spread {
+  readonly chunk: number;
+  readonly near: readonly ChunkHolder[];
+  readonly far: readonly ChunkHolder[];
 }
 
-function agentSource(holder: ChunkHolder): ChunkSource {
-  return { kind: 'agent', agent: holder.agent };
+function spreadOf(question: ChunkQuestion, chunk: number): Spread {
+  const holders = question.others.filter(({ held }) => held.has(chunk));
+  return {
+    chunk,
+    near: holders.filter(({ region }) => region === question.region),
+    far: holders.filter(({ region }) => region !== question.region),
+  };
 }
 
-/** Members in the order in which they are responsible for a chunk. */
-function owners(question: ChunkQuestion, chunk: number): readonly ChunkHolder[] {
-  const { self, region, others, set } = question;
-  const own: ChunkHolder = { agent: self, region, held: new Set(), busy: 0 };
-  return rendezvousOrder(`${set} ${chunk}`, [...others, own], ({ agent }) => agent);
+function originDuty(question: ChunkQuestion, spreads: readonly Spread[]): ChunkFetch | null {
+  if (question.fromOrigin >= ORIGIN_FETCHES) return null;
+  const due = spreads.find(
+    ({ chunk, near, far }) =>
+      near.length + far.length === 0 &&
+      question.idleMilliseconds >= patience(question.duties.of(chunk).amongAll),
+  );
+  return due === undefined ? null : { chunk: due.chunk, source: { kind: 'origin' } };
 }
 
-function sourceOf(question: ChunkQuestion, chunk: number): ChunkSource | null {
-  const { self, region, others } = question;
-  const holders = others.filter(({ held }) => held.has(chunk));
-  const near = holders.filter((holder) => holder.region === region);
-  if (near.length > 0) {
-    const chosen = leastBusy(near);
-    return chosen === undefined ? null : agentSource(chosen);
+function crossingDuty(question: ChunkQuestion, spreads: readonly Spread[]): ChunkFetch | null {
+  for (const { chunk, near, far } of spreads) {
+    if (near.length > 0 || far.length === 0) continue;
+    if (question.idleMilliseconds < patience(question.duties.of(chunk).inRegion)) continue;
+    const fetch = fromAgent(chunk, soonest(far));
+    if (fetch !== null) return fetch;
   }
-  const order = owners(question, chunk);
-  const patience = (place: number): number => place * TAKEOVER_MILLISECONDS;
-  const placeIn = (members: readonly ChunkHolder[]): number =>
-    members.findIndex(({ agent }) => agent === self);
-  const regionOrder = order.filter((holder) => holder.region === region);
-  const mayCross = question.idleMilliseconds >= patience(placeIn(regionOrder));
-  if (holders.length > 0) {
-    const chosen = mayCross ? leastBusy(holders) : undefined;
-    return chosen === undefined ? null : agentSource(chosen);
+  return null;
+}
+
+function nearCopy(spreads: readonly Spread[]): ChunkFetch | null {
+  const held = spreads.filter(({ near }) => near.length > 0);
+  for (const { chunk, near } of held.sort((left, right) => left.near.length - right.near.length)) {
+    const fetch = fromAgent(chunk, soonest(near));
+    if (fetch !== null) return fetch;
   }
-  const isOwner = question.idleMilliseconds >= patience(placeIn(order));
-  const mayAsk = isOwner && question.fromOrigin < ORIGIN_FETCHES;
-  return mayAsk ? { kind: 'origin' } : null;
+  return null;
 }
 
 /**
@@ -91,14 +118,12 @@
  * @remarks
  * Answers a version that is named while links are thin. One agent fetches each chunk from the
  * origin, one agent in each further region fetches it from another region, and all others fetch it
- * inside their region from whoever holds it. All agents compute the same plan, so no message is
- * needed to agree on it. Agents that got
- * nothing for a while take over one after the other for owners that are lost or slow.
+ * inside their region from whoever can send it soonest. What others wait for goes first: the chunks
+ * that only this agent fetches from the origin, then those that it brings into its region, then the
+ * rarest. Agents that got nothing for a while take over one after the other for owners that are lost
+ * or slow.
  */
 export function nextChunkFetch(question: ChunkQuestion): ChunkFetch | null {
-  for (const chunk of question.missing) {
-    const source = sourceOf(question, chunk);
-    if (source !== null) return { chunk, source };
-  }
-  return null;
+  const spreads = question.missing.map((chunk) => spreadOf(question, chunk));
+  return originDuty(question, spreads) ?? crossingDuty(question, spreads) ?? nearCopy(spreads);
 }
--- a/packages/rollout/src/loadTurn.ts
+++ b/packages/rollout/src/loadTurn.ts
@@ -14,7 +14,7 @@
 }
 
 /** Part of the time for a version over which engines take their turns. */
-const TURNS_SHARE = { from: 0.6, to: 0.8 } as const;
+const TURNS_SHARE = { from: 0.45, to: 0.8 } as const;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
--- a/packages/rollout/src/rolloutPacer.ts
+++ b/packages/rollout/src/rolloutPacer.ts
@@ -9,6 +9,8 @@
 export interface Pacer {
   /** Reserves room for bytes and gives the time to wait before they may go, in milliseconds. */
   reserve(bytes: number, now: Milliseconds): Milliseconds;
+  /** Time until bytes may go, in milliseconds. */
+  waitMilliseconds(now: Milliseconds): Milliseconds;
   /** Bytes reserved that have not gone yet. */
   queuedBytes(now: Milliseconds): number;
 }
@@ -28,6 +30,7 @@
       freeAt = begin + (bytes / rate) * MILLISECONDS_PER_SECOND;
       return Math.max(0, begin - now);
     },
+    waitMilliseconds: (now) => Math.max(0, freeAt - now),
     queuedBytes: (now) => {
       const rate = bytesPerSecond();
       if (rate === undefined) return 0;
