fix(rollout): an engine closes only for chunks that come, and old weights serve until near their end

Versions 2 and 3 were named at 18 and 20 s and the origin was gone from 20.5 to 26.5 s. Agents closed their engines by the link's rate although no chunk came, turns went by the newest naming although the first one ends the old weights, old weights ended at 0.8 of their time, and 0.2 of the link was kept for requests when none could be served. Agents asked the origin without a pause while it was gone, and a fetch that hung could hold a chunk for 4 s.

Tests: the progress of a transfer that stands still, the planner's rest and takeover, a request that may not start when its connection is there.

--- a/packages/gateway/__tests__/upstreamConnections.spec.ts
+++ b/packages/gateway/__tests__/upstreamConnections.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
+import { createServer as createHttpServer } from 'node:http';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { describe, it } from 'node:test';
 import { createUpstreamConnections } from '../src/upstreamConnections.js';
@@ -39,6 +40,7 @@
         2,
         { method: 'GET', path: '/', headers: [], body: null },
         {
+          mayStart: () => true,
           sent: () => undefined,
           head: () => undefined,
           data: () => undefined,
@@ -72,6 +74,7 @@
         2,
         { method: 'GET', path: '/', headers: [], body: null },
         {
+          mayStart: () => true,
           sent: () => calls.push('sent'),
           head: () => calls.push('head'),
           data: () => calls.push('data'),
@@ -86,6 +89,41 @@
   });
 });
 
+describe('a request that may not start any more when its connection is there', () => {
+  it('is given up before a byte of it was sent', async () => {
+    await using connections = createUpstreamConnections('127.0.0.1');
+    let requests = 0;
+    const server = createHttpServer((_request, response) => {
+      requests += 1;
+      response.end();
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as AddressInfo;
+    const seen = await new Promise<readonly string[]>((resolve) => {
+      const calls: string[] = [];
+      connections.run(
+        `127.0.0.1:${port}`,
+        2,
+        { method: 'GET', path: '/', headers: [], body: null },
+        {
+          mayStart: () => false,
+          sent: () => calls.push('sent'),
+          head: () => calls.push('head'),
+          data: () => calls.push('data'),
+          end: () => calls.push('end'),
+          failed: () => {
+            resolve(calls);
+          },
+        },
+      );
+    });
+    server.close();
+    assert.deepEqual(seen, []);
+    assert.equal(requests, 0);
+  });
+});
+
 describe('an answer of an upstream', () => {
   const unframed = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart';
 
--- a/packages/gateway/src/agentRole.ts
+++ b/packages/gateway/src/agentRole.ts
@@ -76,6 +76,8 @@
       beliefs,
       engine,
       watch,
+      mayServe: () =>
+        watch.report(time.now())?.models.some(({ model }) => versionOf(model) !== null) ?? false,
       closeAt: (closing) => {
         places.closeAt(closing);
       },
--- a/packages/gateway/src/agentWeights.ts
+++ b/packages/gateway/src/agentWeights.ts
@@ -2,13 +2,14 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { packChunks } from '@burdockrail/rollout/chunkBits.js';
 import type { ChunkPeer } from '@burdockrail/rollout/chunkDuties.js';
-import { expectedStagedAt, loadTurnAt } from '@burdockrail/rollout/loadTurn.js';
+import { createStagingProgress, loadTurnAt } from '@burdockrail/rollout/loadTurn.js';
 import { createPacer } from '@burdockrail/rollout/rolloutPacer.js';
 import { formatAddress } from '@burdockrail/protocol/protocolAddress.js';
 import type { ChunkRead } from '@burdockrail/protocol/protocolDirectory.js';
 import type { PeerHandlers, StreamSink } from '@burdockrail/transport/peerHandlers.js';
 import { agentAddress, fetchChunks } from './chunkFetch.js';
 import { parseAddress } from './controlAddresses.js';
+import { supersededAt } from './versionRule.js';
 import { createHttpCaller, type HttpCaller } from './engineClient.js';
 import type { WeightsName } from './dialect.js';
 import type { EngineWatch } from './engineWatch.js';
@@ -62,6 +63,8 @@
   readonly beliefs: Beliefs;
   readonly engine: HttpCaller;
   readonly watch: EngineWatch;
+  /** Whether the engine holds weights that may be served now. */
+  readonly mayServe: () => boolean;
   /** Lets only requests in that end by a time. */
   readonly closeAt: (time: Milliseconds | null) => void;
 }
@@ -82,12 +85,15 @@
   let origin: { readonly address: string; readonly caller: HttpCaller } | null = null;
   let round = new AbortController();
   let running: Promise<void> = Promise.resolve();
+  const progress = createStagingProgress();
   let preparing = false;
   let fence = Date.now();
   const linkRate = agent.linkMegabits * BYTES_PER_MEGABIT;
-  const isServing = (): boolean => (watch.report(time.now())?.models.length ?? 0) > 0;
-  const uplink = createPacer(() => linkRate * LINK_SHARE);
-  const downlink = createPacer(() => linkRate * (isServing() ? LINK_SHARE : 1));
+  const isLoaded = (): boolean => (watch.report(time.now())?.models.length ?? 0) > 0;
+  /** Weights get the whole link while no request could be served anyway. */
+  const weightsRate = (): number => linkRate * (options.mayServe() ? LINK_SHARE : 1);
+  const uplink = createPacer(weightsRate);
+  const downlink = createPacer(weightsRate);
 
   const originCaller = (): HttpCaller | null => {
     const services = beliefs.table?.configuration.services ?? [];
@@ -176,25 +182,27 @@
     await watch.refresh();
   };
 
-  const turnAt = (target: WeightsName): Milliseconds =>
-    loadTurnAt({
+  const turnAt = (target: WeightsName): Milliseconds => {
+    const held = watch.report(time.now())?.models.find(({ model }) => model === target.model);
+    return loadTurnAt({
       set: `${target.model} ${target.version}`,
       self,
       agents: [...peers().map(({ agent: peer }) => peer), self],
-      namedAt: beliefs.weightsOf(target.model).at(-1)?.namedAt ?? time.now(),
+      // An older version ends by the first naming after it, however many follow.
+      namedAt: supersededAt(held?.version ?? 0, beliefs.weightsOf(target.model)) ?? time.now(),
       boundMilliseconds: settings.bounds.versionMilliseconds,
     });
+  };
 
   /** Lets only requests in that end before the load, once the time of the load can be told. */
   const announceLoad = (target: WeightsName): void => {
     const staged = sets.get(`${target.model} ${target.version}`);
-    if (staged === undefined || !isServing()) return;
+    if (staged === undefined || !isLoaded()) return;
     const now = time.now();
-    const missing = staged.manifest.digests.length - staged.verified.size;
-    const rate = linkRate * LINK_SHARE;
-    const stagedAt = expectedStagedAt(missing, staged.largestChunkBytes, rate, now);
+    progress.note(staged.verified.size, now);
+    const stagedAt = progress.expectedAt(staged.manifest.digests.length, now);
     const loadAt = Math.max(stagedAt, turnAt(target));
-    if (loadAt - now < CLOSING_MILLISECONDS) options.closeAt(loadAt);
+    options.closeAt(loadAt - now < CLOSING_MILLISECONDS ? loadAt : null);
   };
 
   /** One step towards the target. */
@@ -221,7 +229,7 @@
       chunks: staged.verified.size,
       milliseconds: Math.round(time.now() - startedAt),
     });
-    if (isServing()) await pause(Math.max(0, turnAt(target) - time.now()));
+    if (isLoaded()) await pause(Math.max(0, turnAt(target) - time.now()));
     await staged.verifyAll();
     if (isWhole(staged) && isStillWanted(target)) await order(target);
   };
@@ -263,7 +271,7 @@
     // Whole chunks go one after the other: another agent can pass on a chunk only when it is whole.
     const begin = time.now() + uplink.reserve(bytes.length, time.now());
     for (let from = 0; from < bytes.length; from += PART_BYTES) {
-      const due = begin + (from * MILLISECONDS_PER_SECOND) / (linkRate * LINK_SHARE);
+      const due = begin + (from * MILLISECONDS_PER_SECOND) / weightsRate();
       await pause(Math.max(0, due - time.now()), undefined, { signal });
       await sink.write(bytes.subarray(from, from + PART_BYTES));
     }
--- a/packages/gateway/src/chunkFetch.ts
+++ b/packages/gateway/src/chunkFetch.ts
@@ -11,13 +11,16 @@
 import type { StagedChunks } from './stagedChunks.js';
 
 /** Chunks that are fetched at the same time: enough to fill a thin link over a short delay. */
-const FETCHES_AT_ONCE = 6;
+const FETCHES_AT_ONCE = 8;
 
 /** Bound on one fetch from an agent, in milliseconds: some chunks of a thin link. */
-const AGENT_MILLISECONDS = 700;
+const AGENT_MILLISECONDS = 1_000;
 
-/** Bound on one fetch from the origin, in milliseconds: all agents share its link at first. */
-const ORIGIN_MILLISECONDS = 4_000;
+/** Bound on one fetch from the origin at first, in milliseconds: all agents share its link. */
+const ORIGIN_MILLISECONDS = 1_500;
+
+/** Longest such bound; it doubles with each fetch that fails, for an origin that is slow. */
+const LONGEST_ORIGIN_MILLISECONDS = 6_000;
 
 /** Bound on the question what an agent holds, in milliseconds. */
 const LIST_ANSWER_MILLISECONDS = 500;
@@ -59,6 +62,7 @@
     },
     time.now(),
   );
+  let originBound = ORIGIN_MILLISECONDS;
   const isOver = (): boolean => signal.aborted || staged.verified.size === manifest.digests.length;
 
   const ask = async (agent: string): Promise<void> => {
@@ -96,7 +100,10 @@
   const readFromOrigin = async (chunk: number): Promise<Uint8Array | null> => {
     if (origin === null) return null;
     const request = dialect.weights.originChunk(model, version, chunk);
-    const { status, body } = await origin.call(request, ORIGIN_MILLISECONDS);
+    const bound = originBound;
+    originBound = Math.min(LONGEST_ORIGIN_MILLISECONDS, bound * 2);
+    const { status, body } = await origin.call(request, bound);
+    originBound = bound;
     return status === SUCCESS_STATUS ? body : null;
   };
 
--- a/packages/gateway/src/plainAttempt.ts
+++ b/packages/gateway/src/plainAttempt.ts
@@ -48,6 +48,7 @@
       connectionLimit(entry, admitted.service),
       outgoing,
       {
+        mayStart: () => true,
         sent: () => {
           sent = true;
         },
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -5,6 +5,7 @@
 import { createEventSplitter } from './eventSplitter.js';
 import { judgeAnswer, type NotRun } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
+import { mayServe } from './versionRule.js';
 
 /** Longest silence before the first event, in milliseconds: a late first event is worth waiting for. */
 const FIRST_EVENT_MILLISECONDS = 1_700;
@@ -50,8 +51,8 @@
   lastEventId: number | null,
   sinks: StreamSinks,
 ): Promise<StreamOutcome> {
-  const { connections, dialect, time } = entry;
-  const { admitted, signal } = request;
+  const { connections, dialect, time, beliefs, settings } = entry;
+  const { admitted, signal, caller } = request;
   const { route } = admitted;
   const outgoing = outgoingRequest(
     request,
@@ -69,6 +70,7 @@
   const splitter = createEventSplitter();
   let sent = false;
   let silent = false;
+  let outdated = false;
   let seenEvent = false;
   let head: { status: number; headers: AnswerHeaders; raw: readonly string[] } | null = null;
   let whole: Buffer[] | null = null;
@@ -112,6 +114,16 @@
     connectionLimit(entry, admitted.service),
     outgoing,
     {
+      mayStart: () => {
+        // The grant and a free connection may have been long in coming.
+        outdated = !mayServe(
+          place.version,
+          beliefs.weightsOf(caller.model),
+          settings.bounds,
+          time.now(),
+        );
+        return !outdated;
+      },
       sent: () => {
         sent = true;
       },
@@ -155,6 +167,10 @@
         settle({ kind: 'complete' });
       },
       failed: (error) => {
+        if (outdated) {
+          settle({ kind: 'notRun', verdict: 'full', reason: 'its weights are outdated', sent });
+          return;
+        }
         const verdict = silent ? 'silent' : 'broken';
         const reason = silent ? 'no event in time' : error.message;
         if (sent) settle({ kind: 'broken', verdict, reason });
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -28,6 +28,8 @@
 
 /** What happens to a request at an upstream, in this order. */
 export interface AttemptObserver {
+  /** Asked right before the first byte; the request is given up on `false`. */
+  mayStart(): boolean;
   /** The first byte is about to be written; without this call the upstream has seen nothing. */
   sent(): void;
   head(status: number, headers: HeaderMap, rawHeaders: readonly string[]): void;
@@ -149,7 +151,7 @@
         {
           onRequestStart: (started) => {
             controller = started;
-            if (isAborted) started.abort(new Error('given up'));
+            if (isAborted || !observer.mayStart()) started.abort(new Error('given up'));
             else observer.sent();
           },
           onResponseStart: (started, status, headers) => {
--- a/packages/rollout/__tests__/swarmSimulation.ts
+++ b/packages/rollout/__tests__/swarmSimulation.ts
@@ -32,8 +32,10 @@
 const NEAR_DELAY_MILLISECONDS = 1;
 const FAR_DELAY_MILLISECONDS = 3;
 const WRITE_MILLISECONDS = 4;
+/** Reading back at the engine, and the way of the last part over the second link. */
+const HANDLING_MILLISECONDS = 15;
 const TICK_MILLISECONDS = 5;
-const FETCH_MILLISECONDS = 700;
+const FETCH_MILLISECONDS = 1_000;
 const ANSWER_MILLISECONDS = 500;
 const LAST_MILLISECONDS = 40_000;
 
@@ -139,7 +141,7 @@
       give(now + FETCH_MILLISECONDS);
       return;
     }
-    after(now + delay, (asked) => {
+    after(now + delay + HANDLING_MILLISECONDS, (asked) => {
       const wait = sender.uplink.reserve(swarm.chunkBytes, asked);
       const starts = Math.max(sender.sends, asked + wait);
       sender.sends = starts + wire;
--- a/packages/rollout/src/chunkChoice.ts
+++ b/packages/rollout/src/chunkChoice.ts
@@ -33,6 +33,8 @@
   readonly others: readonly ChunkHolder[];
   /** Fetches from the origin that are in progress. */
   readonly fromOrigin: number;
+  /** False for a while after the origin failed. */
+  readonly mayAskOrigin: boolean;
   /** Time since this agent began to fetch, or since the last chunk came. */
   readonly idleMilliseconds: Milliseconds;
 }
@@ -44,8 +46,8 @@
  */
 const ORIGIN_FETCHES = 1;
 
-/** Fetches from one other agent at the same time: its link is as thin as the own one. */
-const FETCHES_FROM_AGENT = 1;
+/** Fetches from one other agent at the same time: one goes out while the other is asked for. */
+const FETCHES_FROM_AGENT = 2;
 
 /** Time without a chunk after which the next in the order of owners takes over, in milliseconds. */
 const TAKEOVER_MILLISECONDS = 350;
@@ -84,7 +86,7 @@
 }
 
 function originDuty(question: ChunkQuestion, spreads: readonly Spread[]): ChunkFetch | null {
-  if (question.fromOrigin >= ORIGIN_FETCHES) return null;
+  if (!question.mayAskOrigin || question.fromOrigin >= ORIGIN_FETCHES) return null;
   const due = spreads.find(
     ({ chunk, near, far }) =>
       near.length + far.length === 0 &&
--- a/packages/rollout/src/chunkPlanner.ts
+++ b/packages/rollout/src/chunkPlanner.ts
@@ -48,6 +48,12 @@
 /** The same for agents of other regions: only chunks that the region lacks come from there. */
 const FAR_INTERVAL_MILLISECONDS = 180;
 
+/** Time for which the origin is left alone after its first failure in a row, in milliseconds. */
+const ORIGIN_PAUSE_MILLISECONDS = 100;
+
+/** Longest such time; it doubles with each failure. */
+const LONGEST_ORIGIN_PAUSE_MILLISECONDS = 400;
+
 interface Known {
   readonly offer: ChunkOffer | null;
   /** True when the last question was not answered: others take over its part of the plan. */
@@ -84,6 +90,8 @@
   const agents = new Map<string, Known>();
   const fetching = new Set<number>();
   let fromOrigin = 0;
+  let originFailures = 0;
+  let originRestsUntil = start;
   let lastChunkAt = start;
   let planned: { readonly key: string; readonly duties: ChunkDuties } | null = null;
 
@@ -133,6 +141,7 @@
         missing: missing.filter((chunk) => !fetching.has(chunk)),
         others: others.map((other) => holderOf(other, now)),
         fromOrigin,
+        mayAskOrigin: now >= originRestsUntil,
         idleMilliseconds: now - lastChunkAt,
       });
       if (fetch === null) return null;
@@ -147,7 +156,12 @@
       fetching.delete(fetch.chunk);
       mark(fetch, -1);
       if (isSound) lastChunkAt = now;
-      if (fetch.source.kind === 'origin') return;
+      if (fetch.source.kind === 'origin') {
+        originFailures = isSound ? 0 : originFailures + 1;
+        const pause = ORIGIN_PAUSE_MILLISECONDS * 2 ** (originFailures - 1);
+        if (!isSound) originRestsUntil = now + Math.min(LONGEST_ORIGIN_PAUSE_MILLISECONDS, pause);
+        return;
+      }
       const { agent } = fetch.source;
       if (isSound) {
         change(agent, { avoidLength: unknown.avoidLength });
--- a/packages/rollout/src/loadTurn.ts
+++ b/packages/rollout/src/loadTurn.ts
@@ -16,8 +16,6 @@
 /** Part of the time for a version over which engines take their turns. */
 const TURNS_SHARE = { from: 0.45, to: 0.8 } as const;
 
-const MILLISECONDS_PER_SECOND = 1_000;
-
 /**
  * Time at which an engine that serves an older version should begin to load.
  *
@@ -33,12 +31,38 @@
   return namedAt + boundMilliseconds * share;
 }
 
-/** Time at which the missing chunks will have come over a link of a given rate. */
-export function expectedStagedAt(
-  missingChunks: number,
-  chunkBytes: number,
-  bytesPerSecond: number,
-  now: Milliseconds,
-): Milliseconds {
-  return now + (missingChunks * chunkBytes * MILLISECONDS_PER_SECOND) / bytesPerSecond;
+/** How fast a version's chunks come. */
+export interface StagingProgress {
+  /** Takes how many chunks are there now. */
+  note(held: number, now: Milliseconds): void;
+  /** Time at which all will be there at the present pace; infinite while none come. */
+  expectedAt(total: number, now: Milliseconds): Milliseconds;
+}
+
+/** Time over which the pace is taken, in milliseconds: several chunks of a thin link. */
+const PACE_MILLISECONDS = 1_000;
+
+/**
+ * Creates the progress of a version of which nothing is known.
+ *
+ * @remarks
+ * Answers an origin or a link that fails while a version is on its way: the link's rate would
+ * promise the end of a transfer that stands still, and the engine would stop taking requests for it.
+ */
+export function createStagingProgress(): StagingProgress {
+  let samples: readonly { readonly held: number; readonly at: Milliseconds }[] = [];
+  return {
+    note: (held, now) => {
+      const isReset = held < (samples.at(-1)?.held ?? 0);
+      const kept = isReset ? [] : samples.filter(({ at }) => now - at <= PACE_MILLISECONDS);
+      samples = [...kept, { held, at: now }];
+    },
+    expectedAt: (total, now) => {
+      const [first, last] = [samples[0], samples.at(-1)];
+      if (first === undefined || last === undefined) return Number.POSITIVE_INFINITY;
+      if (last.held >= total) return now;
+      const pace = (last.held - first.held) / Math.max(1, now - first.at);
+      return pace === 0 ? Number.POSITIVE_INFINITY : now + (total - last.held) / pace;
+    },
+  };
 }
