fix(gateway): a draining entry ends after a quiet moment, not between two requests

Cause: platformWire 'finishes its requests when it is told to stop' failed once among others and then in one of one runs beside ten busy processes, with two ECONNRESET. The entry ended as soon as no request was in progress; a connection accepted last whose request was not read yet was reset.

Change: 0.3 s without a request in progress come before the end. A connection that the system accepts while the listening socket closes can still be reset; nothing here can see it.

--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -25,6 +25,13 @@
 /** Part of the grace time that is left for the end of the process, in milliseconds. */
 const EXIT_MARGIN_MILLISECONDS = 600;
 
+/**
+ * Time without a request in progress after which a draining entry ends, in milliseconds.
+ *
+ * A connection that was accepted last may have sent a request that is not read yet.
+ */
+const QUIET_MILLISECONDS = 300;
+
 /** Interval at which a draining entry looks whether it is idle, in milliseconds. */
 const IDLE_CHECK_MILLISECONDS = 50;
 
@@ -146,7 +153,11 @@
       // A balancer that finds too few entries ready keeps sending, so this one has to turn away.
       await pause(Math.min(BALANCER_MILLISECONDS, bound / 2));
       server?.stopListening();
-      while (age() < bound && (server?.inProgress ?? 0) > 0) await pause(IDLE_CHECK_MILLISECONDS);
+      let busyAt = time.now();
+      while (age() < bound && time.now() - busyAt < QUIET_MILLISECONDS) {
+        await pause(IDLE_CHECK_MILLISECONDS);
+        if ((server?.inProgress ?? 0) > 0) busyAt = time.now();
+      }
     },
     [Symbol.asyncDispose]: async () => owned[Symbol.asyncDispose](),
   };
