perf(limits): a late claim waits for no place; replay of load patterns in virtual time

Every claim could wait 60 ms whatever it had left, and late ones 450 ms; each place that a late claim got made the next claim late. Found by replay: engines that work in passes, callers that come back, and the deciding code in virtual time.

--- /dev/null
+++ b/packages/bench/src/replayScenarios.ts
@@ -0,0 +1,143 @@
+import type { EnginePace } from '@burdockrail/limits/placeWork.js';
+import type { PassSettings } from '@burdockrail/standins/enginePasses.js';
+import type { ReplayEngine, ReplayFleet } from './replayFleet.js';
+import type { StreamKind, TrafficPattern } from './replayTraffic.js';
+
+/** Arrivals on a fleet, replayed to compare decisions. */
+export interface ReplayScenario {
+  readonly name: string;
+  /** The load pattern that it replays. */
+  readonly pattern: string;
+  readonly fleet: Omit<ReplayFleet, 'seed'>;
+  readonly traffic: TrafficPattern;
+}
+
+const large = { mostAnswerTokens: 262, pauseMilliseconds: 400 };
+
+/** Kinds of requests as the users' sheet gives them. */
+const kinds: readonly StreamKind[] = [
+  {
+    ...large,
+    name: 'trip-plan',
+    share: 44.4,
+    objectiveMilliseconds: 500,
+    promptTokens: 1_330,
+    mostPromptTokens: 3_920,
+    answerTokens: 105,
+    worth: 2.4,
+    lateWorth: 0.6,
+  },
+  {
+    ...large,
+    name: 'guest-reply',
+    share: 33.8,
+    objectiveMilliseconds: 400,
+    promptTokens: 827,
+    mostPromptTokens: 3_370,
+    answerTokens: 105,
+    worth: 2,
+    lateWorth: 0.49,
+  },
+  {
+    ...large,
+    name: 'log-summary',
+    share: 31.9,
+    objectiveMilliseconds: 400,
+    promptTokens: 647,
+    mostPromptTokens: 2_680,
+    answerTokens: 70,
+    worth: 1.5,
+    lateWorth: 0.37,
+  },
+];
+
+/** Engines as the users' configuration describes them. */
+const passes: PassSettings = {
+  slots: 16,
+  stride: 5,
+  stepMilliseconds: 8.87,
+  stepPerRequestMilliseconds: 0.0388,
+  stepPerThousandTokensMilliseconds: 0.0227,
+  readTokensPerMillisecond: 19.1,
+  pairsPerMillionMilliseconds: 1.47,
+  chunkTokens: 2_048,
+};
+
+const pace: EnginePace = {
+  slots: 16,
+  stepMilliseconds: 8.87,
+  stepPerRequestMilliseconds: 0.0388,
+  readTokensPerSecond: 19_100,
+  usualAnswer: 94,
+};
+
+const fleet: Omit<ReplayFleet, 'seed' | 'engines'> = {
+  way: 'agents',
+  entries: 20,
+  dataCentres: 3,
+  pace,
+  passes,
+  nearMilliseconds: 1.5,
+  farMilliseconds: 3,
+  reportMilliseconds: 200,
+  longestWaitMilliseconds: 200,
+  deadlineMilliseconds: 6_000,
+  returns: 1,
+};
+
+const ALWAYS = { fromSecond: 0, untilSecond: Number.POSITIVE_INFINITY };
+
+const always = (count: number): readonly ReplayEngine[] =>
+  Array.from({ length: count }, () => ALWAYS);
+
+const steady = (perSecond: number): TrafficPattern => ({
+  perSecond,
+  steps: [],
+  seconds: 20,
+  kinds,
+});
+
+/** Load patterns, from the lightest to the heaviest. */
+export const replayScenarios: readonly ReplayScenario[] = [
+  {
+    name: 'calm',
+    pattern: 'arrivals well below what the engines serve',
+    fleet: { ...fleet, engines: always(6) },
+    traffic: steady(30),
+  },
+  {
+    name: 'brim',
+    pattern: 'arrivals at about what the engines serve',
+    fleet: { ...fleet, engines: always(6) },
+    traffic: steady(52),
+  },
+  {
+    name: 'overload',
+    pattern: 'arrivals a third above what the engines serve, for long',
+    fleet: { ...fleet, engines: always(6) },
+    traffic: steady(72),
+  },
+  {
+    name: 'storm',
+    pattern: 'twice what the engines serve, for long',
+    fleet: { ...fleet, engines: always(6) },
+    traffic: steady(110),
+  },
+  {
+    name: 'growth',
+    pattern: 'arrivals that rise past what six engines serve until four more are loaded',
+    fleet: {
+      ...fleet,
+      engines: [...always(6), ...Array.from({ length: 4 }, () => ({ ...ALWAYS, fromSecond: 11 }))],
+    },
+    traffic: {
+      ...steady(77),
+      steps: [
+        { from: 0, share: 0.55 },
+        { from: 6, share: 0.7 },
+        { from: 7.5, share: 0.85 },
+        { from: 9, share: 1 },
+      ],
+    },
+  },
+];
--- a/packages/gateway/src/agentPlaces.ts
+++ b/packages/gateway/src/agentPlaces.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { createPlaceQueue, type TicketOutcome } from '@burdockrail/limits/placeQueue.js';
+import { placeRequest } from '@burdockrail/limits/placeWork.js';
 import type { PlaceClaim, PlaceReply } from '@burdockrail/protocol/protocolDirectory.js';
 import type { EngineRules } from '@burdockrail/routing/routeConfiguration.js';
 import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
@@ -11,14 +12,6 @@
 /** Time to come back while the engine loads weights, in milliseconds. */
 const LOADING_MILLISECONDS = 400;
 
-const MILLISECONDS_PER_SECOND = 1_000;
-
-/** Place of late claims behind those in time, as a slack in milliseconds. */
-const LATE_RANK = 10_000;
-
-/** Distance between two ranks; waits in milliseconds decide inside a rank. */
-const RANK_STEP = 1e9;
-
 /** What the agent knows of its engine when a claim comes. */
 export interface EngineStanding {
   /** Id that the engine announces itself under; empty while unknown. */
@@ -40,20 +33,6 @@
   readonly waiting: number;
 }
 
-/** Time that an engine needs for a claim's prompt alone, in milliseconds. */
-function readMilliseconds(claim: PlaceClaim, rules: EngineRules | null): number {
-  if (rules === null) return 0;
-  return (claim.promptTokens * MILLISECONDS_PER_SECOND) / rules.readTokensPerSecond;
-}
-
-/** Time for which a request is expected to take a place, in milliseconds. */
-export function expectedMilliseconds(claim: PlaceClaim, rules: EngineRules | null): number {
-  if (rules === null) return MILLISECONDS_PER_SECOND;
-  const step = rules.stepMilliseconds + rules.stepPerRequestMilliseconds * rules.slots;
-  const answer = claim.answerTokens === 0 ? rules.usualAnswer : claim.answerTokens;
-  return readMilliseconds(claim, rules) + answer * step;
-}
-
 /** Creates the places of the engine beside this agent. */
 export function createAgentPlaces(
   context: GatewayContext,
@@ -124,20 +103,7 @@
       return refuse(claim, reply('unloaded', engine, 0, 0, LOADING_MILLISECONDS));
     }
     if (queue.places !== slots) settle(queue.resize(slots, now));
-    const decision = queue.claim(
-      {
-        expectedMilliseconds: expectedMilliseconds(claim, rules),
-        readMilliseconds: readMilliseconds(claim, rules),
-        slackMilliseconds: claim.slackMilliseconds,
-        mayWait: claim.mayWait,
-        mostReadingMilliseconds: claim.mostReadingMilliseconds ?? Number.POSITIVE_INFINITY,
-        mostTaken: claim.mostTaken ?? Number.MAX_SAFE_INTEGER,
-        holdMilliseconds: claim.holdMilliseconds,
-        // Claims that can still be in time go before those that are late in any case.
-        rank: claim.rank * RANK_STEP + now + (claim.slackMilliseconds || LATE_RANK),
-      },
-      now,
-    );
+    const decision = queue.claim(placeRequest(claim, rules, now), now);
     scheduleExpiry();
     if (decision.kind === 'granted') {
       metrics.count('burdockrail_places_total', { outcome: 'granted' });
@@ -189,6 +155,9 @@
         'place.release': ({ place }) => {
           settle(queue.release(place, time.now()));
         },
+        'place.withdraw': ({ requestId }) => {
+          settle(queue.leave(requestId, time.now()));
+        },
       },
     },
     [Symbol.asyncDispose]: async () => {
--- a/packages/gateway/src/entryPlain.ts
+++ b/packages/gateway/src/entryPlain.ts
@@ -15,8 +15,8 @@
 /** Time to come back when upstreams have no room, in milliseconds: one short request's work. */
 const BUSY_RETRY_MILLISECONDS = 60;
 
-/** Time to come back when no upstream is there, in milliseconds. */
-const ABSENT_RETRY_MILLISECONDS = 250;
+/** Time to come back when no upstream is there, in milliseconds: a restart or a cut takes longer. */
+const ABSENT_RETRY_MILLISECONDS = 500;
 
 const FAILURE_STATUS = 500;
 
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -1,9 +1,9 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { comeBackIn } from '@burdockrail/limits/refusalAdvice.js';
 import { streamSlack } from '@burdockrail/limits/streamSlack.js';
 import type { EntryContext } from './entryContext.js';
 import type { EntryPlaces, GrantedPlace } from './entryPlaces.js';
 import type { EntryRequest } from './entryRequest.js';
-import { mayServe } from './versionRule.js';
 import { attemptStream, type StreamOutcome } from './streamAttempt.js';
 
 /** Least time left with which a stream is worth starting, in milliseconds. */
@@ -12,23 +12,9 @@
 /** Slack of a stream that goes on, in milliseconds: its pause counts, not its first event. */
 const CONTINUE_SLACK_MILLISECONDS = 600;
 
-/** Shortest and longest time to come back after a refusal, in milliseconds. */
-const SHORTEST_RETRY_MILLISECONDS = 50;
-const LONGEST_RETRY_MILLISECONDS = 1_800;
-
-/** Time to come back when no engine is there, in milliseconds. */
-const ABSENT_RETRY_MILLISECONDS = 300;
-
 /** Engines beyond the route's attempts that may be tried after engines that have ended. */
 const EXTRA_AFTER_LOSS = 1;
 
-function retryAfter(freeInMilliseconds: number): number {
-  return Math.min(
-    LONGEST_RETRY_MILLISECONDS,
-    Math.max(SHORTEST_RETRY_MILLISECONDS, Math.round(freeInMilliseconds)),
-  );
-}
-
 /** Numbers of events that were passed on, so that none comes twice and none is left out. */
 interface Progress {
   lastEventId: number | null;
@@ -110,9 +96,10 @@
       answer.refuse({
         code: isFull ? ResultCode.Overloaded : ResultCode.NoUpstream,
         detail: trace.cause,
-        retryAfterMilliseconds: isFull
-          ? retryAfter(outcome.freeInMilliseconds)
-          : ABSENT_RETRY_MILLISECONDS,
+        retryAfterMilliseconds: comeBackIn({
+          freeInMilliseconds: isFull ? outcome.freeInMilliseconds : null,
+          slackMilliseconds: slack(),
+        }),
       });
       return;
     }
@@ -122,14 +109,6 @@
       return;
     }
     tried.add(place.engine);
-    // The grant may have been long on its way.
-    if (
-      !mayServe(place.version, beliefs.weightsOf(caller.model), entry.settings.bounds, time.now())
-    ) {
-      place.release();
-      lastReason = 'granted for an older version';
-      continue;
-    }
     trace.attempts += 1;
     trace.upstreams.push(place.engine);
     if (progress.events > 0) {
@@ -189,7 +168,10 @@
       : {
           code: ResultCode.Overloaded,
           detail: lastReason,
-          retryAfterMilliseconds: SHORTEST_RETRY_MILLISECONDS,
+          retryAfterMilliseconds: comeBackIn({
+            freeInMilliseconds: 0,
+            slackMilliseconds: slack(),
+          }),
         },
   );
 }
--- a/packages/limits/src/placeQueue.ts
+++ b/packages/limits/src/placeQueue.ts
@@ -3,6 +3,8 @@
 
 /** A claim for one of an engine's places. */
 export interface PlaceRequest {
+  /** Names the request that the claim is for. */
+  readonly owner: string;
   /** Expected time for which the place is taken, in milliseconds. */
   readonly expectedMilliseconds: number;
   /** Expected time for reading the prompt, in milliseconds. */
@@ -38,6 +40,8 @@
   release(place: number, now: Milliseconds): readonly TicketOutcome[];
   /** Withdraws a claim whose caller has left. */
   withdraw(ticket: number): void;
+  /** Takes back all that a request holds or waits for, for an entry that did not get the answer. */
+  leave(owner: string, now: Milliseconds): readonly TicketOutcome[];
   /** Ends waits and holds whose time is over. */
   expire(now: Milliseconds): readonly TicketOutcome[];
   /** Time of the next end of a wait or hold, or of the prompts ahead of a wait; `null` when there is none. */
@@ -56,6 +60,7 @@
 }
 
 interface Holder {
+  readonly owner: string;
   readonly expectedEnd: Milliseconds;
   readonly latestEnd: Milliseconds;
 }
@@ -66,25 +71,9 @@
   readonly until: Milliseconds;
 }
 
-/** Longest wait, in milliseconds: beyond it a queue only moves the refusal. */
+/** Longest wait of a claim that is in time, in milliseconds: beyond it a queue only moves the refusal. */
 const LONGEST_WAIT_MILLISECONDS = 160;
 
-/**
- * Wait of a claim whose objective is lost, in milliseconds.
- *
- * A late answer is worth something to a caller that has been refused before, another refusal is not.
- */
-const LATE_WAIT_MILLISECONDS = 450;
-
-/** Wait that every claim is allowed, in milliseconds: about the time between two ends at an engine. */
-const SHORTEST_WAIT_MILLISECONDS = 60;
-
-/**
- * Time beyond the expected first event on a full engine, in milliseconds, that is granted to claims
- * whose own prompt leaves less: large prompts would never be served at the peak otherwise.
- */
-const LARGE_PROMPT_MILLISECONDS = 40;
-
 /** Part of an engine's time that goes into prompts while others write. */
 const READING_SHARE = 0.6;
 
@@ -104,7 +93,8 @@
  * Answers the load pattern in which arrivals stay above what an engine serves for many seconds.
  * There a claim that has to wait beyond its objective costs a place and earns little, so it is
  * refused at once when the expected ends of the holders and the claims ahead of it say that its
- * turn comes too late. One owner grants all places, so entries cannot send more than the engine
+ * turn comes too late. A claim that is late already takes a free place but never waits for one: each
+ * place that it got would make another claim late. One owner grants all places, so entries cannot send more than the engine
  * runs, however old their knowledge of its load is.
  *
  * Prompts that come together stretch the pauses of all streams at the engine and the time to each
@@ -129,7 +119,8 @@
 
   const isInTime = (request: PlaceRequest, now: Milliseconds): boolean => {
     const needed = firstEventMilliseconds(holders.size) + reading(now);
-    return needed <= Math.max(request.slackMilliseconds, fullEngine() + LARGE_PROMPT_MILLISECONDS);
+    // Large prompts leave less time than a full engine needs, and would never be served at the peak.
+    return needed <= Math.max(request.slackMilliseconds, fullEngine());
   };
 
   const reopensIn = (now: Milliseconds): number =>
@@ -142,17 +133,13 @@
     isOpenFor(request, now);
 
   const longestWait = (request: PlaceRequest): number =>
-    request.slackMilliseconds <= 0
-      ? LATE_WAIT_MILLISECONDS
-      : Math.min(
-          LONGEST_WAIT_MILLISECONDS,
-          Math.max(SHORTEST_WAIT_MILLISECONDS, request.slackMilliseconds - fullEngine()),
-        );
+    Math.min(LONGEST_WAIT_MILLISECONDS, Math.max(0, request.slackMilliseconds - fullEngine()));
 
   const grant = (request: PlaceRequest, now: Milliseconds): number => {
     readUntil = Math.max(now, readUntil) + request.readMilliseconds / READING_SHARE;
     const place = nextPlace++;
     holders.set(place, {
+      owner: request.owner,
       expectedEnd: now + request.expectedMilliseconds,
       latestEnd: now + request.holdMilliseconds,
     });
@@ -202,9 +189,10 @@
       }
       const ahead = waiters.filter(({ request: other }) => other.rank <= request.rank).length;
       const wait = predictedWait(ahead, now);
-      if (wait > longestWait(request)) return { kind: 'full', freeInMilliseconds: wait };
+      const longest = longestWait(request);
+      if (longest === 0 || wait > longest) return { kind: 'full', freeInMilliseconds: wait };
       const ticket = nextTicket++;
-      const waiter = { ticket, request, until: now + longestWait(request) };
+      const waiter = { ticket, request, until: now + longest };
       const later = waiters.findIndex(({ request: other }) => other.rank > request.rank);
       waiters = waiters.toSpliced(later < 0 ? waiters.length : later, 0, waiter);
       return { kind: 'waiting', ticket };
@@ -216,6 +204,11 @@
     withdraw: (ticket) => {
       waiters = waiters.filter((waiter) => waiter.ticket !== ticket);
     },
+    leave: (owner, now) => {
+      for (const [place, holder] of holders) if (holder.owner === owner) holders.delete(place);
+      waiters = waiters.filter(({ request }) => request.owner !== owner);
+      return fill(now);
+    },
     expire: (now) => {
       for (const [place, holder] of holders) if (now > holder.latestEnd) holders.delete(place);
       const over = waiters.filter(({ until }) => now >= until);
--- a/packages/protocol/src/protocolDirectory.ts
+++ b/packages/protocol/src/protocolDirectory.ts
@@ -151,6 +151,11 @@
   readonly place: number;
 }
 
+/** Takes back a claim whose answer did not come, and the place if it was granted. */
+export interface PlaceWithdrawal {
+  readonly requestId: string;
+}
+
 /** Asks an agent which chunks of a version it holds. */
 export interface ChunkList {
   readonly model: string;
--- a/packages/protocol/src/protocolKinds.ts
+++ b/packages/protocol/src/protocolKinds.ts
@@ -32,6 +32,7 @@
   PlaceClaim,
   PlaceRelease,
   PlaceReply,
+  PlaceWithdrawal,
 } from './protocolDirectory.js';
 import type {
   Announcement,
@@ -98,6 +99,7 @@
   'agreement.message': AgreementMessage;
   'membership.beat': RegistrarBeat;
   'place.release': PlaceRelease;
+  'place.withdraw': PlaceWithdrawal;
   'quarantine.clear': QuarantineClear;
   'process.leave': { readonly reason: string };
 }
--- a/packages/transport/src/messageKinds.ts
+++ b/packages/transport/src/messageKinds.ts
@@ -27,6 +27,7 @@
   'place.release',
   'chunk.read',
   'chunk.list',
+  'place.withdraw',
 ];
 
 const numberByKind: ReadonlyMap<string, number> = new Map(
