fix(limits): a content is refused only for upstreams that ended, and not after it ran

A break of two upstreams was enough for quarantine, a reset connection counted as a crash, and a run to the end cleared nothing. Contents that many callers ask for are in flight at any time.

--- a/packages/gateway/src/entryContext.ts
+++ b/packages/gateway/src/entryContext.ts
@@ -15,8 +15,10 @@
   readonly retries: SharedRetryBudget;
   readonly callerElapsed: CallerElapsed;
   readonly quarantine: QuarantineState;
-  /** Tells the other entries of an upstream that ended while it ran a content. */
-  reportCrash(sighting: CrashSighting): void;
+  /** Takes note of an upstream that broke off while it ran a content. */
+  brokeOff(sighting: CrashSighting): void;
+  /** Takes note of a content that ran to its end. */
+  ranWhole(content: string): void;
 }
 
 /** Share of an upstream's connections that all entries together use. */
--- a/packages/gateway/src/entryPlain.ts
+++ b/packages/gateway/src/entryPlain.ts
@@ -106,6 +106,7 @@
     last = outcome;
     if (outcome.kind === 'answered') {
       const isFailure = outcome.status >= FAILURE_STATUS;
+      entry.ranWhole(request.content);
       if (isFailure) failureAnswer = outcome;
       if (!isFailure || !isRepeatable) {
         answer.whole(outcome.status, outcome.rawHeaders, outcome.body);
@@ -126,7 +127,7 @@
     if (outcome.kind === 'unknown' || outcome.sent) sends += 1;
     if (outcome.kind === 'unknown') mayHaveRun = true;
     if (outcome.kind === 'unknown' && outcome.verdict === 'broken' && !signal.aborted) {
-      entry.reportCrash({ content: request.content, upstream: id });
+      entry.brokeOff({ content: request.content, upstream: id });
     }
   }
   if (signal.aborted) return;
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -3,6 +3,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { createCallerElapsed } from '@burdockrail/limits/callerElapsed.js';
+import { createCrashEvidence, type UpstreamLife } from '@burdockrail/limits/crashEvidence.js';
 import { createQuarantineState } from '@burdockrail/limits/quarantineState.js';
 import { createSharedRetryBudget } from '@burdockrail/limits/sharedRetryBudget.js';
 import type { CrashSighting } from '@burdockrail/protocol/protocolDirectory.js';
@@ -35,6 +36,9 @@
 /** Interval at which a draining entry looks whether it is idle, in milliseconds. */
 const IDLE_CHECK_MILLISECONDS = 50;
 
+/** Upstreams that a content must have ended before it is refused: two may end by chance. */
+const CRASHES_TO_QUARANTINE = 3;
+
 /** Interval at which upstreams that have ended are forgotten, in milliseconds. */
 const FORGET_MILLISECONDS = 5_000;
 
@@ -51,7 +55,8 @@
   let draining = false;
   let server: EntryServer | null = null;
 
-  const quarantine = createQuarantineState();
+  const quarantine = createQuarantineState(CRASHES_TO_QUARANTINE);
+  const evidence = createCrashEvidence();
   const learnCrash = ({ content, upstream }: CrashSighting): void => {
     quarantine.crashed({ content, agent: upstream, granted: false }, time.now());
   };
@@ -71,11 +76,27 @@
     retries: createSharedRetryBudget(bounds.retries),
     quarantine,
     callerElapsed: createCallerElapsed(),
-    reportCrash: (sighting) => {
-      learnCrash(sighting);
-      pendingCrashes.push(sighting);
+    brokeOff: (sighting) => {
+      const startedAt = beliefs.directory.get(sighting.upstream)?.record.startedAt ?? 0;
+      evidence.broke(sighting, startedAt, time.now());
+    },
+    ranWhole: (content) => {
+      quarantine.cleared(content);
     },
   };
+  const lookForCrashes = (): void => {
+    const lifeOf = (upstream: string): UpstreamLife | null => {
+      const known = beliefs.directory.get(upstream);
+      if (known === undefined || known.record.state === 'gone') return null;
+      return { startedAt: known.record.startedAt, silent: known.silent };
+    };
+    for (const crash of evidence.proved(lifeOf, time.now())) {
+      const { content, upstream } = crash;
+      log.write('contentCrashed', { content, upstream });
+      learnCrash(crash);
+      pendingCrashes.push(crash);
+    }
+  };
   const watcher = owned.use(
     createDirectoryWatcher({
       context,
@@ -87,6 +108,7 @@
       }),
       onUpdate: (update, askedAt) => {
         beliefs.apply(update, askedAt, time.now());
+        lookForCrashes();
       },
     }),
   );
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -121,6 +121,7 @@
     const ended = await runAt(place);
     if (ended.kind === 'complete') {
       upstreams.note(place.engine, 'answered', time.now());
+      entry.ranWhole(request.content);
       answer.finish();
       return;
     }
@@ -152,7 +153,7 @@
       sends += 1;
       if (ended.verdict === 'broken') {
         lost += 1;
-        entry.reportCrash({ content: request.content, upstream: place.engine });
+        entry.brokeOff({ content: request.content, upstream: place.engine });
       }
     } else if (ended.sent) sends += 1;
   }
--- a/packages/limits/src/quarantineState.ts
+++ b/packages/limits/src/quarantineState.ts
@@ -57,8 +57,10 @@
  * Crashes of one upstream reported by several entries count once, because one death takes all its
  * requests with it. A second upstream, or a crash under a grant, leads to quarantine; each further
  * quarantine of the same content lasts twice as long.
+ *
+ * @param upstreams - upstreams whose crashes lead to quarantine; more where crashes are no proof.
  */
-export function createQuarantineState(): QuarantineState {
+export function createQuarantineState(upstreams = 2): QuarantineState {
   const records = new Map<string, ContentRecord>();
 
   const store = (content: string, record: ContentRecord): void => {
@@ -82,7 +84,7 @@
       const record = records.get(content) ?? newRecord;
       const agents = new Set([...record.agents, agent]);
       const next = { ...record, agents, crashedAt: now };
-      store(content, granted || agents.size > 1 ? quarantine(next, now) : next);
+      store(content, granted || agents.size >= upstreams ? quarantine(next, now) : next);
     },
     cleared: (content) => {
       records.delete(content);
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -144,6 +144,11 @@
     level: 'info',
     text: 'An agent had no place at its engine for a request.',
   },
+  contentCrashed: {
+    number: 2204,
+    level: 'warn',
+    text: 'An upstream ended while it ran a content; after three upstreams the content is refused.',
+  },
   controlLost: {
     number: 4100,
     level: 'warn',
