perf(limits): expected times count the prompts that are read in between

Cause: an engine's place was expected to be free after the writing steps alone. Full engines spend some 0.4 of their time reading other prompts, so predictions of waits and of a drain's end came early.

Change: the writing time is divided by 0.6.

--- a/packages/limits/src/placeWork.ts
+++ b/packages/limits/src/placeWork.ts
@@ -32,6 +32,9 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** Part of a full engine's time that goes into writing; it reads prompts in the rest. */
+const WRITING_SHARE = 0.6;
+
 /** Place of late claims behind those in time, as a slack in milliseconds. */
 const LATE_RANK = 10_000;
 
@@ -48,7 +51,7 @@
   if (pace === null) return MILLISECONDS_PER_SECOND;
   const step = pace.stepMilliseconds + pace.stepPerRequestMilliseconds * pace.slots;
   const answer = work.answerTokens === 0 ? pace.usualAnswer : work.answerTokens;
-  return readMilliseconds(work, pace) + answer * step;
+  return readMilliseconds(work, pace) + (answer * step) / WRITING_SHARE;
 }
 
 /** What a place queue needs to know of a claim's work. */
