--- a/packages/gateway/src/agentWeights.ts
+++ b/packages/gateway/src/agentWeights.ts
@@ -234,6 +234,14 @@
     if (isWhole(staged) && isStillWanted(target)) await order(target);
   };
 
+  /** Tells of a version that is given up before it was loaded, and for which one. */
+  const noteSuperseded = ({ model, version }: WeightsName): void => {
+    const next = wanted();
+    if (next === null) return;
+    const staged = sets.get(`${model} ${version}`)?.verified.size ?? 0;
+    log.write('rolloutSuperseded', { model, version, staged, next: next.version });
+  };
+
   const run = async (): Promise<void> => {
     while (!stop.signal.aborted) {
       const target = wanted();
@@ -243,7 +251,9 @@
         const current = round;
         const check = setInterval(() => {
           announceLoad(target);
-          if (!isStillWanted(target) || stop.signal.aborted) current.abort();
+          if (isStillWanted(target) && !stop.signal.aborted) return;
+          if (!current.signal.aborted) noteSuperseded(target);
+          current.abort();
         }, ROUND_MILLISECONDS);
         try {
           await bringTo(target);
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -199,6 +199,11 @@
     level: 'info',
     text: 'The agent ordered its engine to load staged weights.',
   },
+  rolloutSuperseded: {
+    number: 5104,
+    level: 'info',
+    text: 'A newer version was named while this one was still being staged.',
+  },
   engineChanged: {
     number: 5103,
     level: 'info',
