fix(limits): entries share half of an engine whose agent is gone, also when they are many

Cause: read from the code: each entry took one request at least, so 20 entries sent up to 20 and 60 up to 60 requests at once to an engine of 16 slots that nobody granted places for.

Change: the part of an entry that is no whole slot is drawn for each request (mayTakeUngranted). Test: between 7 and 9 of 16 slots are taken by 2 to 400 entries. By arithmetic the former rule gives 20 with 20 entries; it was not run.

--- a/packages/gateway/src/entryPlaces.ts
+++ b/packages/gateway/src/entryPlaces.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import type { DirectoryEntry } from '@burdockrail/membership/directoryView.js';
+import { mayTakeUngranted } from '@burdockrail/limits/ungrantedPart.js';
 import type { Address } from '@burdockrail/protocol/protocolAddress.js';
 import type { PlaceReply } from '@burdockrail/protocol/protocolDirectory.js';
 import { orderEngines, type EngineView } from '@burdockrail/routing/engineOrder.js';
@@ -20,9 +21,6 @@
 /** Prompts ahead that weigh as much as all places taken, in milliseconds of reading. */
 const FULL_READING_MILLISECONDS = 300;
 
-/** Share of an engine's places that entries take in all when its agent does not answer. */
-const UNGRANTED_SHARE = 0.5;
-
 /** A place at an engine. */
 export interface GrantedPlace {
   readonly engine: string;
@@ -118,8 +116,13 @@
     if (held === undefined) return null;
     const named = beliefs.weightsOf(model);
     if (!mayServe(held.version, named, entry.settings.bounds, now, 'ungranted')) return null;
-    const part = (record.slots * UNGRANTED_SHARE) / Math.max(1, beliefs.entries);
-    if (upstreams.ownRequests(record.id) >= Math.max(1, Math.floor(part))) return null;
+    const mayTake = mayTakeUngranted({
+      slots: record.slots,
+      entries: beliefs.entries,
+      ownRequests: upstreams.ownRequests(record.id),
+      draw: random.next(),
+    });
+    if (!mayTake) return null;
     return {
       engine: record.id,
       address: record.address,
