fix(gateway): no place is taken without a grant while an agent is only slow

Cause: read in the diff: since a claim goes on after 80 ms, a slow agent counted like a lost one, and the entry took a place of its engine without a grant although the agent went on granting all.

Change: only an agent that did not answer within its whole time may be gone without. Test: entryPlaces.spec.ts; with the former line the first case gets 'granted' (not run).

--- /dev/null
+++ b/packages/gateway/__tests__/entryPlaces.spec.ts
@@ -0,0 +1,59 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
+import { processTime } from '@burdockrail/common/timeSource.js';
+import { createEntryPlaces } from '../src/entryPlaces.js';
+import type { EntryContext } from '../src/entryContext.js';
+import type { EntryRequest } from '../src/entryRequest.js';
+
+const record = {
+  id: 'e',
+  service: 's',
+  address: '127.0.0.1:9001',
+  dataCentre: 'north',
+  slots: 16,
+  state: 'ready',
+  startedAt: 1,
+  sequence: 1,
+  models: [{ model: 'm', version: 1 }],
+};
+
+/** An entry that knows one engine, whose agent answers as the test says. */
+function createPlaces(call: () => Promise<never>) {
+  const known = { record, silent: false, heardAt: 0 };
+  const context = {
+    client: { to: () => ({ call, destroy: () => undefined }), notify: () => undefined },
+    time: processTime,
+    random: createSeededRandom(1),
+    log: { write: () => undefined },
+    settings: { dataCentre: 'north', bounds: { versionMilliseconds: 8_000 } },
+    upstreams: { ownRequests: () => 0, isSuspended: () => false },
+    beliefs: {
+      table: null,
+      entries: 2,
+      weightsOf: () => [],
+      directory: { ready: () => [known], get: () => known },
+    },
+  };
+  const places = createEntryPlaces(context as unknown as EntryContext, 7_701);
+  const request = {
+    id: 'r',
+    caller: { model: 'm', promptTokens: 1, answerTokens: 1, answerEstimate: null },
+    admitted: { service: 's', team: null, route: { priority: 0 }, deadline: 1e9 },
+    signal: new AbortController().signal,
+  };
+  return async () => places.claim(request as unknown as EntryRequest, new Set(), 300);
+}
+
+describe('a place at an engine whose agent gives no answer', () => {
+  it('is not taken while the agent is only slow', async () => {
+    const claim = createPlaces(async () => new Promise<never>(() => undefined));
+    assert.equal((await claim()).kind, 'absent');
+  });
+
+  it('is taken within the entry’s part once the agent is known to be silent', async () => {
+    const claim = createPlaces(async () => Promise.reject(new Error('refused')));
+    assert.equal((await claim()).kind, 'granted');
+    assert.equal((await claim()).kind, 'granted');
+  });
+});
--- a/packages/gateway/src/entryPlaces.ts
+++ b/packages/gateway/src/entryPlaces.ts
@@ -156,7 +156,8 @@
     const isSilent = claims.isSilent(agent, time.now());
     const reply = isSilent ? null : await claims.ask(request, agent, slackMilliseconds, terms);
     if (reply === null) {
-      const place = ungranted(record, request.caller.model, time.now());
+      // An agent that is only slow still grants the places, so none is taken without it.
+      const place = isSilent ? ungranted(record, request.caller.model, time.now()) : null;
       return { answer: { kind: 'silent' }, place };
     }
     views.set(engine, { reply, at: time.now() });
