fix(agreement): after a power cut of all members a leader is elected at once

A restarted replica was loyal to the leader that it might have promised something, and waited for the whole election time; the gateway's group keeps no leases, so there is no promise.

Change: without leases a restarted replica is loyal to nobody and asks for a trial after 0.2 to 0.4 of the election time; members that hear a leader refuse the trial. Callers of an entry without a configuration are told 1.5 s.

--- a/packages/agreement/__tests__/replicaSelfRepair.spec.ts
+++ b/packages/agreement/__tests__/replicaSelfRepair.spec.ts
@@ -67,6 +67,21 @@
       deliver();
     }
   };
+  const restart = (slot: string): void => {
+    const node = nodes.get(slot);
+    if (node === undefined) return;
+    node.replica = createReplica({
+      self: node.self,
+      slots: contacts,
+      repair: { silenceMilliseconds: SILENCE_MILLISECONDS },
+      state: createListState(() => undefined),
+      timing: { ...defaultReplicaTiming, answersUnderLease: false },
+      // Small seeds draw much alike at first, and members that stand together would split the votes.
+      random: createSeededRandom(Math.imul(incarnation++, 0x9e3779b1)),
+      stored: node.stored,
+      now,
+    });
+  };
   const leader = (): Node | undefined =>
     [...nodes.values()].find((node) => node.up && node.replica.status().role === 'leader');
   const voters = (): readonly string[] =>
@@ -76,6 +91,7 @@
   for (const node of founders) carryOut(node, node.replica.found('founding', membership, now));
   return {
     add,
+    restart,
     run,
     leader,
     voters,
@@ -101,6 +117,28 @@
     );
   });
 
+  it('elects a leader soon after a power cut of all members', () => {
+    const group = createGroup(['a', 'b', 'c']);
+    group.run(3_000);
+    for (const slot of ['a', 'b', 'c']) group.restart(slot);
+    assert.equal(group.leader(), undefined);
+    group.run(700);
+    assert.ok(group.leader() !== undefined);
+  });
+
+  it('keeps its leader when another member restarts', () => {
+    const group = createGroup(['a', 'b', 'c']);
+    group.run(3_000);
+    const leader = group.leader();
+    const term = leader?.replica.status().term;
+    for (const slot of ['a', 'b', 'c'].filter((name) => group.node(name) !== leader)) {
+      group.restart(slot);
+      group.run(1_500);
+    }
+    assert.equal(group.leader(), leader);
+    assert.equal(leader?.replica.status().term, term);
+  });
+
   it('keeps a silent voter of a group of odd size', () => {
     const group = createGroup(['a', 'b', 'c']);
     group.run(3_000);
--- a/packages/agreement/src/replicaCore.ts
+++ b/packages/agreement/src/replicaCore.ts
@@ -55,8 +55,10 @@
     memberships: [],
     role: { kind: 'follower', leader: null },
     electionDeadline: now,
-    // A replica that restarts may have just promised a leader not to elect another.
-    loyalUntil: now + options.timing.electionMilliseconds,
+    // A replica that restarts may have just promised a leader with a lease not to elect another.
+    loyalUntil: options.timing.answersUnderLease
+      ? now + options.timing.electionMilliseconds
+      : Number.NEGATIVE_INFINITY,
     currentAt: Number.NEGATIVE_INFINITY,
     gone: new Set(),
     joiners: new Map(),
@@ -68,10 +70,29 @@
     effects: [],
   };
   resetElectionDeadline(core, now);
-  if (stored !== null) restoreStored(core, stored);
+  if (stored !== null) {
+    restoreStored(core, stored);
+    standSoonAfterRestart(core, now);
+  }
   return core;
 }
 
+/** Part of the election time after which a restarted replica asks whether an election would succeed. */
+const RESTART_SHARE = 0.2;
+
+/**
+ * Chooses an early first trial where no leases are kept.
+ *
+ * @remarks
+ * After a power cut of all members nobody leads, and waiting for the whole election time would only
+ * add to the outage. Members that hear a leader refuse the trial.
+ */
+function standSoonAfterRestart(core: ReplicaCore, now: Milliseconds): void {
+  const { answersUnderLease, electionMilliseconds } = core.timing;
+  if (answersUnderLease) return;
+  core.electionDeadline = now + electionMilliseconds * RESTART_SHARE * (1 + core.random.next());
+}
+
 function restoreStored(core: ReplicaCore, stored: StoredReplica): void {
   const { index, membership, data } = stored.snapshot;
   core.state.restore(data);
--- a/packages/gateway/src/entryAdmission.ts
+++ b/packages/gateway/src/entryAdmission.ts
@@ -37,8 +37,11 @@
   readonly draw: number;
 }
 
-/** Time to come back while this entry waits for a configuration, in milliseconds. */
-const UNCONFIGURED_RETRY_MILLISECONDS = 500;
+/**
+ * Time to come back while this entry waits for a configuration or a confirmation, in milliseconds:
+ * about that in which a group that lost its leader has another.
+ */
+const UNCONFIGURED_RETRY_MILLISECONDS = 1_500;
 
 function refusal(code: ResultCode, detail: string, retryAfterMilliseconds: number | null): Refusal {
   return { code, detail, retryAfterMilliseconds };
