fix(rollout): fetches on a link that has become thin no longer all take longer than their bound

Cause: read in the diff: eight fetches at once on a link with an eighth of its rate take 1.7 s each and are given up after 1 s.

Change: a fetch that fails halves how many go on at the same time, a sound chunk adds a quarter.

--- a/packages/gateway/src/chunkFetch.ts
+++ b/packages/gateway/src/chunkFetch.ts
@@ -10,8 +10,8 @@
 import type { GatewayContext } from './gatewayContext.js';
 import type { StagedChunks } from './stagedChunks.js';
 
-/** Chunks that are fetched at the same time: enough to fill a thin link over a short delay. */
-const FETCHES_AT_ONCE = 8;
+/** Loops that fetch chunks; the planner decides how many of them have one to fetch. */
+const WORKERS = 8;
 
 /** Bound on one fetch from an agent, in milliseconds: some chunks of a thin link. */
 const AGENT_MILLISECONDS = 1_000;
@@ -151,7 +151,7 @@
       await fetchOne(next);
     }
   };
-  await Promise.all([askWhatPeersHold(), ...Array.from({ length: FETCHES_AT_ONCE }, worker)]);
+  await Promise.all([askWhatPeersHold(), ...Array.from({ length: WORKERS }, worker)]);
 }
 
 /** Internal address of an agent on the machine of an engine. */
--- a/packages/rollout/__tests__/chunkSwarm.spec.ts
+++ b/packages/rollout/__tests__/chunkSwarm.spec.ts
@@ -15,6 +15,7 @@
   linkShare: 0.8,
   fetchesAtOnce: 8,
   lost: [],
+  slow: [],
   seed: 1,
 };
 
@@ -57,4 +58,19 @@
     assert.ok(last(staged) <= copyMilliseconds(small) * 2, `${last(staged)} ms`);
     assert.ok(fromOrigin <= small.chunks * 1.25, `${fromOrigin} chunks from the origin`);
   });
+
+  const slow = [{ agent: 3, share: 1 / 8 }];
+
+  it('is staged behind a link that has become much thinner, about as fast as that can carry it', () => {
+    for (const seed of [1, 2]) {
+      const thin = playSwarm({ ...small, slow, seed }).stagedAt[3] ?? Number.POSITIVE_INFINITY;
+      assert.ok(thin <= copyMilliseconds(small) * 8, `seed ${seed}: ${thin} ms`);
+    }
+  });
+
+  it('is staged by the others in time although the link of one has become much thinner', () => {
+    const { stagedAt } = playSwarm({ ...small, slow });
+    const others = stagedAt.filter((_time, place) => place !== 3);
+    assert.ok(last(others) <= copyMilliseconds(small) * 2, `${last(others)} ms`);
+  });
 });
--- a/packages/rollout/__tests__/swarmSimulation.ts
+++ b/packages/rollout/__tests__/swarmSimulation.ts
@@ -17,6 +17,8 @@
   readonly fetchesAtOnce: number;
   /** Agents that lose their link at a time, in milliseconds. */
   readonly lost: readonly { readonly agent: number; readonly at: number }[];
+  /** Agents whose link is thinner than the others'. */
+  readonly slow: readonly { readonly agent: number; readonly share: number }[];
   readonly seed: number;
 }
 
@@ -36,6 +38,7 @@
 const HANDLING_MILLISECONDS = 15;
 const TICK_MILLISECONDS = 5;
 const FETCH_MILLISECONDS = 1_000;
+const ORIGIN_MILLISECONDS = 6_000;
 const ANSWER_MILLISECONDS = 500;
 const LAST_MILLISECONDS = 40_000;
 
@@ -46,6 +49,8 @@
   readonly order: readonly number[];
   readonly uplink: Pacer;
   readonly downlink: Pacer;
+  /** Time that a chunk takes on its link, in milliseconds. */
+  readonly wire: number;
   /** Times at which the wire itself is free. */
   sends: number;
   receives: number;
@@ -61,7 +66,8 @@
     { length: swarm.regions * swarm.agentsInRegion },
     (_value, place) => ({ agent: `agent-${place}`, region: `region-${place % swarm.regions}` }),
   );
-  const members = peers.map((self): Member => {
+  const members = peers.map((self, place): Member => {
+    const share = swarm.slow.find(({ agent }) => agent === place)?.share ?? 1;
     const first = random.below(swarm.chunks);
     return {
       self,
@@ -81,6 +87,7 @@
       ),
       uplink: createPacer(() => swarm.linkBytesPerSecond * swarm.linkShare),
       downlink: createPacer(() => swarm.linkBytesPerSecond * swarm.linkShare),
+      wire: wire / share,
       sends: 0,
       receives: 0,
       running: 0,
@@ -100,12 +107,36 @@
   };
   let originFree = 0;
 
-  const receive = (place: number, fetch: ChunkFetch, arrives: number): void => {
+  const giveUp = (place: number, fetch: ChunkFetch, at: number): void => {
+    outcome.failed += 1;
+    after(at, (later) => {
+      const member = members[place];
+      if (member === undefined) return;
+      member.running -= 1;
+      member.planner.ended(fetch, false, later);
+    });
+  };
+
+  const receive = (
+    place: number,
+    fetch: ChunkFetch,
+    {
+      asked,
+      arrives,
+      bound,
+    }: { readonly asked: number; readonly arrives: number; readonly bound: number },
+  ): void => {
     const member = members[place];
     if (member === undefined) return;
-    const begin = Math.max(member.receives, arrives - wire);
-    member.receives = begin + wire;
-    after(member.receives + WRITE_MILLISECONDS, (now) => {
+    const begin = Math.max(member.receives, arrives - member.wire);
+    member.receives = begin + member.wire;
+    // All that comes in at the same time shares the link, so each takes as long as all of it.
+    const shared = Math.max(member.receives, asked + member.running * member.wire);
+    if (shared - asked > bound) {
+      giveUp(place, fetch, asked + bound);
+      return;
+    }
+    after(shared + WRITE_MILLISECONDS, (now) => {
       member.running -= 1;
       member.held.add(fetch.chunk);
       member.planner.ended(fetch, true, now);
@@ -122,7 +153,7 @@
       outcome.fromOrigin += 1;
       const started = Math.max(originFree, now + FAR_DELAY_MILLISECONDS);
       originFree = started + (swarm.chunkBytes * 1_000) / swarm.originBytesPerSecond;
-      receive(place, fetch, originFree);
+      receive(place, fetch, { asked: now, arrives: originFree, bound: ORIGIN_MILLISECONDS });
       return;
     }
     const from = peers.findIndex(({ agent }) => agent === source.agent);
@@ -130,25 +161,17 @@
     const isFar = peers[from]?.region !== member.self.region;
     if (isFar) outcome.acrossRegions += 1;
     const delay = isFar ? FAR_DELAY_MILLISECONDS : NEAR_DELAY_MILLISECONDS;
-    const give = (at: number): void => {
-      outcome.failed += 1;
-      after(at, (later) => {
-        member.running -= 1;
-        member.planner.ended(fetch, false, later);
-      });
-    };
     if (sender === undefined || isLost(from, now)) {
-      give(now + FETCH_MILLISECONDS);
+      giveUp(place, fetch, now + FETCH_MILLISECONDS);
       return;
     }
     after(now + delay + HANDLING_MILLISECONDS, (asked) => {
       const wait = sender.uplink.reserve(swarm.chunkBytes, asked);
       const starts = Math.max(sender.sends, asked + wait);
-      sender.sends = starts + wire;
+      sender.sends = starts + sender.wire;
       const arrives = sender.sends + delay;
-      if (arrives - now > FETCH_MILLISECONDS || isLost(from, arrives))
-        give(now + FETCH_MILLISECONDS);
-      else receive(place, fetch, arrives);
+      if (isLost(from, arrives)) giveUp(place, fetch, now + FETCH_MILLISECONDS);
+      else receive(place, fetch, { asked: now, arrives, bound: FETCH_MILLISECONDS });
     });
   };
 
--- a/packages/rollout/src/chunkPlanner.ts
+++ b/packages/rollout/src/chunkPlanner.ts
@@ -11,7 +11,10 @@
 
 /** Keeps what one agent knows while it fetches a version, and decides its fetches. */
 export interface ChunkPlanner {
-  /** The next fetch, which counts as in progress from now on; `null` when there is none now. */
+  /**
+   * The next fetch, which counts as in progress from now on; `null` when there is none now. Fetches
+   * that take too long halve how many go on at the same time, sound chunks raise it again.
+   */
   next(missing: readonly number[], now: Milliseconds): ChunkFetch | null;
   /** Takes what another agent offers; `null` when it did not answer. */
   told(agent: string, offer: ChunkOffer | null, now: Milliseconds): void;
@@ -54,6 +57,12 @@
 /** Longest such time; it doubles with each failure. */
 const LONGEST_ORIGIN_PAUSE_MILLISECONDS = 400;
 
+/** Fetches at the same time at most: enough to fill a thin link over a short delay. */
+const MOST_FETCHES = 8;
+
+/** Fetches that a sound chunk adds to those that may go on at the same time. */
+const FETCHES_GAINED = 0.25;
+
 /** Unanswered questions in a row after which others take over an agent's part of the plan. */
 const SILENT_QUESTIONS = 2;
 
@@ -92,6 +101,7 @@
   const { set, self } = options;
   const agents = new Map<string, Known>();
   const fetching = new Set<number>();
+  let allowed = MOST_FETCHES;
   let fromOrigin = 0;
   let originFailures = 0;
   let originRestsUntil = start;
@@ -137,6 +147,7 @@
 
   return {
     next: (missing, now) => {
+      if (fetching.size >= Math.floor(allowed)) return null;
       const others = options.others().filter(({ agent }) => takesPart(agent, now));
       const fetch = nextChunkFetch({
         region: self.region,
@@ -167,6 +178,10 @@
         if (!isSound) originRestsUntil = now + Math.min(LONGEST_ORIGIN_PAUSE_MILLISECONDS, pause);
         return;
       }
+      // Too many fetches on a link that has become thin would all take longer than their bound.
+      allowed = isSound
+        ? Math.min(MOST_FETCHES, allowed + FETCHES_GAINED)
+        : Math.max(1, allowed / 2);
       const { agent } = fetch.source;
       if (isSound) {
         change(agent, { avoidLength: unknown.avoidLength });
