fix(gateway): a control process without a leader is asked rather than one that is gone

The entry lost 0.9 s on it, then asked core-mal-a-1, which had no leader yet; that counted like a failure, all were left out alike, and the own data centre's came first again: the wiped one, another 0.9 s, and once more. Version 8 came 3.55 s after its acknowledgement, though a leader was there after 1.6 s.

Change: not answering costs more than being behind, and is remembered longer with each failure. Test: controlAddresses.spec.ts. The former code knows no difference between the two, so the case cannot be put to it as it stands; by its rank (2 + 0 before 2 + 1) it chooses the one that is gone.

--- a/packages/gateway/src/controlAddresses.ts
+++ b/packages/gateway/src/controlAddresses.ts
@@ -2,9 +2,15 @@
 import { formatAddress, type Address } from '@burdockrail/protocol/protocolAddress.js';
 import type { ControlPeer } from '@burdockrail/protocol/protocolDirectory.js';
 
-/** Time for which a control process that failed is asked only when no other is left. */
+/** Time for which a control process that failed or is behind is asked only when no better is left. */
 const AVOID_MILLISECONDS = 2_000;
 
+/** Longest such time after failures in a row; it doubles with each. */
+const LONGEST_AVOID_MILLISECONDS = 8_000;
+
+/** Costs by which control processes are ranked: one that answers, however late, beats one that does not. */
+const COST = { failed: 4, outdated: 2, remote: 1 } as const;
+
 /** Reads `host:port`. */
 export function parseAddress(text: string): Address {
   const colon = text.lastIndexOf(':');
@@ -16,7 +22,12 @@
   readonly all: readonly string[];
   learn(peers: readonly ControlPeer[]): void;
   addSeeds(seeds: readonly Address[]): void;
+  /** It did not answer. */
   failed(address: string, now: Milliseconds): void;
+  /** It answered, but has not heard of a leader for a while. */
+  outdated(address: string, now: Milliseconds): void;
+  /** It answered. */
+  answered(address: string): void;
   /** The one to ask: of those that answer, one in the own data centre if there is one. */
   choose(now: Milliseconds): string | undefined;
 }
@@ -29,16 +40,18 @@
 ): ControlAddresses {
   const seedTexts = new Set(seeds.map(formatAddress));
   const dataCentres = new Map<string, string>();
-  const avoidedUntil = new Map<string, Milliseconds>();
+  const failures = new Map<string, { readonly until: Milliseconds; readonly length: number }>();
+  const outdatedUntil = new Map<string, Milliseconds>();
   const order = new Map<string, number>();
   const known = (): readonly string[] => [...new Set([...seedTexts, ...dataCentres.keys()])];
 
   const rank = (address: string, now: Milliseconds): number => {
-    const avoided = (avoidedUntil.get(address) ?? 0) > now ? 2 : 0;
-    const remote = dataCentres.get(address) === dataCentre ? 0 : 1;
+    const failed = (failures.get(address)?.until ?? 0) > now ? COST.failed : 0;
+    const outdated = (outdatedUntil.get(address) ?? 0) > now ? COST.outdated : 0;
+    const remote = dataCentres.get(address) === dataCentre ? 0 : COST.remote;
     const tie = order.get(address) ?? draw() / 2;
     order.set(address, tie);
-    return avoided + remote + tie;
+    return failed + outdated + remote + tie;
   };
 
   return {
@@ -54,9 +67,18 @@
       for (const seed of more) seedTexts.add(formatAddress(seed));
     },
     failed: (address, now) => {
-      avoidedUntil.set(address, now + AVOID_MILLISECONDS);
+      const former = failures.get(address)?.length ?? AVOID_MILLISECONDS / 2;
+      const length = Math.min(LONGEST_AVOID_MILLISECONDS, former * 2);
+      failures.set(address, { until: now + length, length });
       order.set(address, draw() / 2);
     },
+    outdated: (address, now) => {
+      outdatedUntil.set(address, now + AVOID_MILLISECONDS);
+      order.set(address, draw() / 2);
+    },
+    answered: (address) => {
+      failures.delete(address);
+    },
     choose: (now) => {
       const ranked = known().map((address) => ({ address, rank: rank(address, now) }));
       ranked.sort((left, right) => left.rank - right.rank);
--- a/packages/gateway/src/directoryWatcher.ts
+++ b/packages/gateway/src/directoryWatcher.ts
@@ -85,10 +85,11 @@
     control = update.control;
     revision = update.revision;
     crashRevision = update.crashRevision;
+    addresses.answered(address);
     addresses.learn(update.controls);
     onUpdate(update, askedAt);
     const age = update.confirmedAgeMilliseconds;
-    if (age === null || age > OUTDATED_MILLISECONDS) addresses.failed(address, time.now());
+    if (age === null || age > OUTDATED_MILLISECONDS) addresses.outdated(address, time.now());
     if (lostAt === null) return;
     log.write('controlRegained', { control: address, lostMilliseconds: time.now() - lostAt });
     lostAt = null;
