refactor: one copy of a claim's fields, an engine's load, giving up with the caller, and test fixtures

Cause: read in the diff. A new case holds that a caller's leaving gives a request up before it is sent and afterwards. Conclusion: no change of behaviour is meant.

--- a/packages/bench/src/replayEngine.ts
+++ b/packages/bench/src/replayEngine.ts
@@ -1,5 +1,6 @@
 import { createPlaceQueue, type TicketOutcome } from '@burdockrail/limits/placeQueue.js';
 import { placeRequest, type ClaimedWork, type EnginePace } from '@burdockrail/limits/placeWork.js';
+import { engineLoad } from '@burdockrail/routing/placeSearch.js';
 import {
   createEnginePasses,
   type PassRequest,
@@ -39,9 +40,6 @@
 /** Shortest time between two looks at waits that end, in milliseconds: the agent's own. */
 const EXPIRE_MILLISECONDS = 5;
 
-/** Prompts ahead that weigh as much as all places taken, in milliseconds of reading. */
-const FULL_READING_MILLISECONDS = 300;
-
 /** Creates an idle engine. */
 export function createReplayEngine(options: ReplayEngineOptions): ReplayEngineSite {
   const { clock, pace } = options;
@@ -89,8 +87,13 @@
       return passes.running + passes.waiting;
     },
     get load() {
-      const reading = queue.reading(clock.now()) / FULL_READING_MILLISECONDS;
-      return (queue.taken + queue.waiting) / pace.slots + reading;
+      const { taken, waiting, places } = queue;
+      return engineLoad({
+        taken,
+        waiting,
+        places,
+        readingMilliseconds: queue.reading(clock.now()),
+      });
     },
     get taken() {
       return queue.taken + queue.waiting;
--- a/packages/gateway/__tests__/upstreamConnections.spec.ts
+++ b/packages/gateway/__tests__/upstreamConnections.spec.ts
@@ -3,7 +3,7 @@
 import { createServer as createHttpServer } from 'node:http';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { describe, it } from 'node:test';
-import { createUpstreamConnections } from '../src/upstreamConnections.js';
+import { createUpstreamConnections, type UpstreamConnections } from '../src/upstreamConnections.js';
 
 /** How a server ends the connection after it has sent its bytes. */
 type Ending = (socket: Socket) => void;
@@ -58,6 +58,33 @@
   }
 }
 
+/** What an observer was told before its attempt failed. */
+async function callsUntilFailure(
+  connections: UpstreamConnections,
+  port: number,
+  { mayStart = true, signal }: { readonly mayStart?: boolean; readonly signal?: AbortSignal } = {},
+): Promise<readonly string[]> {
+  return new Promise((resolve) => {
+    const calls: string[] = [];
+    connections.run(
+      `127.0.0.1:${port}`,
+      2,
+      { method: 'GET', path: '/', headers: [], body: null },
+      {
+        mayStart: () => mayStart,
+        sent: () => calls.push('sent'),
+        head: () => calls.push('head'),
+        data: () => calls.push('data'),
+        end: () => calls.push('end'),
+        failed: () => {
+          resolve(calls);
+        },
+      },
+      signal,
+    );
+  });
+}
+
 describe('an upstream that takes no connection', () => {
   it('fails the attempt before anything was sent, and nothing else', async () => {
     await using connections = createUpstreamConnections('127.0.0.1');
@@ -67,24 +94,7 @@
     const { port } = server.address() as AddressInfo;
     server.close();
     await once(server, 'close');
-    const seen = await new Promise<readonly string[]>((resolve) => {
-      const calls: string[] = [];
-      connections.run(
-        `127.0.0.1:${port}`,
-        2,
-        { method: 'GET', path: '/', headers: [], body: null },
-        {
-          mayStart: () => true,
-          sent: () => calls.push('sent'),
-          head: () => calls.push('head'),
-          data: () => calls.push('data'),
-          end: () => calls.push('end'),
-          failed: () => {
-            resolve(calls);
-          },
-        },
-      );
-    });
+    const seen = await callsUntilFailure(connections, port);
     assert.deepEqual(seen, []);
   });
 });
@@ -100,30 +110,32 @@
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
     const { port } = server.address() as AddressInfo;
-    const seen = await new Promise<readonly string[]>((resolve) => {
-      const calls: string[] = [];
-      connections.run(
-        `127.0.0.1:${port}`,
-        2,
-        { method: 'GET', path: '/', headers: [], body: null },
-        {
-          mayStart: () => false,
-          sent: () => calls.push('sent'),
-          head: () => calls.push('head'),
-          data: () => calls.push('data'),
-          end: () => calls.push('end'),
-          failed: () => {
-            resolve(calls);
-          },
-        },
-      );
-    });
+    const seen = await callsUntilFailure(connections, port, { mayStart: false });
     server.close();
     assert.deepEqual(seen, []);
     assert.equal(requests, 0);
   });
 });
 
+describe('a request whose caller leaves', () => {
+  it('is given up, before it was sent as well as afterwards', async () => {
+    await using connections = createUpstreamConnections('127.0.0.1');
+    const left = new AbortController();
+    // Answers nothing, and tells that the request has come.
+    const server = createHttpServer(() => {
+      left.abort();
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as AddressInfo;
+    const { signal } = left;
+    assert.deepEqual(await callsUntilFailure(connections, port, { signal }), ['sent']);
+    assert.deepEqual(await callsUntilFailure(connections, port, { signal }), []);
+    server.close();
+    server.closeAllConnections();
+  });
+});
+
 describe('an answer of an upstream', () => {
   const unframed = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart';
 
--- a/packages/gateway/src/entryPlaces.ts
+++ b/packages/gateway/src/entryPlaces.ts
@@ -5,6 +5,7 @@
 import type { PlaceReply } from '@burdockrail/protocol/protocolDirectory.js';
 import { orderEngines, type EngineView } from '@burdockrail/routing/engineOrder.js';
 import {
+  engineLoad,
   searchPlace,
   type PlaceAnswer,
   type PlaceQuestion,
@@ -18,9 +19,6 @@
 /** Time for which an engine that had no weights is not asked again, in milliseconds. */
 const UNLOADED_MILLISECONDS = 300;
 
-/** Prompts ahead that weigh as much as all places taken, in milliseconds of reading. */
-const FULL_READING_MILLISECONDS = 300;
-
 /** A place at an engine. */
 export interface GrantedPlace {
   readonly engine: string;
@@ -82,8 +80,7 @@
     const reply = views.get(id)?.reply;
     if (reply === undefined) return 0;
     if (reply.kind === 'unloaded') return Number.MAX_SAFE_INTEGER;
-    const load = (reply.taken + reply.waiting) / Math.max(1, reply.places);
-    return load + reply.readingMilliseconds / FULL_READING_MILLISECONDS;
+    return engineLoad(reply);
   };
 
   const saidUnloaded = (id: string, now: Milliseconds): boolean => {
--- a/packages/gateway/src/plainAttempt.ts
+++ b/packages/gateway/src/plainAttempt.ts
@@ -38,9 +38,12 @@
     let sent = false;
     let collected: Collected | null = null;
     let timedOut = false;
+    const timer = setTimeout(() => {
+      timedOut = true;
+      attempt.abort();
+    }, patience);
     const settle = (outcome: PlainOutcome): void => {
       clearTimeout(timer);
-      signal.removeEventListener('abort', onAbort);
       resolve(outcome);
     };
     const attempt = connections.run(
@@ -82,15 +85,7 @@
           else settle({ kind: 'notRun', verdict, reason: message, sent });
         },
       },
+      signal,
     );
-    const onAbort = (): void => {
-      attempt.abort();
-    };
-    const timer = setTimeout(() => {
-      timedOut = true;
-      attempt.abort();
-    }, patience);
-    signal.addEventListener('abort', onAbort, { once: true });
-    if (signal.aborted) onAbort();
   });
 }
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -79,7 +79,6 @@
 
   const settle = (outcome: StreamOutcome): void => {
     clearTimeout(timer);
-    signal.removeEventListener('abort', abort);
     resolve(outcome);
   };
   const watch = (milliseconds: number): void => {
@@ -109,6 +108,7 @@
     if (seenEvent) watch(pause);
   };
 
+  watch(FIRST_EVENT_MILLISECONDS);
   const attempt = connections.run(
     place.address,
     connectionLimit(entry, admitted.service),
@@ -177,13 +177,8 @@
         else settle({ kind: 'notRun', verdict, reason, sent });
       },
     },
+    signal,
   );
-  const abort = (): void => {
-    attempt.abort();
-  };
-  watch(FIRST_EVENT_MILLISECONDS);
-  signal.addEventListener('abort', abort, { once: true });
-  if (signal.aborted) abort();
   return promise;
 }
 
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -54,6 +54,8 @@
     maximumConnections: number,
     request: OutgoingRequest,
     observer: AttemptObserver,
+    /** Gives the request up when it aborts. */
+    signal?: AbortSignal,
   ): RunningAttempt;
   /** Closes the connections to addresses that are not named. */
   retain(addresses: ReadonlySet<string>): void;
@@ -130,15 +132,23 @@
   };
 
   return {
-    run: (address, maximumConnections, request, observer) => {
+    run: (address, maximumConnections, request, observer, signal) => {
       let controller: Dispatcher.DispatchController | null = null;
       let isAborted = false;
       let isOver = false;
       const finish = (then: () => void): void => {
         if (isOver) return;
         isOver = true;
+        signal?.removeEventListener('abort', abort);
         then();
       };
+      const abort = (): void => {
+        isAborted = true;
+        controller?.abort(new Error('given up'));
+        finish(() => {
+          observer.failed(new Error('given up'));
+        });
+      };
       poolFor(address, maximumConnections).dispatch(
         {
           method: request.method,
@@ -180,14 +190,10 @@
           },
         },
       );
+      signal?.addEventListener('abort', abort, { once: true });
+      if (signal?.aborted === true) abort();
       return {
-        abort: () => {
-          isAborted = true;
-          controller?.abort(new Error('given up'));
-          finish(() => {
-            observer.failed(new Error('given up'));
-          });
-        },
+        abort,
         pause: () => {
           controller?.pause();
         },
--- a/packages/limits/src/placeWork.ts
+++ b/packages/limits/src/placeWork.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import type { PlaceClaim } from '@burdockrail/protocol/protocolDirectory.js';
 import type { PlaceRequest } from './placeQueue.js';
 
 /** How fast an engine works. */
@@ -12,23 +13,8 @@
   readonly usualAnswer: number;
 }
 
-/** The work that a claim wants a place for. */
-export interface ClaimedWork {
-  readonly requestId: string;
-  readonly promptTokens: number;
-  /** Expected size of the answer; 0 when unknown. */
-  readonly answerTokens: number;
-  /** Time of the objective left for waiting and for the engine's other work, in milliseconds. */
-  readonly slackMilliseconds: number;
-  readonly mayWait: boolean;
-  /** Places that may be taken already; `null` for all. */
-  readonly mostTaken: number | null;
-  /** Prompts that may be ahead, in milliseconds of reading; `null` for any. */
-  readonly mostReadingMilliseconds: number | null;
-  readonly holdMilliseconds: number;
-  /** Smaller values go first. */
-  readonly rank: number;
-}
+/** The work that a claim wants a place for; the engine's model does not change what it costs. */
+export type ClaimedWork = Omit<PlaceClaim, 'model'>;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -47,7 +33,7 @@
 }
 
 /** Time for which a request is expected to take a place, in milliseconds. */
-export function expectedMilliseconds(work: ClaimedWork, pace: EnginePace | null): number {
+function expectedMilliseconds(work: ClaimedWork, pace: EnginePace | null): number {
   if (pace === null) return MILLISECONDS_PER_SECOND;
   const step = pace.stepMilliseconds + pace.stepPerRequestMilliseconds * pace.slots;
   const answer = work.answerTokens === 0 ? pace.usualAnswer : work.answerTokens;
--- a/packages/protocol/src/protocolDirectory.ts
+++ b/packages/protocol/src/protocolDirectory.ts
@@ -114,6 +114,7 @@
   readonly requestId: string;
   readonly model: string;
   readonly promptTokens: number;
+  /** Expected size of the answer; 0 when unknown. */
   readonly answerTokens: number;
   /** Time of the objective left for waiting and for the engine's other work, in milliseconds. */
   readonly slackMilliseconds: number;
--- a/packages/routing/src/placeSearch.ts
+++ b/packages/routing/src/placeSearch.ts
@@ -1,3 +1,21 @@
+/** What an agent says of its engine's load. */
+export interface EngineLoad {
+  readonly taken: number;
+  readonly waiting: number;
+  readonly places: number;
+  /** Prompts ahead at the engine, in milliseconds of reading. */
+  readonly readingMilliseconds: number;
+}
+
+/** Prompts ahead that weigh as much as all places taken, in milliseconds of reading. */
+const FULL_READING_MILLISECONDS = 300;
+
+/** Load of an engine in shares of its places, with the prompts that it still has to read. */
+export function engineLoad(load: EngineLoad): number {
+  const { taken, waiting, places, readingMilliseconds } = load;
+  return (taken + waiting) / Math.max(1, places) + readingMilliseconds / FULL_READING_MILLISECONDS;
+}
+
 /** How an engine is asked for a place. */
 export interface PlaceTerms {
   /** True when the claim may wait at the engine. */
