fix(limits): crashes that are told again, or that a served content survived, count no more

Logs: the plain upstream crashed four times, contentCrashed for three of its lives by 41:00.475; callers were served until 41:01.04. At 41:00.99 both entries lost their control process, the next one told them all sightings at 41:01.05, and at 41:01.07 the content was refused everywhere, although it had been served all the while by the other plain upstream. Change: a run to its end drops what was pending against the content; an entry counts each sighting once, whoever tells it.

--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -63,7 +63,7 @@
   const beliefs = createBeliefs(context, {
     onTable: () => server?.applyLimits(),
     onCrashes: (crashes) => {
-      crashes.forEach(learnCrash);
+      crashes.filter((crash) => evidence.isNews(crash)).forEach(learnCrash);
     },
   });
   const connections = owned.use(createUpstreamConnections(context.settings.host));
@@ -81,6 +81,7 @@
       evidence.broke(sighting, startedAt, time.now());
     },
     ranWhole: (content) => {
+      evidence.ranWhole(content);
       quarantine.cleared(content);
     },
   };
@@ -93,7 +94,7 @@
     for (const crash of evidence.proved(lifeOf, time.now())) {
       const { content, upstream } = crash;
       log.write('contentCrashed', { content, upstream });
-      learnCrash(crash);
+      if (evidence.isNews(crash)) learnCrash(crash);
       pendingCrashes.push(crash);
     }
   };
--- a/packages/limits/__tests__/crashEvidence.spec.ts
+++ b/packages/limits/__tests__/crashEvidence.spec.ts
@@ -30,6 +30,27 @@
   });
 });
 
+describe('upstreams that end in series while a content is served elsewhere', () => {
+  const run = { content: 'popular', upstream: 'a' };
+
+  it('say nothing against it', () => {
+    const evidence = createCrashEvidence();
+    for (const upstream of ['a', 'b', 'c']) {
+      evidence.broke({ ...run, upstream }, 10, 0);
+      evidence.ranWhole('popular');
+    }
+    evidence.broke({ content: 'poison', upstream: 'c' }, 10, 0);
+    assert.deepEqual(evidence.proved(lives({}), 100), [{ content: 'poison', upstream: 'c' }]);
+  });
+
+  it('are not counted again when another control process tells all that it knows', () => {
+    const evidence = createCrashEvidence();
+    assert.equal(evidence.isNews(run), true);
+    assert.equal(evidence.isNews(run), false);
+    assert.equal(evidence.isNews({ ...run, upstream: 'b' }), true);
+  });
+});
+
 describe('a content that many callers ask for', () => {
   it('is not refused for crashes of two upstreams, nor after it ran to its end', () => {
     const state = createQuarantineState(3);
--- a/packages/limits/src/crashEvidence.ts
+++ b/packages/limits/src/crashEvidence.ts
@@ -17,6 +17,10 @@
 /** Runs that broke off, until it shows whether their upstream ended with them. */
 export interface CrashEvidence {
   broke(run: BrokenRun, startedAt: number, now: Milliseconds): void;
+  /** The content ran to its end, so it ended none of the upstreams that are in question. */
+  ranWhole(content: string): void;
+  /** True for a proved run that is told for the first time: other processes repeat theirs. */
+  isNews(run: BrokenRun): boolean;
   /** Takes the runs whose upstream has ended since, by what is known of it; `null` for nothing. */
   proved(
     lifeOf: (upstream: string) => UpstreamLife | null,
@@ -41,11 +45,25 @@
  *
  * @remarks
  * Answers networks that reset connections: contents that many callers ask for are in flight at
- * several upstreams then, and would look as if they had crashed them.
+ * several upstreams then, and would look as if they had crashed them. The same holds for upstreams
+ * that end in series, where contents go on being served elsewhere.
  */
 export function createCrashEvidence(): CrashEvidence {
   let pending: readonly Pending[] = [];
+  const told = new Set<string>();
   return {
+    ranWhole: (content) => {
+      if (pending.length === 0) return;
+      pending = pending.filter(({ run }) => run.content !== content);
+    },
+    isNews: ({ content, upstream }) => {
+      const key = `${content} ${upstream}`;
+      if (told.has(key)) return false;
+      told.add(key);
+      const [oldest] = told;
+      if (told.size > REMEMBERED_RUNS && oldest !== undefined) told.delete(oldest);
+      return true;
+    },
     broke: (run, startedAt, now) => {
       pending = [...pending, { run, startedAt, at: now }].slice(-REMEMBERED_RUNS);
     },
