fix(agreement): members that start together elect a leader soon after a split vote

Change: without lease reads the first four tries use the early timeout of a restart; contact to a leader resets the count.

--- a/packages/agreement/__tests__/replicaSelfRepair.spec.ts
+++ b/packages/agreement/__tests__/replicaSelfRepair.spec.ts
@@ -11,6 +11,8 @@
 
 const UNRESPONSIVE_TIMEOUT_MILLISECONDS = 6_000;
 const TICK_MILLISECONDS = 50;
+/** Short enough that members that start together rarely act in the same tick. */
+const FINE_TICK_MILLISECONDS = 10;
 
 interface TestNode {
   readonly self: Member;
@@ -20,7 +22,7 @@
 }
 
 /** A group with a reliable network, in which replicas can be added, stopped and restarted. */
-function createGroup(slots: readonly string[]) {
+function createGroup(slots: readonly string[], tickMilliseconds = TICK_MILLISECONDS) {
   const nodes = new Map<string, TestNode>();
   const joinSlots = [...slots];
   let network: { readonly slot: string; readonly message: ReplicaMessage }[] = [];
@@ -62,7 +64,7 @@
     }
   };
   const run = (milliseconds: number): void => {
-    for (const end = now + milliseconds; now < end; now += TICK_MILLISECONDS) {
+    for (const end = now + milliseconds; now < end; now += tickMilliseconds) {
       for (const node of nodes.values()) if (node.isUp) applyEffects(node, node.replica.tick(now));
       deliver();
     }
@@ -127,6 +129,19 @@
     assert.ok(group.leader() !== undefined);
   });
 
+  it('elects a leader within 1.3 s of each restart of two of three members, also after split votes', () => {
+    const group = createGroup(['a', 'b', 'c'], FINE_TICK_MILLISECONDS);
+    group.run(3_000);
+    const lost = group.node('c');
+    assert.ok(lost !== undefined);
+    lost.isUp = false;
+    for (let restarts = 0; restarts < 60; restarts += 1) {
+      for (const slot of ['a', 'b']) group.restart(slot);
+      group.run(1_300);
+      assert.ok(group.leader() !== undefined, `restart ${restarts}`);
+    }
+  });
+
   it('keeps its leader when another member restarts', () => {
     const group = createGroup(['a', 'b', 'c']);
     group.run(3_000);
--- a/packages/agreement/src/replicaCore.ts
+++ b/packages/agreement/src/replicaCore.ts
@@ -7,6 +7,7 @@
 import {
   addMembership,
   resetElectionDeadline,
+  setEarlyElectionDeadline,
   type AnyReplicatedState,
   type ReplicaCore,
   type MembershipRepair,
@@ -55,6 +56,7 @@
     memberships: [],
     role: { kind: 'follower', leader: null },
     electionDeadline: now,
+    preVotesWithoutLeader: 0,
     // Before the restart the replica may have extended the lease of a leader.
     votesRefusedUntil: options.timing.usesLeaseReads
       ? now + options.timing.electionTimeoutMilliseconds
@@ -72,28 +74,11 @@
   resetElectionDeadline(core, now);
   if (stored !== null) {
     restoreStored(core, stored);
-    shortenElectionTimeoutAfterRestart(core, now);
+    setEarlyElectionDeadline(core, now);
   }
   return core;
 }
 
-/** Fraction of the election timeout after which a restarted replica starts a pre-vote. */
-const RESTART_ELECTION_TIMEOUT_SHARE = 0.2;
-
-/**
- * Starts the first pre-vote early if lease reads are off.
- *
- * @remarks
- * After a power failure of all members there is no leader, and waiting for the full election timeout
- * would prolong the outage. Members with contact to a leader refuse the pre-vote.
- */
-function shortenElectionTimeoutAfterRestart(core: ReplicaCore, now: Milliseconds): void {
-  const { usesLeaseReads, electionTimeoutMilliseconds } = core.timing;
-  if (usesLeaseReads) return;
-  core.electionDeadline =
-    now + electionTimeoutMilliseconds * RESTART_ELECTION_TIMEOUT_SHARE * (1 + core.random.next());
-}
-
 function restoreStored(core: ReplicaCore, stored: StoredReplica): void {
   const { index, membership, data } = stored.snapshot;
   core.state.restore(data);
--- a/packages/agreement/src/replicaDispatch.ts
+++ b/packages/agreement/src/replicaDispatch.ts
@@ -17,6 +17,7 @@
   if (core.role.kind !== 'follower' || core.role.leader !== from) becomeFollower(core, from);
   if (term > core.term) enterTerm(core, term);
   core.votesRefusedUntil = now + core.timing.electionTimeoutMilliseconds;
+  core.preVotesWithoutLeader = 0;
   resetElectionDeadline(core, now);
 }
 
--- a/packages/agreement/src/replicaElection.ts
+++ b/packages/agreement/src/replicaElection.ts
@@ -13,6 +13,7 @@
   quorumView,
   resetElectionDeadline,
   sendImmediately,
+  setEarlyElectionDeadline,
   sendAfterPersist,
   type LeaderRole,
   type ReplicaCore,
@@ -68,7 +69,8 @@
 
 /** Starts a pre-vote, which does not disrupt a leader that other members can reach. */
 export function startPreVote(core: ReplicaCore, now: Milliseconds): void {
-  resetElectionDeadline(core, now);
+  setEarlyElectionDeadline(core, now);
+  core.preVotesWithoutLeader += 1;
   if (!isSelfVoter(core)) return;
   core.role = { kind: 'candidate', isPreVote: true, grantedVotes: new Set([core.self.id]) };
   requestVotes(core, true, core.term + 1);
@@ -80,11 +82,12 @@
   core.votedFor = core.self.id;
   core.role = { kind: 'candidate', isPreVote: false, grantedVotes: new Set() };
   persistVote(core);
-  resetElectionDeadline(core, now);
+  setEarlyElectionDeadline(core, now);
   requestVotes(core, false, core.term);
 }
 
 function becomeLeader(core: ReplicaCore, now: Milliseconds): void {
+  core.preVotesWithoutLeader = 0;
   const role: LeaderRole = {
     kind: 'leader',
     electedAt: now,
--- a/packages/agreement/src/replicaState.ts
+++ b/packages/agreement/src/replicaState.ts
@@ -95,6 +95,8 @@
   memberships: readonly MembershipRecord[];
   role: ReplicaRole;
   electionDeadline: Milliseconds;
+  /** Pre-votes that this replica has started since it last had a leader. */
+  preVotesWithoutLeader: number;
   /** Time until which the replica does not vote for another leader. */
   votesRefusedUntil: Milliseconds;
   /** Time of the last leader message after which this replica had all of the leader's commits. */
@@ -203,6 +205,30 @@
   }
 }
 
+/** Fraction of the election timeout after which a replica without leases tries to be elected. */
+const EARLY_ELECTION_TIMEOUT_SHARE = 0.2;
+
+/** Early tries after which a replica waits for the full election timeout again. */
+const MAXIMUM_EARLY_ELECTIONS = 4;
+
+/**
+ * Sets an early random deadline for the next try, if lease reads are off.
+ *
+ * @remarks
+ * After a power failure of all members there is no leader, and members that start together often
+ * split their votes; waiting for the full election timeout each time would prolong the outage.
+ * Members with contact to a leader refuse the pre-vote.
+ */
+export function setEarlyElectionDeadline(core: ReplicaCore, now: Milliseconds): void {
+  const { usesLeaseReads, electionTimeoutMilliseconds } = core.timing;
+  if (usesLeaseReads || core.preVotesWithoutLeader >= MAXIMUM_EARLY_ELECTIONS) {
+    resetElectionDeadline(core, now);
+    return;
+  }
+  const timeout = electionTimeoutMilliseconds * EARLY_ELECTION_TIMEOUT_SHARE;
+  core.electionDeadline = now + timeout * (1 + core.random.next());
+}
+
 /** Sets a random deadline after which a replica without contact to a leader starts an election. */
 export function resetElectionDeadline(core: ReplicaCore, now: Milliseconds): void {
   const { electionTimeoutMilliseconds } = core.timing;
