perf(rollout): no chunk is requested from a holder with a long queue, and late owners are judged by new chunks

Cause: in the simulated swarm of the pass desks (18 agents, 48 chunks, links of 6.58 Mbit/s) requests piled up at holders whose uplink was busy, up to eight each; 16 fetches on average ran into their timeout, the last agent was staged after 5.6 s of 3.6 s of transfer time. Also an agent that still received other chunks was never idle, so it did not take over a lost owner's. Change: holders with more than 150 ms of queue are left out until it is shorter; a takeover counts from the last chunk that was new to all or to the region.

--- a/packages/rollout/__tests__/chunkChoice.spec.ts
+++ b/packages/rollout/__tests__/chunkChoice.spec.ts
@@ -26,7 +26,8 @@
     others,
     originFetchesInProgress: 0,
     mayFetchFromOrigin: true,
-    idleMilliseconds: 0,
+    originStalledMilliseconds: 0,
+    regionStalledMilliseconds: 0,
     ...changes,
   };
 }
@@ -72,14 +73,18 @@
     );
     assert.ok(owned.length < chunks.length);
     const notOwned = chunks.filter((chunk) => !owned.includes(chunk));
-    const fetch = nextChunkFetch(contextOf(0, { missing: notOwned, idleMilliseconds: 5_000 }));
+    const fetch = nextChunkFetch(
+      contextOf(0, { missing: notOwned, originStalledMilliseconds: 5_000 }),
+    );
     assert.equal(fetch?.source.kind, 'origin');
   });
 
   it('lets agents take over in rank order instead of all at once', () => {
-    const countOriginFetches = (idleMilliseconds: number): number =>
+    const countOriginFetches = (originStalledMilliseconds: number): number =>
       agentNames.filter((_name, index) => {
-        const fetch = nextChunkFetch(contextOf(index, { missing: [11], idleMilliseconds }));
+        const fetch = nextChunkFetch(
+          contextOf(index, { missing: [11], originStalledMilliseconds }),
+        );
         return fetch?.source.kind === 'origin';
       }).length;
     assert.deepEqual([0, 400, 800, 5_000].map(countOriginFetches), [1, 2, 3, 6]);
--- a/packages/rollout/__tests__/chunkSwarm.spec.ts
+++ b/packages/rollout/__tests__/chunkSwarm.spec.ts
@@ -14,6 +14,7 @@
   originBytesPerSecond: 7.3 * MEGABIT_BYTES,
   pacedLinkShare: 0.8,
   maximumConcurrentFetches: 8,
+  initialHolders: 0,
   lostAgents: [],
   slow: [],
   seed: 1,
@@ -25,6 +26,16 @@
   linkBytesPerSecond: 5.11 * MEGABIT_BYTES,
 };
 
+/** Fewer and larger chunks, with an origin that is faster than the links of the agents. */
+const fewChunks: Swarm = {
+  ...small,
+  agentsPerRegion: 6,
+  chunks: 48,
+  chunkBytes: 49_152,
+  linkBytesPerSecond: 6.58 * MEGABIT_BYTES,
+  originBytesPerSecond: 15 * MEGABIT_BYTES,
+};
+
 /** Transfer time of one full copy at the share of a link that weights may use, in milliseconds. */
 function copyMilliseconds(swarm: Swarm): number {
   const rate = swarm.linkBytesPerSecond * swarm.pacedLinkShare;
@@ -54,6 +65,31 @@
     });
   }
 
+  it('is staged within 1.2 times the transfer time of one copy on average, without failed fetches', () => {
+    for (const seed of [1, 2, 3, 4]) {
+      const { stagedAt, failedFetches } = simulateSwarm({ ...fewChunks, seed });
+      const mean = stagedAt.reduce((sum, time) => sum + time, 0) / stagedAt.length;
+      const limit = copyMilliseconds(fewChunks) * 1.2;
+      assert.ok(mean <= limit, `seed ${seed}: ${mean} ms of ${limit} ms`);
+      assert.equal(failedFetches, 0, `seed ${seed}`);
+    }
+  });
+
+  it('is staged by added agents while two of those that have it are lost', () => {
+    const lostAgents = [
+      { agent: 0, at: 800 },
+      { agent: 1, at: 800 },
+    ];
+    const { stagedAt, originFetches } = simulateSwarm({
+      ...fewChunks,
+      initialHolders: 11,
+      lostAgents,
+    });
+    const added = stagedAt.slice(11);
+    assert.ok(last(added) <= copyMilliseconds(fewChunks) * 1.5, `${last(added)} ms`);
+    assert.ok(originFetches <= fewChunks.chunks * 0.25, `${originFetches} chunks from the origin`);
+  });
+
   it('is staged by all others when two agents are lost during the rollout', () => {
     const lostAgents = [
       { agent: 2, at: 500 },
--- a/packages/rollout/__tests__/swarmSimulation.ts
+++ b/packages/rollout/__tests__/swarmSimulation.ts
@@ -15,6 +15,8 @@
   /** Share of the link rate that the pacers of the agents use. */
   readonly pacedLinkShare: number;
   readonly maximumConcurrentFetches: number;
+  /** Number of agents that hold all chunks from the start. */
+  readonly initialHolders: number;
   /** Agents that lose their link, each at a time in milliseconds. */
   readonly lostAgents: readonly { readonly agent: number; readonly at: number }[];
   /** Agents whose link has only a share of the usual rate. */
@@ -66,6 +68,7 @@
     { length: swarm.regions * swarm.agentsPerRegion },
     (_value, index) => ({ agent: `agent-${index}`, region: `region-${index % swarm.regions}` }),
   );
+  const chunks = Array.from({ length: swarm.chunks }, (_value, chunk) => chunk);
   const agents = peers.map((self, index): SimulatedAgent => {
     const share = swarm.slow.find(({ agent }) => agent === index)?.share ?? 1;
     const offset = random.nextInteger(swarm.chunks);
@@ -80,7 +83,7 @@
         },
         0,
       ),
-      held: new Set(),
+      held: new Set(index < swarm.initialHolders ? chunks : []),
       order: Array.from(
         { length: swarm.chunks },
         (_chunk, index) => (index + offset) % swarm.chunks,
--- a/packages/rollout/src/chunkChoice.ts
+++ b/packages/rollout/src/chunkChoice.ts
@@ -35,8 +35,10 @@
   readonly originFetchesInProgress: number;
   /** False during the backoff after a failed fetch from the origin. */
   readonly mayFetchFromOrigin: boolean;
-  /** Time since the last chunk arrived, or since this agent began to fetch. */
-  readonly idleMilliseconds: Milliseconds;
+  /** Time since any agent obtained a chunk that none had, or since this agent began to fetch. */
+  readonly originStalledMilliseconds: Milliseconds;
+  /** The same for chunks that none in this region had. */
+  readonly regionStalledMilliseconds: Milliseconds;
 }
 
 /**
@@ -50,16 +52,27 @@
 /** Concurrent fetches from one other agent: one is sent while the next is being requested. */
 const MAXIMUM_FETCHES_PER_AGENT = 2;
 
-/** Idle time per rank after which an agent takes over a chunk from its owner, in milliseconds. */
+/**
+ * Time without any new chunk, per rank, after which an agent takes over a chunk from its owner, in
+ * milliseconds.
+ */
 const TAKEOVER_MILLISECONDS = 350;
 
 const takeoverDelay = (rank: number): Milliseconds => rank * TAKEOVER_MILLISECONDS;
 
-/** The holder whose link is free first; `undefined` when all are at their fetch limit. */
+/**
+ * Queue of a holder's link beyond which no further chunk is requested from it, in milliseconds: about
+ * two chunks. A request behind a long queue keeps the requester from asking whoever is free first, and
+ * times out when more requests join the queue.
+ */
+const MAXIMUM_QUEUE_MILLISECONDS = 150;
+
+/** The holder whose link is free first; `undefined` when all are at their limits. */
 function leastQueuedHolder(holders: readonly ChunkHolder[]): ChunkHolder | undefined {
   let best: ChunkHolder | undefined;
   for (const holder of holders) {
     if (holder.fetchesInProgress >= MAXIMUM_FETCHES_PER_AGENT) continue;
+    if (holder.queuedMilliseconds > MAXIMUM_QUEUE_MILLISECONDS) continue;
     if (best === undefined || holder.queuedMilliseconds < best.queuedMilliseconds) best = holder;
   }
   return best;
@@ -95,7 +108,7 @@
   const next = chunks.find(
     ({ chunk, sameRegion, otherRegions }) =>
       sameRegion.length + otherRegions.length === 0 &&
-      context.idleMilliseconds >= takeoverDelay(context.ranking.rankOf(chunk).global),
+      context.originStalledMilliseconds >= takeoverDelay(context.ranking.rankOf(chunk).global),
   );
   return next === undefined ? null : { chunk: next.chunk, source: { kind: 'origin' } };
 }
@@ -106,7 +119,8 @@
 ): ChunkFetch | null {
   for (const { chunk, sameRegion, otherRegions } of chunks) {
     if (sameRegion.length > 0 || otherRegions.length === 0) continue;
-    if (context.idleMilliseconds < takeoverDelay(context.ranking.rankOf(chunk).regional)) continue;
+    if (context.regionStalledMilliseconds < takeoverDelay(context.ranking.rankOf(chunk).regional))
+      continue;
     const fetch = fetchFromHolder(chunk, leastQueuedHolder(otherRegions));
     if (fetch !== null) return fetch;
   }
@@ -132,8 +146,9 @@
  * from the origin, one agent in each further region fetches it from another region, and all others
  * fetch it within their region from the holder that can send it first. Chunks that others wait for
  * have priority: first those that this agent fetches from the origin, then those that it fetches into
- * its region, then the rarest. When the owner of a chunk is lost or slow, idle agents take over in
- * rank order.
+ * its region, then the rarest. When no chunk is new to any agent or to the region for a while, the
+ * owners of the missing ones are lost or slow, and others take over in rank order, however busy they
+ * are with chunks that are already spread.
  */
 export function nextChunkFetch(context: ChunkFetchContext): ChunkFetch | null {
   const chunks = context.missing.map((chunk) => availabilityOf(context, chunk));
--- a/packages/rollout/src/chunkPlanner.ts
+++ b/packages/rollout/src/chunkPlanner.ts
@@ -93,6 +93,28 @@
   avoidanceMilliseconds: INITIAL_AVOIDANCE_MILLISECONDS / 2,
 };
 
+/** Chunks that have been obtained so far by a set of agents. */
+interface ArrivalFrontier {
+  /** Time at which the last of them was seen for the first time. */
+  readonly advancedAt: Milliseconds;
+  record(chunk: number, now: Milliseconds): void;
+}
+
+function createArrivalFrontier(startedAt: Milliseconds): ArrivalFrontier {
+  const seen = new Set<number>();
+  let advancedAt = startedAt;
+  return {
+    get advancedAt() {
+      return advancedAt;
+    },
+    record: (chunk, now) => {
+      if (seen.has(chunk)) return;
+      seen.add(chunk);
+      advancedAt = now;
+    },
+  };
+}
+
 /** Creates the planner of an agent that starts to fetch a version. */
 export function createChunkPlanner(
   options: ChunkPlannerOptions,
@@ -105,13 +127,19 @@
   let originFetchesInProgress = 0;
   let originFailures = 0;
   let originBackoffUntil = startedAt;
-  let lastChunkArrivedAt = startedAt;
+  const obtainedAnywhere = createArrivalFrontier(startedAt);
+  const obtainedInRegion = createArrivalFrontier(startedAt);
   let cached: { readonly key: string; readonly ranking: ChunkRanking } | null = null;
 
   const updateAgent = (agent: string, changes: Partial<AgentState>): void => {
     agentStates.set(agent, { ...(agentStates.get(agent) ?? initialAgentState), ...changes });
   };
 
+  const recordHeld = (chunk: number, isInRegion: boolean, now: Milliseconds): void => {
+    obtainedAnywhere.record(chunk, now);
+    if (isInRegion) obtainedInRegion.record(chunk, now);
+  };
+
   const rankingAmong = (others: readonly ChunkPeer[]): ChunkRanking => {
     const key = others.map(({ agent }) => agent).join(' ');
     if (cached?.key !== key)
@@ -164,7 +192,8 @@
         others: others.map((other) => holderOf(other, now)),
         originFetchesInProgress,
         mayFetchFromOrigin: now >= originBackoffUntil,
-        idleMilliseconds: now - lastChunkArrivedAt,
+        originStalledMilliseconds: now - obtainedAnywhere.advancedAt,
+        regionStalledMilliseconds: now - obtainedInRegion.advancedAt,
       });
       if (fetch === null) return null;
       fetching.add(fetch.chunk);
@@ -174,6 +203,8 @@
     recordInventory: (agent, inventory, now) => {
       const previous = (agentStates.get(agent) ?? initialAgentState).unansweredPolls;
       const unansweredPolls = inventory === null ? previous + 1 : 0;
+      const region = options.others().find((other) => other.agent === agent)?.region;
+      for (const chunk of inventory?.held ?? []) recordHeld(chunk, region === self.region, now);
       updateAgent(agent, {
         inventory,
         unansweredPolls,
@@ -185,7 +216,7 @@
     recordFetchEnd: (fetch, isSound, now) => {
       fetching.delete(fetch.chunk);
       countFetch(fetch, -1);
-      if (isSound) lastChunkArrivedAt = now;
+      if (isSound) recordHeld(fetch.chunk, true, now);
       if (fetch.source.kind === 'origin') {
         originFailures = isSound ? 0 : originFailures + 1;
         const backoff = INITIAL_ORIGIN_BACKOFF_MILLISECONDS * 2 ** (originFailures - 1);
