fix(gateway): answers without end, stalled streams and streams without events

Cause: httpClient buffered a body without limit until its timeout; an entry could hold 8 MiB for each of its attempts at once and one event without limit; any byte kept a stalled stream alive; a stream that ended before its first event was passed on as complete; a stream that cannot be resumed was cut after 0.9 s of silence. Change: limits for one answer, for all buffered answers together and for one event; only whole events count as progress; a stream needs an event; streams that cannot go on elsewhere are left to the caller and the deadline.

--- a/packages/gateway/src/bufferedAttempt.ts
+++ b/packages/gateway/src/bufferedAttempt.ts
@@ -21,7 +21,7 @@
   upstream: { readonly id: string; readonly address: string },
   timeoutMilliseconds: number,
 ): Promise<BufferedAttemptOutcome> {
-  const { connections, dialect, time, upstreams } = entry;
+  const { connections, dialect, time, upstreams, answerMemory } = entry;
   const { admitted, signal } = request;
   const outgoing = outgoingRequest(
     request,
@@ -38,12 +38,14 @@
     let sent = false;
     let buffered: BufferedAnswer | null = null;
     let isTimedOut = false;
+    let isOverLimit = false;
     const timer = setTimeout(() => {
       isTimedOut = true;
       attempt.abort();
     }, timeoutMilliseconds);
     const settle = (outcome: BufferedAttemptOutcome): void => {
       clearTimeout(timer);
+      answerMemory.release(buffered?.size ?? 0);
       resolve(outcome);
     };
     const attempt = connections.run(
@@ -65,9 +67,14 @@
         },
         data: (bytes) => {
           if (buffered === null) return;
+          const isTooLarge = buffered.size + bytes.length > MAXIMUM_BUFFERED_BYTES;
+          if (isTooLarge || !answerMemory.tryReserve(bytes.length)) {
+            isOverLimit = true;
+            attempt.abort();
+            return;
+          }
           buffered.parts.push(bytes);
           buffered.size += bytes.length;
-          if (buffered.size > MAXIMUM_BUFFERED_BYTES) attempt.abort();
         },
         end: () => {
           if (buffered === null) {
@@ -79,8 +86,8 @@
           settle(classifyAnswer(request.id, status, headers, rawHeaders, body));
         },
         failed: (error) => {
-          const verdict = isTimedOut ? 'silent' : 'broken';
-          const { message } = error;
+          const verdict = isOverLimit ? 'failed' : isTimedOut ? 'silent' : 'broken';
+          const message = isOverLimit ? 'the answer exceeds the size limit' : error.message;
           if (sent) settle({ kind: 'unknown', verdict, reason: message });
           else settle({ kind: 'notRun', verdict, reason: message, sent });
         },
--- a/packages/gateway/src/entryContext.ts
+++ b/packages/gateway/src/entryContext.ts
@@ -1,3 +1,4 @@
+import type { ByteBudget } from '@burdockrail/limits/byteBudget.js';
 import type { CallerElapsedEstimator } from '@burdockrail/limits/callerElapsedEstimator.js';
 import type { QuarantineState } from '@burdockrail/limits/quarantineState.js';
 import type { SharedRetryBudget } from '@burdockrail/limits/sharedRetryBudget.js';
@@ -15,6 +16,8 @@
   readonly retryBudget: SharedRetryBudget;
   readonly callerElapsed: CallerElapsedEstimator;
   readonly quarantine: QuarantineState;
+  /** Memory for answers that are buffered until they are complete. */
+  readonly answerMemory: ByteBudget;
   /** Records that the connection to an upstream broke while it executed a request. */
   recordConnectionLoss(sighting: ContentCrash): void;
   /** Records that an upstream executed a request to completion; `content` is its digest. */
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import { createByteBudget } from '@burdockrail/limits/byteBudget.js';
 import { createCallerElapsedEstimator } from '@burdockrail/limits/callerElapsedEstimator.js';
 import {
   createCrashAttribution,
@@ -39,6 +40,9 @@
 /** Interval at which a draining entry checks whether it is idle, in milliseconds. */
 const IDLE_CHECK_INTERVAL_MILLISECONDS = 50;
 
+/** Memory for all answers that are buffered at the same time, in bytes; a process has some 200 MB. */
+const MAXIMUM_ANSWER_MEMORY_BYTES = 48 * 1024 * 1024;
+
 /** Upstreams that a request must crash to be quarantined; two crashes may be coincidence. */
 const CRASHES_TO_QUARANTINE = 3;
 
@@ -78,6 +82,7 @@
     connections,
     retryBudget: createSharedRetryBudget(bounds.retries),
     quarantine,
+    answerMemory: createByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES),
     callerElapsed: createCallerElapsedEstimator(),
     recordConnectionLoss: (sighting) => {
       const startedAt = clusterView.directory.get(sighting.upstream)?.record.startedAt ?? 0;
--- a/packages/gateway/src/httpClient.ts
+++ b/packages/gateway/src/httpClient.ts
@@ -10,6 +10,9 @@
 
 const CONNECT_TIMEOUT_MILLISECONDS = 500;
 
+/** Largest accepted body of an answer, in bytes: a server in trouble may send without end. */
+const MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
+
 /** A complete HTTP answer. */
 export interface HttpAnswer {
   readonly status: number;
@@ -18,7 +21,7 @@
 
 /** HTTP client for one engine or origin. */
 export interface HttpClient extends AsyncDisposable {
-  /** @throws if no complete answer arrives in time. */
+  /** @throws if no complete answer arrives in time, or one that is too large. */
   call(request: WireRequest, timeoutMilliseconds: number, bytes?: Uint8Array): Promise<HttpAnswer>;
 }
 
@@ -29,6 +32,7 @@
     pipelining: 1,
     connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS, localAddress },
     keepAliveTimeout: IDLE_TIMEOUT_MILLISECONDS,
+    maxResponseSize: MAXIMUM_ANSWER_BYTES,
   });
   return {
     call: async ({ method, path, body }, timeoutMilliseconds, bytes) => {
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -5,7 +5,7 @@
 import { createEventSplitter } from './eventSplitter.js';
 import { classifyAnswer, type NotRun } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
-import { mayServeVersion } from './versionRule.js';
+import { mayServeVersion, mustBeginBy } from './versionRule.js';
 
 /** Timeout for the first event, in milliseconds: even a late first event is useful. */
 const FIRST_EVENT_TIMEOUT_MILLISECONDS = 1_700;
@@ -16,6 +16,9 @@
 /** Minimum timeout between events, in milliseconds. */
 const MINIMUM_SILENCE_TIMEOUT_MILLISECONDS = 900;
 
+/** Maximum size of one event, in bytes. */
+const MAXIMUM_EVENT_BYTES = 256 * 1024;
+
 /** Maximum size of an answer that is not a stream, in bytes. */
 const MAXIMUM_BUFFERED_BYTES = 1024 * 1024;
 
@@ -65,10 +68,13 @@
     },
     dialect,
   );
-  const silenceTimeoutMilliseconds = Math.max(
-    MINIMUM_SILENCE_TIMEOUT_MILLISECONDS,
-    route.pauseMilliseconds * SILENCE_TIMEOUT_PAUSES,
-  );
+  // A stream that cannot continue at another engine is only ended by the caller or its deadline.
+  const silenceTimeoutMilliseconds = route.resumable
+    ? Math.max(
+        MINIMUM_SILENCE_TIMEOUT_MILLISECONDS,
+        route.pauseMilliseconds * SILENCE_TIMEOUT_PAUSES,
+      )
+    : null;
   const { resolve, promise } = createDeferred<StreamAttemptOutcome>();
   const splitter = createEventSplitter();
   let sent = false;
@@ -97,7 +103,8 @@
   };
 
   const onStreamData = (bytes: Buffer): void => {
-    for (const { bytes: event, id } of splitter.push(bytes)) {
+    const events = splitter.push(bytes);
+    for (const { bytes: event, id } of events) {
       if (head === null) return;
       if (!hasReceivedEvent) observer.head(head.status, head.raw);
       hasReceivedEvent = true;
@@ -108,10 +115,20 @@
         });
       }
     }
-    if (hasReceivedEvent) restartTimer(silenceTimeoutMilliseconds);
+    if (splitter.pendingBytes > MAXIMUM_EVENT_BYTES) fail('an event exceeds the size limit');
+    // A stalled upstream may send a byte now and then, so only whole events count as progress.
+    else if (events.length > 0 && silenceTimeoutMilliseconds !== null)
+      restartTimer(silenceTimeoutMilliseconds);
+    else if (events.length > 0) clearTimeout(timer);
   };
 
-  restartTimer(FIRST_EVENT_TIMEOUT_MILLISECONDS);
+  const now = time.now();
+  const beginBy = mustBeginBy(slot.version, clusterView.weightsOf(caller.model), settings.bounds);
+  const firstEventTimeout = route.resumable
+    ? FIRST_EVENT_TIMEOUT_MILLISECONDS
+    : Number.POSITIVE_INFINITY;
+  const firstEventWait = Math.max(0, Math.min(firstEventTimeout, beginBy - now));
+  if (Number.isFinite(firstEventWait)) restartTimer(firstEventWait);
   const attempt = connections.run(
     slot.address,
     connectionLimit(entry, admitted.service),
@@ -167,6 +184,10 @@
           settle({ kind: 'broken', verdict: 'broken', reason: 'stream ended inside an event' });
           return;
         }
+        if (!hasReceivedEvent && lastEventId === null) {
+          settle({ kind: 'broken', verdict: 'broken', reason: 'stream ended without an event' });
+          return;
+        }
         if (!hasReceivedEvent) observer.head(head.status, head.raw);
         settle({ kind: 'complete' });
       },
@@ -180,7 +201,10 @@
           });
           return;
         }
-        const verdict = isTimedOut ? 'silent' : 'broken';
+        const isTooLateToBegin = isTimedOut && !hasReceivedEvent && time.now() >= beginBy;
+        // An engine is not to blame for a version that ends.
+        const silentVerdict = isTooLateToBegin ? 'full' : 'silent';
+        const verdict = isTimedOut ? silentVerdict : 'broken';
         const reason = isTimedOut ? 'no event in time' : error.message;
         if (sent) settle({ kind: 'broken', verdict, reason });
         else settle({ kind: 'notRun', verdict, reason, sent });
--- a/packages/gateway/src/versionRule.ts
+++ b/packages/gateway/src/versionRule.ts
@@ -4,10 +4,17 @@
 /**
  * Time before the end of an older version at which requests to it stop, in milliseconds.
  *
- * A request counts from its first token, which a fully loaded engine produces after about 0.6 s;
- * without an agent that grants slots it may also wait in the engine's own queue.
+ * A request counts from its first token, which an engine whose slots an agent grants produces
+ * within the margin; one that takes longer is ended at the deadline. Without grants it may also
+ * wait in the engine's own queue.
  */
-export const SUPERSEDED_VERSION_MARGIN_MILLISECONDS = { granted: 1_300, ungranted: 2_500 } as const;
+export const SUPERSEDED_VERSION_MARGIN_MILLISECONDS = { granted: 600, ungranted: 2_500 } as const;
+
+/**
+ * Time before the end of an older version at which a request without a first event is ended, in
+ * milliseconds: the way of the cancellation to the engine.
+ */
+const LAST_BEGIN_MARGIN_MILLISECONDS = 60;
 
 /** A version named by operators, with the time of its naming on this process's clock. */
 export interface NamedVersion {
@@ -38,6 +45,28 @@
   );
 }
 
+/** Time by which a request on a version must have begun; infinite for the newest version. */
+export function mustBeginBy(
+  version: number,
+  namedVersions: readonly NamedVersion[],
+  bounds: Pick<GatewayBounds, 'versionMilliseconds'>,
+): Milliseconds {
+  const namedAt = supersededAt(version, namedVersions);
+  if (namedAt === null) return Number.POSITIVE_INFINITY;
+  return namedAt + bounds.versionMilliseconds - LAST_BEGIN_MARGIN_MILLISECONDS;
+}
+
+/** Time until which an agent may grant slots for a version; infinite for the newest one. */
+export function servableUntil(
+  version: number,
+  namedVersions: readonly NamedVersion[],
+  bounds: Pick<GatewayBounds, 'versionMilliseconds'>,
+): Milliseconds {
+  const namedAt = supersededAt(version, namedVersions);
+  if (namedAt === null) return Number.POSITIVE_INFINITY;
+  return namedAt + bounds.versionMilliseconds - SUPERSEDED_VERSION_MARGIN_MILLISECONDS.granted;
+}
+
 /** Time at which the first version newer than the held one was named; `null` if there is none. */
 export function supersededAt(
   held: number,
