feat(gateway): weights are fetched and loaded by two loops, with chunks kept in memory

Cause: the engine stages one version at a time, so the next one could not arrive while another waited for its turn, before the engine had started, or without dropping what had been staged when a newer version was named.

--- a/packages/gateway/src/chunkFetch.ts
+++ b/packages/gateway/src/chunkFetch.ts
@@ -8,7 +8,7 @@
 import { parseAddress } from './controlAddresses.js';
 import type { HttpClient } from './httpClient.js';
 import type { GatewayContext } from './gatewayContext.js';
-import type { StagedChunks } from './stagedChunks.js';
+import type { VersionChunks } from './versionChunks.js';
 
 /** Concurrent fetch loops; the planner decides how many of them are active. */
 const WORKERS = 8;
@@ -26,7 +26,7 @@
 const MAXIMUM_ORIGIN_TIMEOUT_MILLISECONDS = 6_000;
 
 /** Timeout of a query for the chunks that an agent holds, in milliseconds. */
-const LIST_TIMEOUT_MILLISECONDS = 500;
+const LIST_TIMEOUT_MILLISECONDS = 300;
 
 /** Maximum delay between checks for work, in milliseconds. */
 const IDLE_DELAY_MILLISECONDS = 20;
@@ -36,7 +36,7 @@
 /** Options of {@link fetchChunks}. */
 export interface ChunkFetchOptions {
   readonly context: GatewayContext;
-  readonly staged: StagedChunks;
+  readonly chunks: VersionChunks;
   readonly origin: HttpClient | null;
   readonly self: string;
   readonly peers: () => readonly ChunkPeer[];
@@ -44,30 +44,29 @@
   readonly pacer: Pacer;
   /** Bandwidth available for weights on another agent's link, in bytes per second. */
   readonly peerBytesPerSecond: number;
-  /** Aborts when another version becomes the target or the engine restarts. */
+  /** Aborts when another version is to be fetched. */
   readonly signal: AbortSignal;
 }
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** Fetches all chunks that are not yet staged and verified; resolves early when aborted. */
+/** Fetches all chunks that are not held yet; resolves early when aborted. */
 export async function fetchChunks(options: ChunkFetchOptions): Promise<void> {
-  const { context, staged, origin, self, signal, pacer } = options;
+  const { context, chunks, origin, self, signal, pacer } = options;
   const { client, settings, log, metrics, dialect, time } = context;
-  const { model, version, manifest } = staged;
+  const { model, version, manifest } = chunks;
   const planner = createChunkPlanner(
     {
       versionKey: `${model} ${version}`,
       self: { agent: self, region: settings.region },
       others: options.peers,
       chunkMilliseconds: () =>
-        (staged.largestChunkBytes * MILLISECONDS_PER_SECOND) / options.peerBytesPerSecond,
+        (chunks.largestChunkBytes * MILLISECONDS_PER_SECOND) / options.peerBytesPerSecond,
     },
     time.now(),
   );
   let originTimeoutMilliseconds = ORIGIN_TIMEOUT_MILLISECONDS;
-  const isFinished = (): boolean =>
-    signal.aborted || staged.verified.size === manifest.digests.length;
+  const isFinished = (): boolean => signal.aborted || chunks.isComplete;
 
   const queryChunks = async (agent: string): Promise<void> => {
     try {
@@ -124,7 +123,7 @@
     try {
       const bytes = await read(source, chunk);
       if (signal.aborted) return;
-      isValid = bytes !== null && (await staged.write(chunk, bytes));
+      isValid = bytes !== null && (await chunks.add(chunk, bytes));
       metrics.count('burdockrail_chunks_total', { source: source.kind, sound: String(isValid) });
       if (!isValid) {
         const receivedBytes = bytes?.length ?? 0;
@@ -146,17 +145,17 @@
   const worker = async (): Promise<void> => {
     while (!isFinished()) {
       const waitMilliseconds = pacer.waitMilliseconds(time.now());
-      if (waitMilliseconds > 0) {
-        await pause(Math.min(IDLE_DELAY_MILLISECONDS, waitMilliseconds));
+      if (waitMilliseconds > 0 || !chunks.acceptsChunks) {
+        await pause(IDLE_DELAY_MILLISECONDS);
         continue;
       }
-      const missingChunks = fetchOrder.filter((chunk) => !staged.verified.has(chunk));
+      const missingChunks = fetchOrder.filter((chunk) => !chunks.held.has(chunk));
       const nextFetch = planner.next(missingChunks, time.now());
       if (nextFetch === null) {
         await pause(IDLE_DELAY_MILLISECONDS);
         continue;
       }
-      pacer.reserve(staged.largestChunkBytes, time.now());
+      pacer.reserve(chunks.largestChunkBytes, time.now());
       await fetchOne(nextFetch);
     }
   };
--- a/packages/gateway/src/engineMonitor.ts
+++ b/packages/gateway/src/engineMonitor.ts
@@ -6,6 +6,9 @@
 /** Interval at which the engine is polled, in milliseconds. */
 const POLL_INTERVAL_MILLISECONDS = 250;
 
+/** Interval while the engine carries out an order, in milliseconds: it serves again afterwards. */
+const BUSY_POLL_INTERVAL_MILLISECONDS = 50;
+
 /** Timeout of a poll, in milliseconds. */
 const ANSWER_TIMEOUT_MILLISECONDS = 600;
 
@@ -85,16 +88,24 @@
     return pollInProgress;
   };
   let timer: NodeJS.Timeout | undefined;
+  let isStopped = false;
+
+  const pollRepeatedly = (): void => {
+    void refresh().finally(() => {
+      if (isStopped) return;
+      const isBusy = latestReport?.busy === true;
+      const interval = isBusy ? BUSY_POLL_INTERVAL_MILLISECONDS : POLL_INTERVAL_MILLISECONDS;
+      timer = setTimeout(pollRepeatedly, interval);
+    });
+  };
 
   return {
     report: (now) => (now - lastAnswerAt < MAXIMUM_REPORT_AGE_MILLISECONDS ? latestReport : null),
     refresh,
-    start: () => {
-      timer = setInterval(() => void refresh(), POLL_INTERVAL_MILLISECONDS);
-      void refresh();
-    },
+    start: pollRepeatedly,
     [Symbol.asyncDispose]: async () => {
-      clearInterval(timer);
+      isStopped = true;
+      clearTimeout(timer);
       await pollInProgress;
     },
   };
--- /dev/null
+++ b/packages/gateway/src/weightsLoader.ts
@@ -0,0 +1,151 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import { loadStartAt } from '@burdockrail/rollout/loadStart.js';
+import { versionToLoad } from '@burdockrail/rollout/versionChoice.js';
+import type { EngineModel, WeightsContext } from './agentWeights.js';
+import type { ModelVersion } from './dialect.js';
+import type { WeightsFetcher } from './weightsFetcher.js';
+
+/** Interval at which the version to load is decided, in milliseconds. */
+const CHECK_INTERVAL_MILLISECONDS = 60;
+
+/** Timeout of a load order, in milliseconds. */
+const LOAD_ORDER_TIMEOUT_MILLISECONDS = 2_000;
+
+/** Time before a load in which only requests that end by then are admitted, in milliseconds. */
+const LOAD_DRAIN_MILLISECONDS = 2_000;
+
+/** Time before a load at which its chunks are staged and read back, in milliseconds. */
+const STAGE_LEAD_MILLISECONDS = 300;
+
+const SUCCESS_STATUS = 200;
+const ACCEPTED_STATUS = 202;
+const FENCED_STATUS = 412;
+
+/** Increment of the fencing token after a refusal; tokens are Unix milliseconds, so one minute. */
+const FENCING_TOKEN_STEP = 60_000;
+
+/** Loads whole versions into an engine, each at its turn. */
+export interface WeightsLoader extends AsyncDisposable {
+  start(): void;
+}
+
+/** A load that is due next. */
+interface PlannedLoad extends ModelVersion {
+  readonly at: Milliseconds;
+}
+
+/**
+ * Creates the loader; it does nothing until it is started.
+ *
+ * @remarks
+ * All staged chunks are read back and verified right before the load order, because an engine loads
+ * whatever is staged at that moment without checking it.
+ */
+export function createWeightsLoader(
+  weights: WeightsContext,
+  fetcher: WeightsFetcher,
+): WeightsLoader {
+  const { context, engineClient, engineMonitor, admitOnlyUntil } = weights;
+  const { dialect, log, time, settings } = context;
+  const stop = new AbortController();
+  let running: Promise<void> = Promise.resolve();
+  let fencingToken = Date.now();
+
+  const loadTurnFor = ({ model, version }: ModelVersion, known: EngineModel): Milliseconds => {
+    const now = time.now();
+    if (known.loaded === 0) return now;
+    const agents = [...weights.peers().map(({ agent }) => agent), weights.self];
+    return loadStartAt({
+      versionKey: `${model} ${version}`,
+      self: weights.self,
+      agents,
+      // The deadline of a version is set by the first naming after it, however many follow.
+      namedAt: known.supersededAt ?? now,
+      switchTimeoutMilliseconds: settings.bounds.versionMilliseconds,
+    });
+  };
+
+  /** Load of a whole version that is due now or later. */
+  const findLoad = (now: Milliseconds): PlannedLoad | null => {
+    for (const known of weights.knownVersions()) {
+      const { model } = known;
+      const version = versionToLoad(known, weights.heldVersions(model).complete, now);
+      if (version !== null) return { model, version, at: loadTurnFor({ model, version }, known) };
+    }
+    return null;
+  };
+
+  /** Time of the next load, also of a version that is still being fetched. */
+  const expectedLoadAt = (load: PlannedLoad | null, now: Milliseconds): Milliseconds => {
+    if (load !== null) return load.at;
+    const { current } = fetcher;
+    const known = weights.knownVersions().find(({ model }) => model === current?.model);
+    if (current === null || known === undefined || known.loaded === 0)
+      return Number.POSITIVE_INFINITY;
+    return Math.max(current.expectedCompletionAt(now), loadTurnFor(current, known));
+  };
+
+  const limitAdmission = (load: PlannedLoad | null, now: Milliseconds): void => {
+    const loadAt = expectedLoadAt(load, now);
+    admitOnlyUntil(loadAt - now < LOAD_DRAIN_MILLISECONDS ? loadAt : null);
+  };
+
+  const orderLoad = async ({ model, version }: ModelVersion): Promise<void> => {
+    const report = await engineMonitor.refresh();
+    if (report === null || report.busy) return;
+    const order = { model, version, orders: report.orders, fence: fencingToken };
+    const { status, body } = await engineClient.call(
+      dialect.weights.load(order),
+      LOAD_ORDER_TIMEOUT_MILLISECONDS,
+    );
+    const isAccepted = status === SUCCESS_STATUS || status === ACCEPTED_STATUS;
+    // After the clock was set back, or from a previous agent, the engine may hold a higher token.
+    if (status === FENCED_STATUS) fencingToken += FENCING_TOKEN_STEP;
+    log.write('weightsOrdered', {
+      model,
+      version,
+      orders: report.orders,
+      status,
+      outcome: isAccepted ? 'begun' : body.toString('utf8').slice(0, 120),
+    });
+    await engineMonitor.refresh();
+  };
+
+  /** Stages a version, waits for its turn and orders the load. */
+  const load = async (planned: PlannedLoad): Promise<void> => {
+    const chunks = weights.chunksOf(planned);
+    if (chunks === undefined) return;
+    try {
+      if (!(await chunks.stage())) return;
+      await pause(Math.max(0, planned.at - time.now()));
+      const due = findLoad(time.now());
+      if (due?.model === planned.model && due.version === planned.version) await orderLoad(planned);
+    } catch (error) {
+      const { model, version } = planned;
+      log.write('rolloutFailed', { model, version, reason: String(error) });
+    }
+  };
+
+  const run = async (): Promise<void> => {
+    while (!stop.signal.aborted) {
+      const now = time.now();
+      const report = engineMonitor.report(now);
+      const planned = report === null || report.busy ? null : findLoad(now);
+      limitAdmission(planned, now);
+      weights.reserveStaging(planned);
+      if (planned !== null && planned.at - now < STAGE_LEAD_MILLISECONDS) await load(planned);
+      await pause(CHECK_INTERVAL_MILLISECONDS);
+    }
+  };
+
+  return {
+    start: () => {
+      running = run();
+    },
+    [Symbol.asyncDispose]: async () => {
+      stop.abort();
+      await running;
+    },
+  };
+}
--- a/packages/rollout/src/loadStart.ts
+++ b/packages/rollout/src/loadStart.ts
@@ -14,7 +14,7 @@
 }
 
 /** Part of that time over which the load starts of the engines are spread. */
-const LOAD_WINDOW_SHARE = { from: 0.45, to: 0.8 } as const;
+const LOAD_WINDOW_SHARE = { from: 0.45, to: 0.87 } as const;
 
 /**
  * Returns the time at which an engine that serves an older version should start to load the new one.
