perf(routing): requests are refused at once while no engine has weights

Change: engines without weights and slow agents are not asked twice in a search; when none is known to have weights, two are asked. Also: requestEnded logs objective and longest pause.

--- a/packages/gateway/src/entryRequest.ts
+++ b/packages/gateway/src/entryRequest.ts
@@ -33,6 +33,8 @@
   upstreams: string[];
   /** Time from arrival to the first byte of the answer, in milliseconds. */
   firstByteMilliseconds: number | null;
+  /** Longest time between two events that were forwarded, in milliseconds. */
+  longestPauseMilliseconds: number;
   cause: string;
 }
 
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -44,6 +44,16 @@
   stopListening(): void;
 }
 
+/** What is logged of a request besides its answer and trace. */
+interface RequestMetadata {
+  readonly arrivedAt: number;
+  route: string;
+  team: string;
+  /** Latency objective of the route, in milliseconds; `null` without a route. */
+  objective: number | null;
+  callerLeft: boolean;
+}
+
 class BodyTooLarge extends Error {}
 
 async function readBody(request: IncomingMessage, limit: number): Promise<Buffer | null> {
@@ -103,12 +113,7 @@
     id: string | null,
     answer: CallerAnswer,
     trace: RequestTrace,
-    metadata: {
-      readonly arrivedAt: number;
-      readonly route: string;
-      readonly team: string;
-      readonly callerLeft: boolean;
-    },
+    metadata: RequestMetadata,
   ): void => {
     const now = time.now();
     const durationMilliseconds = now - metadata.arrivedAt;
@@ -132,7 +137,9 @@
       attempts: trace.attempts,
       upstreams: trace.upstreams.join(','),
       first: trace.firstByteMilliseconds === null ? null : Math.round(trace.firstByteMilliseconds),
+      pause: Math.round(trace.longestPauseMilliseconds),
       milliseconds: Math.round(durationMilliseconds),
+      objective: metadata.objective,
       configuration: clusterView.table?.configuration.version ?? 0,
       confirmedAge: Math.round(Math.min(now - clusterView.confirmedAt, 1e9)),
       ...(metadata.route === '' ? { target: request.url ?? '' } : {}),
@@ -147,10 +154,17 @@
       attempts: 0,
       upstreams: [],
       firstByteMilliseconds: null,
+      longestPauseMilliseconds: 0,
       cause: '',
     };
     const cancellation = new AbortController();
-    const metadata = { arrivedAt, route: '', team: '', callerLeft: false };
+    const metadata: RequestMetadata = {
+      arrivedAt,
+      route: '',
+      team: '',
+      objective: null,
+      callerLeft: false,
+    };
     response.once('close', () => {
       if (answer.state === 'open') {
         metadata.callerLeft = true;
@@ -187,6 +201,7 @@
       }
       const { route, service, team, deadline } = decision;
       metadata.route = route.name;
+      metadata.objective = route.objectiveMilliseconds;
       metadata.team = team?.name ?? '';
       const contentDigest = digestRequest(caller.key, request, body);
       if (quarantine.statusOf(contentDigest, time.now()).kind === 'quarantined') {
--- a/packages/gateway/src/entrySlots.ts
+++ b/packages/gateway/src/entrySlots.ts
@@ -7,6 +7,7 @@
 import {
   engineLoad,
   searchSlot,
+  type SearchedEngine,
   type SlotClaimResult,
   type SlotSearchClaim,
 } from '@burdockrail/routing/slotSearch.js';
@@ -134,16 +135,20 @@
   const enginesFor = (
     request: EntryRequest,
     triedEngines: ReadonlySet<string>,
-  ): readonly string[] => {
+  ): readonly SearchedEngine[] => {
     const now = time.now();
     const ready = clusterView.directory
       .ready(request.admitted.service)
       .filter(({ record }) => !triedEngines.has(record.id));
-    const loaded = ready.filter(({ record }) => !recentlyReportedUnloaded(record.id, now));
-    return orderEngines(
-      (loaded.length > 0 ? loaded : ready).map((engine) => engineView(engine, now)),
+    const order = orderEngines(
+      ready.map((engine) => engineView(engine, now)),
       { dataCentre: entry.settings.dataCentre, draw: () => random.next() },
     );
+    return order.map((id) => ({
+      id,
+      slots: clusterView.directory.get(id)?.record.slots ?? 0,
+      mayServe: !recentlyReportedUnloaded(id, now),
+    }));
   };
 
   /** Claims at one engine; if its agent is unresponsive, takes a slot of this entry's share. */
@@ -162,7 +167,8 @@
     if (reply === null) {
       // An agent that is merely slow still grants slots, so none is taken without its grant.
       const slot = isSilent ? takeWithoutGrant(record, request.caller.model, time.now()) : null;
-      return { answer: { kind: 'silent' }, slot };
+      const isUnresponsive = isSilent || claimClient.isSilent(agent, time.now());
+      return { answer: { kind: isUnresponsive ? 'silent' : 'slow' }, slot };
     }
     latestReplies.set(engine, { reply, receivedAt: time.now() });
     const slot = reply.kind === 'granted' ? grantedSlot(record, reply) : null;
@@ -172,9 +178,7 @@
   return {
     claim: async (request, triedEngines, slackMilliseconds) => {
       const search = searchSlot({
-        engines: enginesFor(request, triedEngines).map((id) => {
-          return { id, slots: clusterView.directory.get(id)?.record.slots ?? 0 };
-        }),
+        engines: enginesFor(request, triedEngines),
         loadOf: lastReportedLoad,
         longestWaitMilliseconds: CLAIM_WAIT_MILLISECONDS,
       });
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -19,6 +19,7 @@
 interface Progress {
   lastEventId: number | null;
   events: number;
+  lastEventAt: number | null;
 }
 
 /** Executes a request whose answer is an event stream; resumes it at another engine if possible. */
@@ -31,7 +32,7 @@
   const { admitted, answer, signal, trace, caller } = request;
   const { route, service } = admitted;
   const triedEngines = new Set<string>();
-  const progress: Progress = { lastEventId: null, events: 0 };
+  const progress: Progress = { lastEventId: null, events: 0, lastEventAt: null };
   const engine = clusterView.table?.service(service)?.engine ?? null;
   let sentCount = 0;
   let lossCount = 0;
@@ -72,6 +73,10 @@
             return true;
           if (id !== null) progress.lastEventId = id;
           progress.events += 1;
+          const eventAt = time.now();
+          const pause = eventAt - (progress.lastEventAt ?? eventAt);
+          trace.longestPauseMilliseconds = Math.max(trace.longestPauseMilliseconds, pause);
+          progress.lastEventAt = eventAt;
           return answer.write(bytes);
         },
         onDrain: (resume) => {
--- a/packages/routing/__tests__/slotSearch.spec.ts
+++ b/packages/routing/__tests__/slotSearch.spec.ts
@@ -2,21 +2,23 @@
 import { describe, it } from 'node:test';
 import {
   searchSlot,
+  type SearchedEngine,
   type SlotClaimResult,
   type SlotSearchClaim,
   type SlotSearchResult,
 } from '../src/slotSearch.js';
 
-const engines = ['a', 'b', 'c', 'd', 'e', 'f'].map((id) => ({ id, slots: 10 }));
+const engines = ['a', 'b', 'c', 'd', 'e', 'f'].map((id) => ({ id, slots: 10, mayServe: true }));
 
 /** Runs a search with the given answers; returns the claims made and the result. */
 function runSearch(
   answer: (claim: SlotSearchClaim) => SlotClaimResult,
   loads: Readonly<Record<string, number>> = {},
+  searched: readonly SearchedEngine[] = engines,
 ): { readonly claims: readonly SlotSearchClaim[]; readonly result: SlotSearchResult } {
   const claims: SlotSearchClaim[] = [];
   const search = searchSlot({
-    engines,
+    engines: searched,
     loadOf: (id) => loads[id] ?? 0,
     longestWaitMilliseconds: 200,
   });
@@ -73,4 +75,22 @@
     }));
     assert.deepEqual(result, { kind: 'absent' });
   });
+
+  it('does not ask an engine again that has no weights or whose agent is slow', () => {
+    const { claims } = runSearch(({ engine }) => {
+      if (engine === 'a') return { kind: 'unloaded' };
+      return engine === 'b' ? { kind: 'slow' } : full(900);
+    });
+    assert.equal(claims.map(({ engine }) => engine).join(''), 'ab' + 'cde');
+  });
+
+  it('passes over engines without weights, and asks few when none has any', () => {
+    const unloaded = engines.map((engine) => ({ ...engine, mayServe: engine.id === 'e' }));
+    const { claims } = runSearch(() => full(900), {}, unloaded);
+    assert.ok(claims.every(({ engine }) => engine === 'e'));
+    const none = engines.map((engine) => ({ ...engine, mayServe: false }));
+    const { claims: trials, result } = runSearch(() => ({ kind: 'unloaded' }), {}, none);
+    assert.equal(trials.length, 2);
+    assert.deepEqual(result, { kind: 'absent' });
+  });
 });
--- a/packages/routing/src/slotSearch.ts
+++ b/packages/routing/src/slotSearch.ts
@@ -37,8 +37,12 @@
   | { readonly kind: 'granted' }
   /** With the predicted time until a slot is free, in milliseconds. */
   | { readonly kind: 'full'; readonly freeInMilliseconds: number }
-  /** The engine has no weights loaded, or the agent did not answer. */
-  | { readonly kind: 'unloaded' | 'silent' };
+  /** The engine has no weights that may be served. */
+  | { readonly kind: 'unloaded' }
+  /** The agent did not answer within the time of a claim. */
+  | { readonly kind: 'slow' }
+  /** The agent has stopped answering. */
+  | { readonly kind: 'silent' };
 
 /** Result of a search. */
 export type SlotSearchResult =
@@ -51,6 +55,8 @@
 export interface SearchedEngine {
   readonly id: string;
   readonly slots: number;
+  /** False when the engine is known to have had no weights a moment ago. */
+  readonly mayServe: boolean;
 }
 
 /** Inputs of a search. */
@@ -75,6 +81,12 @@
 /** Engines asked for any free slot before a request waits or is refused. */
 const ANY_SLOT_ATTEMPTS = 5;
 
+/** Engines asked when none is known to have weights: enough to notice the first that has. */
+const UNLOADED_ATTEMPTS = 2;
+
+/** Results after which an engine is not asked again in the same search. */
+const hopelessResults: ReadonlySet<SlotClaimResult['kind']> = new Set(['unloaded', 'slow']);
+
 const anySlotTerms: SlotClaimTerms = {
   mayWait: false,
   mostTaken: null,
@@ -88,12 +100,17 @@
  * @remarks
  * Limits latency under overload: a prefill on a busy engine delays the first events of all other
  * requests there, so free slots at less loaded engines are preferred, and a request never waits at
- * an engine that predicts a longer wait than allowed.
+ * an engine that predicts a longer wait than allowed. While no engine has weights, for example
+ * because a version ended before the next one arrived, a request is refused after few claims: their
+ * answers are slow on links that are busy with weights.
  */
 export function* searchSlot(
   search: SlotSearch,
 ): Generator<SlotSearchClaim, SlotSearchResult, SlotClaimResult> {
-  const { engines, loadOf, longestWaitMilliseconds } = search;
+  const { loadOf, longestWaitMilliseconds } = search;
+  const serving = search.engines.filter(({ mayServe }) => mayServe);
+  const engines = serving.length > 0 ? serving : search.engines.slice(0, UNLOADED_ATTEMPTS);
+  const hopeless = new Set<string>();
   let asked = 0;
   for (const { id, slots } of engines.slice(0, LIGHTLY_LOADED_ATTEMPTS)) {
     const mostTaken = Math.ceil(slots * LIGHTLY_LOADED_SHARE);
@@ -102,9 +119,11 @@
     const answer = yield { engine: id, terms };
     if (answer.kind === 'granted') return answer;
     if (answer.kind !== 'silent') asked += 1;
+    if (hopelessResults.has(answer.kind)) hopeless.add(id);
   }
   const leastLoaded = engines
     .slice(0, ANY_SLOT_ATTEMPTS)
+    .filter(({ id }) => !hopeless.has(id))
     .toSorted((left, right) => loadOf(left.id) - loadOf(right.id));
   let soonest: { readonly id: string; readonly waitMilliseconds: number } | null = null;
   for (const { id } of leastLoaded) {
