--- a/packages/bench/src/replayFleet.ts
+++ b/packages/bench/src/replayFleet.ts
@@ -32,6 +32,8 @@
   readonly entries: number;
   readonly dataCentres: number;
   readonly engines: readonly ServingPeriod[];
+  /** Times at which engines load other weights, in seconds; empty for none. */
+  readonly loadsAtSeconds: readonly number[];
   readonly performance: EnginePerformance;
   readonly passes: PassSettings;
   /** One-way latency of a message within and between data centres, including its handling. */
@@ -68,6 +70,8 @@
 interface EngineObservation {
   readonly taken: number;
   readonly load: number;
+  /** True when the engine had no weights that may be served. */
+  readonly unloaded: boolean;
   readonly at: number;
 }
 
@@ -85,6 +89,9 @@
   readonly finish: (outcome: 'onTime' | 'late', firstMilliseconds: number) => void;
 }
 
+/** Time for which an entry skips an engine that reported no weights, in milliseconds. */
+const UNLOADED_MILLISECONDS = 100;
+
 /** Time that a caller takes to open a new connection, in milliseconds. */
 const RECONNECT_MILLISECONDS = 8;
 
@@ -145,6 +152,12 @@
     };
   };
 
+  const mayServe = (entry: Entry, id: string): boolean => {
+    const observation = entry.observations.get(id);
+    if (observation?.unloaded !== true) return true;
+    return clock.now() - observation.at >= UNLOADED_MILLISECONDS;
+  };
+
   const rankEngines = (entry: Entry): readonly string[] =>
     orderEngines(
       servingEngines().map((engine) => viewOf(entry, engine)),
@@ -193,7 +206,9 @@
     const elapsed = clock.now() - arrival.at;
     const slackMilliseconds = slackOf(arrival);
     const search = searchSlot({
-      engines: rankEngines(entry).map((id) => ({ id, slots: performance.slots })),
+      engines: rankEngines(entry).map((id) => {
+        return { id, slots: performance.slots, mayServe: mayServe(entry, id) };
+      }),
       loadOf: (id) => entry.observations.get(id)?.load ?? 0,
       longestWaitMilliseconds: fleet.longestWaitMilliseconds,
     });
@@ -209,8 +224,9 @@
       const onClaimResult = (result: ClaimResult): void => {
         const { taken, load } = engine;
         clock.schedule(delay, () => {
-          entry.observations.set(id, { taken, load, at: clock.now() });
-          if (result.kind === 'full') {
+          const unloaded = result.kind === 'unloaded';
+          entry.observations.set(id, { taken, load, unloaded, at: clock.now() });
+          if (result.kind !== 'granted') {
             advanceSearch(search.next(result));
             return;
           }
@@ -256,6 +272,7 @@
       const observation = {
         taken: engine.requests,
         load: engine.requests / performance.slots,
+        unloaded: false,
         at: clock.now(),
       };
       clock.schedule(fleet.reportMilliseconds, () => {
@@ -308,6 +325,9 @@
       sendArrival(arrival);
     });
   }
+  fleet.loadsAtSeconds.forEach((second, index) => {
+    engines[index]?.loadWeightsAt(second * 1_000);
+  });
   if (fleet.routingMode === 'alone') reportLoads();
   clock.runUntil((arrivals.at(-1)?.at ?? 0) + 4 * fleet.deadlineMilliseconds);
   return results;
--- a/packages/bench/src/replayScenarios.ts
+++ b/packages/bench/src/replayScenarios.ts
@@ -81,6 +81,7 @@
   remoteLatencyMilliseconds: 3,
   reportMilliseconds: 200,
   longestWaitMilliseconds: 200,
+  loadsAtSeconds: [],
   deadlineMilliseconds: 6_000,
   maximumRetries: 1,
 };
@@ -97,6 +98,70 @@
   kinds,
 });
 
+const deskLimits = { maximumAnswerTokens: 360, maximumPauseMilliseconds: 300 };
+
+/** Request kinds of the pass desks, as specified by the users. */
+const deskKinds: readonly StreamKind[] = [
+  {
+    ...deskLimits,
+    name: 'renewal-letter',
+    share: 60.6,
+    objectiveMilliseconds: 400,
+    promptTokens: 1_330,
+    maximumPromptTokens: 3_920,
+    answerTokens: 144,
+    worth: 2.5,
+    lateWorth: 0.62,
+  },
+  {
+    ...deskLimits,
+    name: 'fare-rule',
+    share: 43.4,
+    objectiveMilliseconds: 400,
+    promptTokens: 827,
+    maximumPromptTokens: 3_370,
+    answerTokens: 144,
+    worth: 2.1,
+    lateWorth: 0.53,
+  },
+  {
+    ...deskLimits,
+    name: 'kiosk-answer',
+    share: 50.8,
+    objectiveMilliseconds: 300,
+    promptTokens: 647,
+    maximumPromptTokens: 2_680,
+    answerTokens: 70,
+    worth: 1.3,
+    lateWorth: 0.33,
+  },
+];
+
+const deskStep = { stepMilliseconds: 6.73, stepPerRequestMilliseconds: 0.0219 };
+
+/** The pass desks' fleet after its growth. */
+const deskFleet: Omit<ReplayFleet, 'seed'> = {
+  ...fleet,
+  entries: 15,
+  engines: alwaysServing(19),
+  performance: { ...performance, ...deskStep, readTokensPerSecond: 30_600, usualAnswer: 120 },
+  passes: {
+    ...passes,
+    ...deskStep,
+    stepsPerPass: 6,
+    stepPerThousandTokensMilliseconds: 0.0068,
+    readTokensPerMillisecond: 30.6,
+    millisecondsPerMillionPairs: 0.647,
+  },
+};
+
+/** Times at which engines load one after another, evenly spread over a span. */
+const spreadLoads = (engines: number, fromSecond: number, seconds: number): readonly number[] =>
+  Array.from(
+    { length: engines },
+    (_value, index) => fromSecond + (seconds * index) / (engines - 1),
+  );
+
 /** Load patterns, from the lightest to the heaviest. */
 export const replayScenarios: readonly ReplayScenario[] = [
   {
@@ -143,4 +208,10 @@
       ],
     },
   },
+  {
+    name: 'switch',
+    pattern: 'arrivals at three quarters of capacity while the engines load other weights in turn',
+    fleet: { ...deskFleet, loadsAtSeconds: spreadLoads(19, 4, 2.8) },
+    traffic: { ...steadyTraffic(160), seconds: 10, kinds: deskKinds },
+  },
 ];
--- a/packages/bench/src/simulatedEngine.ts
+++ b/packages/bench/src/simulatedEngine.ts
@@ -15,7 +15,9 @@
 /** Result of a claim for a slot. */
 export type ClaimResult =
   | { readonly kind: 'granted'; readonly slot: number }
-  | { readonly kind: 'full'; readonly freeInMilliseconds: number };
+  | { readonly kind: 'full'; readonly freeInMilliseconds: number }
+  /** The engine loads weights. */
+  | { readonly kind: 'unloaded' };
 
 /** An engine with the agent that grants its slots, simulated in virtual time. */
 export interface SimulatedEngine {
@@ -31,6 +33,8 @@
   release(slot: number): void;
   /** Runs a request; `onTokens` is called after each pass that generated tokens for it. */
   run(request: PassRequest, onTokens: (isLast: boolean) => void): void;
+  /** Loads other weights at a time: drains before it, and serves nothing until they are loaded. */
+  loadWeightsAt(time: number): void;
 }
 
 /** Options of {@link createSimulatedEngine}. */
@@ -45,6 +49,12 @@
 /** Shortest interval between checks for expired claims, in milliseconds; the same as the agent's. */
 const MINIMUM_EXPIRY_INTERVAL_MILLISECONDS = 5;
 
+/** Time before a load from which the engine drains, in milliseconds; the same as the agent's. */
+const DRAIN_MILLISECONDS = 2_000;
+
+/** Time from the end of the last request until the agent sees the loaded weights, in milliseconds. */
+const LOAD_MILLISECONDS = 300;
+
 /** Creates an idle engine. */
 export function createSimulatedEngine(options: SimulatedEngineOptions): SimulatedEngine {
   const { clock, performance } = options;
@@ -53,6 +63,15 @@
   const waitingClaims = new Map<number, (outcome: WaitingClaimOutcome) => void>();
   const tokenListeners = new Map<number, (isLast: boolean) => void>();
   let isBusy = false;
+  let isLoading = false;
+
+  const finishLoadWhenIdle = (): void => {
+    if (!isLoading || passes.running + passes.waiting > 0) return;
+    clock.schedule(LOAD_MILLISECONDS, () => {
+      isLoading = false;
+      queue.drainBy(null);
+    });
+  };
 
   const runPass = (): void => {
     if (isBusy) return;
@@ -66,6 +85,7 @@
         if (isLast) tokenListeners.delete(id);
       }
       runPass();
+      finishLoadWhenIdle();
     });
   };
 
@@ -105,6 +125,10 @@
     },
     claim: (work, onResult) => {
       const now = clock.now();
+      if (isLoading) {
+        onResult({ kind: 'unloaded' });
+        return;
+      }
       const decision = queue.claim(toSlotRequest(work, performance, now), now);
       scheduleExpiry();
       if (decision.kind === 'waiting') waitingClaims.set(decision.ticket, onResult);
@@ -118,5 +142,14 @@
       passes.add(request);
       runPass();
     },
+    loadWeightsAt: (time) => {
+      clock.schedule(time - DRAIN_MILLISECONDS - clock.now(), () => {
+        queue.drainBy(time);
+      });
+      clock.schedule(time - clock.now(), () => {
+        isLoading = true;
+        finishLoadWhenIdle();
+      });
+    },
   };
 }
