--- a/packages/bench/src/replayScenarios.ts
+++ b/packages/bench/src/replayScenarios.ts
@@ -208,6 +208,18 @@
       ],
     },
   },
+  {
+    name: 'outage',
+    pattern: 'no engine serves for two and a half seconds, and refused callers come back together',
+    fleet: {
+      ...deskFleet,
+      engines: [
+        ...alwaysServing(19).map((period) => ({ ...period, untilSecond: 4 })),
+        ...alwaysServing(19).map((period) => ({ ...period, fromSecond: 6.5 })),
+      ],
+    },
+    traffic: { ...steadyTraffic(160), seconds: 12, kinds: deskKinds },
+  },
   {
     name: 'switch',
     pattern: 'arrivals at three quarters of capacity while the engines load other weights in turn',
