feat(rollout): a version that nothing can arrive of is starved, and an older one is completed at once

An agent without the manifest of the newest version never fell back. Change: two failed fetches from the origin and no agent with a missing chunk, or no manifest, count as stalled at once.

--- a/packages/gateway/src/chunkFetch.ts
+++ b/packages/gateway/src/chunkFetch.ts
@@ -44,6 +44,8 @@
   readonly pacer: Pacer;
   /** Bandwidth available for weights on another agent's link, in bytes per second. */
   readonly peerBytesPerSecond: number;
+  /** Called repeatedly while nothing can arrive until the origin is back. */
+  readonly onStarved: () => void;
   /** Aborts when another version is to be fetched. */
   readonly signal: AbortSignal;
 }
@@ -152,6 +154,7 @@
       const missingChunks = fetchOrder.filter((chunk) => !chunks.held.has(chunk));
       const nextFetch = planner.next(missingChunks, time.now());
       if (nextFetch === null) {
+        if (planner.isStarved(missingChunks, time.now())) options.onStarved();
         await pause(IDLE_DELAY_MILLISECONDS);
         continue;
       }
--- a/packages/gateway/src/weightsFetcher.ts
+++ b/packages/gateway/src/weightsFetcher.ts
@@ -6,6 +6,7 @@
 import type { WeightsContext } from './agentWeights.js';
 import { fetchChunks } from './chunkFetch.js';
 import type { ModelVersion } from './dialect.js';
+import type { VersionChunks } from './versionChunks.js';
 
 /** Interval at which the version to fetch is decided, in milliseconds. */
 const CHECK_INTERVAL_MILLISECONDS = 120;
@@ -40,6 +41,8 @@
 interface CurrentFetch extends FetchTarget {
   readonly progress: StagingProgress;
   readonly startedAt: Milliseconds;
+  /** True once nothing can arrive until the origin is back. */
+  isStarved: boolean;
 }
 
 /** Creates the fetcher; it does nothing until it is started. */
@@ -61,10 +64,10 @@
 
   const fetchedVersion = (model: string, now: Milliseconds): FetchedVersion | null => {
     if (current?.model !== model) return null;
-    const { version, startedAt, inPlaceOf } = current;
-    const isStalled =
+    const { version, startedAt, inPlaceOf, isStarved } = current;
+    const hasStopped =
       now - startedAt > STALL_MILLISECONDS && !Number.isFinite(expectedCompletionAt(now));
-    return { version, isStalled, inPlaceOf };
+    return { version, isStalled: isStarved || hasStopped, inPlaceOf };
   };
 
   const findTarget = (now: Milliseconds): FetchTarget | null => {
@@ -90,13 +93,24 @@
     log.write('rolloutSuperseded', { model, version, staged, next: next.version });
   };
 
+  /** Opens the chunks of a version; `null` while the origin does not give its manifest. */
+  const openChunks = async ({ model, version }: FetchTarget): Promise<VersionChunks | null> => {
+    try {
+      return await weights.openChunks({ model, version });
+    } catch (error) {
+      log.write('rolloutFailed', { model, version, reason: String(error) });
+      return null;
+    }
+  };
+
   /** Fetches a version; returns what to fetch next if another one is to be fetched instead. */
   const fetchVersion = async (target: FetchTarget): Promise<FetchTarget | null> => {
     const { model, version } = target;
     const abort = new AbortController();
     const progress = createStagingProgress();
     let next: FetchTarget | null = null;
-    current = { ...target, progress, startedAt: time.now() };
+    const fetch: CurrentFetch = { ...target, progress, startedAt: time.now(), isStarved: false };
+    current = fetch;
     const checkTimer = setInterval(() => {
       progress.record(weights.chunksOf(target)?.held.size ?? 0, time.now());
       if (abort.signal.aborted || (isTarget(target) && !stop.signal.aborted)) return;
@@ -105,8 +119,12 @@
       abort.abort();
     }, CHECK_INTERVAL_MILLISECONDS);
     try {
-      const chunks = await weights.openChunks(target);
-      if (chunks === null) return next;
+      const chunks = await openChunks(target);
+      if (chunks === null) {
+        fetch.isStarved = true;
+        next = findTarget(time.now());
+        return next?.version === version ? null : next;
+      }
       const startedAt = time.now();
       await fetchChunks({
         context,
@@ -115,6 +133,9 @@
         self: weights.self,
         peers: () => weights.peers(),
         ...bandwidth,
+        onStarved: () => {
+          fetch.isStarved = true;
+        },
         signal: abort.signal,
       });
       if (!chunks.isComplete) return next;
@@ -131,9 +152,10 @@
   };
 
   const run = async (): Promise<void> => {
+    let next: FetchTarget | null = null;
     while (!stop.signal.aborted) {
-      let target = findTarget(time.now());
-      while (target !== null) target = await fetchVersion(target);
+      const target: FetchTarget | null = next ?? findTarget(time.now());
+      next = target === null ? null : await fetchVersion(target);
       await pause(CHECK_INTERVAL_MILLISECONDS);
     }
   };
--- a/packages/rollout/__tests__/chunkChoice.spec.ts
+++ b/packages/rollout/__tests__/chunkChoice.spec.ts
@@ -148,6 +148,24 @@
     assert.deepEqual(fetchTimes.slice(0, 6), [0, 100, 300, 700, 1_100, 1_500]);
   });
 
+  it('is starved once the origin fails and no other agent has what is missing', () => {
+    const planner = createPlanner([other]);
+    planner.recordInventory('b', { held: new Set([1]), queuedMilliseconds: 0 }, 0);
+    const failAtOrigin = (now: number): void => {
+      const owned = chunks.slice(2).find((chunk) => {
+        const fetch = planner.next([chunk], now);
+        if (fetch !== null) planner.recordFetchEnd(fetch, false, now);
+        return fetch?.source.kind === 'origin';
+      });
+      assert.notEqual(owned, undefined);
+    };
+    failAtOrigin(0);
+    assert.equal(planner.isStarved([2, 3], 0), false);
+    failAtOrigin(500);
+    assert.equal(planner.isStarved([2, 3], 500), true);
+    assert.equal(planner.isStarved([1, 2, 3], 500), false);
+  });
+
   it('takes over the chunks of an agent that does not answer polls, until it answers', () => {
     const planner = createPlanner([other]);
     const owned = chunks.filter((chunk) => {
--- a/packages/rollout/src/chunkPlanner.ts
+++ b/packages/rollout/src/chunkPlanner.ts
@@ -20,6 +20,11 @@
   recordInventory(agent: string, inventory: ChunkInventory | null, now: Milliseconds): void;
   /** Records the end of a fetch; `isSound` tells whether a chunk arrived and passed verification. */
   recordFetchEnd(fetch: ChunkFetch, isSound: boolean, now: Milliseconds): void;
+  /**
+   * True while the origin fails and no other agent is known to have any of the missing chunks, so
+   * that nothing can arrive until the origin is back.
+   */
+  isStarved(missing: readonly number[], now: Milliseconds): boolean;
   /** Agents whose inventory is due for a poll; each is returned again only after a reply or failure. */
   agentsToPoll(now: Milliseconds): readonly string[];
 }
@@ -57,6 +62,9 @@
 /** Upper limit of that backoff, which doubles with each consecutive failure. */
 const MAXIMUM_ORIGIN_BACKOFF_MILLISECONDS = 400;
 
+/** Consecutive failed fetches from the origin after which it counts as lost. */
+const ORIGIN_FAILURES_BEFORE_STARVED = 2;
+
 /** Concurrent fetches at most: enough to fill a narrow link at a short round-trip time. */
 const MAXIMUM_CONCURRENT_FETCHES = 8;
 
@@ -200,6 +208,14 @@
       countFetch(fetch, 1);
       return fetch;
     },
+    isStarved: (missing, now) => {
+      if (originFailures < ORIGIN_FAILURES_BEFORE_STARVED || fetching.size > 0) return false;
+      const others = options.others().filter(({ agent }) => isParticipating(agent, now));
+      return others.every((other) => {
+        const { held } = holderOf(other, now);
+        return !missing.some((chunk) => held.has(chunk));
+      });
+    },
     recordInventory: (agent, inventory, now) => {
       const previous = (agentStates.get(agent) ?? initialAgentState).unansweredPolls;
       const unansweredPolls = inventory === null ? previous + 1 : 0;
