perf(gateway): requests share links with fewer chunks, more engines are asked, entries wait for confirmed keys after a start

Change: fetches in progress are bounded by 300 ms of link while requests share it; ten engines are asked for any slot; requests within 2 s of the entry's start wait up to 400 ms for confirmed keys, as they did for the configuration; a chunk that was read back within the last second is not read again before the load, and a load order needs the whole staging after the last look at the engine.

--- a/packages/gateway/src/agentWeights.ts
+++ b/packages/gateway/src/agentWeights.ts
@@ -174,6 +174,11 @@
       versionChunks.delete(keyOf({ model, version }));
   };
 
+  /** Records that the staging holds chunks of one version in place of the others'. */
+  const forgetStagedOfOthers = (key: string, staged: Iterable<number>): void => {
+    for (const [other, chunks] of versionChunks) if (other !== key) chunks.forgetStaged(staged);
+  };
+
   const openChunks = async (opened: ModelVersion): Promise<VersionChunks | null> => {
     const key = keyOf(opened);
     const known = versionChunks.get(key);
@@ -188,11 +193,14 @@
       ...opened,
       manifest,
       mayStage: () => stagingReservedFor === null || stagingReservedFor === key,
+      onStage: (chunk) => {
+        forgetStagedOfOthers(key, [chunk]);
+      },
     });
     versionChunks.set(key, chunks);
     keepNewest(opened.model);
     // Only a previous process of this agent can have staged chunks that it does not know of.
-    if (isFirstOpened && hasEngineAnswered) await chunks.adoptStaged();
+    if (isFirstOpened && hasEngineAnswered) await chunks.adoptStaged(time.now());
     return chunks;
   };
 
@@ -214,11 +222,7 @@
     openChunks,
     originClient,
     reserveStaging: (version) => {
-      const key = version === null ? null : keyOf(version);
-      if (key === stagingReservedFor) return;
-      stagingReservedFor = key;
-      if (key === null) return;
-      for (const [other, chunks] of versionChunks) if (other !== key) chunks.forgetStaged();
+      stagingReservedFor = version === null ? null : keyOf(version);
     },
   };
   const fetcher = createWeightsFetcher(weights, {
@@ -253,7 +257,7 @@
     if (known === undefined ? versionChunks.size > 0 : known.isComplete) return;
     isOpeningServed = true;
     openChunks(held)
-      .then(async (chunks) => chunks?.adoptStaged())
+      .then(async (chunks) => chunks?.adoptStaged(time.now()))
       .catch((error: unknown) => {
         log.write('rolloutFailed', { ...held, reason: String(error) });
       })
@@ -268,7 +272,7 @@
       loader.start();
     },
     engineRestarted: () => {
-      for (const chunks of versionChunks.values()) chunks.forgetStaged();
+      for (const chunks of versionChunks.values()) chunks.forgetStaged([...chunks.held]);
     },
     handlers: {
       calls: {
--- a/packages/gateway/src/chunkFetch.ts
+++ b/packages/gateway/src/chunkFetch.ts
@@ -44,6 +44,8 @@
   readonly pacer: Pacer;
   /** Bandwidth available for weights on another agent's link, in bytes per second. */
   readonly peerBytesPerSecond: number;
+  /** True while requests share this agent's link. */
+  readonly sharesLink: () => boolean;
   /** Called repeatedly while nothing can arrive until the origin is back. */
   readonly onStarved: () => void;
   /** Aborts when another version is to be fetched. */
@@ -64,6 +66,7 @@
       others: options.peers,
       chunkMilliseconds: () =>
         (chunks.largestChunkBytes * MILLISECONDS_PER_SECOND) / options.peerBytesPerSecond,
+      sharesLink: options.sharesLink,
     },
     time.now(),
   );
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -117,6 +117,7 @@
       }),
       onUpdate: (update, askedAt) => {
         clusterView.apply(update, askedAt, time.now());
+        server?.notifyClusterChange();
         detectCrashes();
       },
     }),
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -15,11 +15,11 @@
 /** Fraction of the revocation time after which unconfirmed keys are rejected. */
 const KEY_AGE_FRACTION = 0.85;
 
-/** Maximum time for which a request waits for the first configuration, in milliseconds. */
-const FIRST_CONFIGURATION_WAIT_MILLISECONDS = 400;
+/** Maximum time for which a request waits for a confirmed configuration, in milliseconds. */
+const FIRST_CONFIRMATION_WAIT_MILLISECONDS = 400;
 
 /**
- * Time after process start in which requests wait for the first configuration, in milliseconds:
+ * Time after process start in which requests wait for a confirmed configuration, in milliseconds:
  * a control group that lost power has a leader by then, and later the delay is unpredictable.
  */
 const STARTUP_MILLISECONDS = 2_000;
@@ -38,6 +38,8 @@
   announceShutdown(): void;
   /** Applies the limits of the configuration in force. */
   applyLimits(): void;
+  /** Lets requests that wait for a confirmed configuration look again. */
+  notifyClusterChange(): void;
   /** Number of requests without a final answer. */
   readonly inProgress: number;
   /** Stops accepting connections and closes idle ones. */
@@ -100,7 +102,7 @@
   const requestDurations = metrics.histogram('burdockrail_request_seconds');
   const firstEventDelays = metrics.histogram('burdockrail_first_event_seconds');
   const startedAt = time.now();
-  const configurationSignal = createChangeSignal();
+  const clusterSignal = createChangeSignal();
   let isClosing = false;
   let inProgress = 0;
   const maximumKeyAgeMilliseconds = entry.settings.bounds.revocationMilliseconds * KEY_AGE_FRACTION;
@@ -108,6 +110,16 @@
   const limits = (): typeof DEFAULT_LIMITS =>
     clusterView.table?.configuration.limits ?? DEFAULT_LIMITS;
 
+  const isConfirmed = (): boolean =>
+    clusterView.table !== null && time.now() - clusterView.confirmedAt <= maximumKeyAgeMilliseconds;
+
+  /** Waits until a configuration has arrived and keys can be confirmed, for a bounded time. */
+  const waitForConfirmation = async (signal: AbortSignal): Promise<void> => {
+    const deadline = time.now() + FIRST_CONFIRMATION_WAIT_MILLISECONDS;
+    while (!isConfirmed() && time.now() < deadline && !signal.aborted)
+      await clusterSignal.wait(deadline - time.now(), signal);
+  };
+
   const recordRequest = (
     request: IncomingMessage,
     id: string | null,
@@ -176,9 +188,8 @@
       answer.refuse(refusal);
     };
     try {
-      if (clusterView.table === null && arrivedAt - startedAt < STARTUP_MILLISECONDS) {
-        await configurationSignal.wait(FIRST_CONFIGURATION_WAIT_MILLISECONDS, cancellation.signal);
-      }
+      if (!isConfirmed() && arrivedAt - startedAt < STARTUP_MILLISECONDS)
+        await waitForConfirmation(cancellation.signal);
       const decision = admitRequest(
         {
           table: clusterView.table,
@@ -289,7 +300,6 @@
     server.keepAliveTimeout = idleTimeoutMilliseconds;
     server.headersTimeout = headerTimeoutMilliseconds;
     server.requestTimeout = 0;
-    configurationSignal.notify();
   };
   applyLimits();
   server.listen(settings.listen.port, settings.listen.host, 1_024);
@@ -299,6 +309,9 @@
       isClosing = true;
     },
     applyLimits,
+    notifyClusterChange: () => {
+      clusterSignal.notify();
+    },
     get inProgress() {
       return inProgress;
     },
--- a/packages/gateway/src/versionChunks.ts
+++ b/packages/gateway/src/versionChunks.ts
@@ -1,4 +1,5 @@
 import { createHash } from 'node:crypto';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import type { WeightsDialect, WeightsManifest } from './dialect.js';
 import type { HttpClient } from './httpClient.js';
 
@@ -8,6 +9,12 @@
 /** Number of chunks staged or read back concurrently. */
 const CONCURRENT_CALLS = 4;
 
+/**
+ * Age up to which a chunk that was read back need not be read again before the load, in
+ * milliseconds: reading all of them takes about a tenth of that.
+ */
+const MAXIMUM_READ_BACK_AGE_MILLISECONDS = 1_000;
+
 /** Most bytes of one version that an agent keeps in memory; the rest is only staged. */
 const MAXIMUM_MEMORY_BYTES = 32 * 1024 * 1024;
 
@@ -22,6 +29,8 @@
   /** Chunks whose digest matched when they arrived or were last read back. */
   readonly held: ReadonlySet<number>;
   readonly isComplete: boolean;
+  /** True while the engine's staging is believed to have every chunk. */
+  readonly isStaged: boolean;
   /** False while there is room for further chunks neither in memory nor in the staging. */
   readonly acceptsChunks: boolean;
   /** Size of the largest chunk seen so far, in bytes; 0 before the first. */
@@ -31,11 +40,14 @@
   /** Returns a held chunk; `null` if it is missing or no longer matches its digest. */
   read(chunk: number): Promise<Uint8Array | null>;
   /** Reads back what the engine has staged and keeps the chunks that match their digests. */
-  adoptStaged(): Promise<void>;
-  /** Stages all held chunks and reads them back; returns whether the engine has every chunk. */
-  stage(): Promise<boolean>;
-  /** Records that the engine's staging no longer has these chunks. */
-  forgetStaged(): void;
+  adoptStaged(now: Milliseconds): Promise<void>;
+  /**
+   * Stages all held chunks and reads back those that were not read a moment ago; returns whether the
+   * engine has every chunk.
+   */
+  stage(now: Milliseconds): Promise<boolean>;
+  /** Records that the engine's staging no longer has some of these chunks. */
+  forgetStaged(chunks: Iterable<number>): void;
 }
 
 /** Options of {@link createVersionChunks}. */
@@ -47,6 +59,8 @@
   readonly manifest: WeightsManifest;
   /** False while the engine's staging belongs to another version. */
   readonly mayStage: () => boolean;
+  /** Called before a chunk is staged, because it replaces the same chunk of other versions. */
+  readonly onStage: (chunk: number) => void;
 }
 
 function matchesDigest(bytes: Uint8Array, digest: string | undefined): boolean {
@@ -74,11 +88,12 @@
  * without being fetched again after its staging was lost or spoilt.
  */
 export function createVersionChunks(options: VersionChunksOptions): VersionChunks {
-  const { engine, dialect, model, version, manifest, mayStage } = options;
+  const { engine, dialect, model, version, manifest, mayStage, onStage } = options;
   const allChunks = manifest.digests.map((_digest, chunk) => chunk);
   const held = new Set<number>();
   const memory = new Map<number, Uint8Array>();
   const staged = new Set<number>();
+  const readBackAt = new Map<number, Milliseconds>();
   let memoryBytes = 0;
   let largestChunkBytes = 0;
 
@@ -90,6 +105,8 @@
   };
 
   const writeStaged = async (chunk: number, bytes: Uint8Array): Promise<void> => {
+    onStage(chunk);
+    readBackAt.delete(chunk);
     try {
       const request = dialect.stageWrite(model, chunk);
       const { status } = await engine.call(request, STAGE_TIMEOUT_MILLISECONDS, bytes);
@@ -116,10 +133,11 @@
 
   const discardStaged = (chunk: number): void => {
     staged.delete(chunk);
+    readBackAt.delete(chunk);
     if (!memory.has(chunk)) held.delete(chunk);
   };
 
-  const verifyStaged = async (chunk: number): Promise<void> => {
+  const verifyStaged = async (chunk: number, now: Milliseconds): Promise<void> => {
     const bytes = await readBack(chunk);
     if (bytes === null) {
       discardStaged(chunk);
@@ -128,9 +146,18 @@
     largestChunkBytes = Math.max(largestChunkBytes, bytes.length);
     staged.add(chunk);
     held.add(chunk);
+    readBackAt.set(chunk, now);
     remember(chunk, bytes);
   };
 
+  const verifyAll = async (now: Milliseconds): Promise<void> => {
+    const due = allChunks.filter((chunk) => {
+      const age = now - (readBackAt.get(chunk) ?? Number.NEGATIVE_INFINITY);
+      return age > MAXIMUM_READ_BACK_AGE_MILLISECONDS;
+    });
+    await forEachConcurrently(due, async (chunk) => verifyStaged(chunk, now));
+  };
+
   const stageMissing = async (): Promise<void> => {
     const missing = allChunks.filter((chunk) => !staged.has(chunk));
     await forEachConcurrently(missing, async (chunk) => {
@@ -147,6 +174,9 @@
     get isComplete() {
       return held.size === allChunks.length;
     },
+    get isStaged() {
+      return staged.size === allChunks.length;
+    },
     get acceptsChunks() {
       return mayStage() || memoryBytes + largestChunkBytes <= MAXIMUM_MEMORY_BYTES;
     },
@@ -167,18 +197,18 @@
       if (readBytes === null) discardStaged(chunk);
       return readBytes;
     },
-    adoptStaged: async () => forEachConcurrently(allChunks, verifyStaged),
-    stage: async () => {
+    adoptStaged: async (now) => verifyAll(now),
+    stage: async (now) => {
       await stageMissing();
-      await forEachConcurrently(allChunks, verifyStaged);
+      await verifyAll(now);
       if (staged.size === allChunks.length) return true;
       // Chunks that were spoilt in the staging are written once more from memory.
       await stageMissing();
-      await forEachConcurrently(allChunks, verifyStaged);
+      await verifyAll(now);
       return staged.size === allChunks.length;
     },
-    forgetStaged: () => {
-      for (const chunk of [...staged]) discardStaged(chunk);
+    forgetStaged: (chunks) => {
+      for (const chunk of chunks) if (staged.has(chunk)) discardStaged(chunk);
     },
   };
 }
--- a/packages/gateway/src/weightsFetcher.ts
+++ b/packages/gateway/src/weightsFetcher.ts
@@ -133,6 +133,7 @@
         self: weights.self,
         peers: () => weights.peers(),
         ...bandwidth,
+        sharesLink: weights.hasServableWeights,
         onStarved: () => {
           fetch.isStarved = true;
         },
--- a/packages/gateway/src/weightsLoader.ts
+++ b/packages/gateway/src/weightsLoader.ts
@@ -94,6 +94,8 @@
   const orderLoad = async ({ model, version }: ModelVersion): Promise<void> => {
     const report = await engineMonitor.refresh();
     if (report === null || report.busy) return;
+    // The report may show that the engine has restarted and lost its staging.
+    if (weights.chunksOf({ model, version })?.isStaged !== true) return;
     const order = { model, version, orders: report.orders, fence: fencingToken };
     const { status, body } = await engineClient.call(
       dialect.weights.load(order),
@@ -117,7 +119,7 @@
     const chunks = weights.chunksOf(planned);
     if (chunks === undefined) return;
     try {
-      if (!(await chunks.stage())) return;
+      if (!(await chunks.stage(time.now()))) return;
       await pause(Math.max(0, planned.at - time.now()));
       const due = findLoad(time.now());
       if (due?.model === planned.model && due.version === planned.version) await orderLoad(planned);
--- a/packages/rollout/__tests__/chunkChoice.spec.ts
+++ b/packages/rollout/__tests__/chunkChoice.spec.ts
@@ -132,7 +132,13 @@
   const other = { agent: 'b', region: 'north' };
   const createPlanner = (others: readonly (typeof other)[]) =>
     createChunkPlanner(
-      { versionKey: 'model 2', self, others: () => others, chunkMilliseconds: () => 30 },
+      {
+        versionKey: 'model 2',
+        self,
+        others: () => others,
+        chunkMilliseconds: () => 30,
+        sharesLink: () => false,
+      },
       0,
     );
 
--- a/packages/rollout/__tests__/chunkSwarm.spec.ts
+++ b/packages/rollout/__tests__/chunkSwarm.spec.ts
@@ -15,6 +15,7 @@
   pacedLinkShare: 0.8,
   maximumConcurrentFetches: 8,
   initialHolders: 0,
+  sharesLinks: true,
   lostAgents: [],
   slow: [],
   seed: 1,
--- a/packages/rollout/__tests__/swarmSimulation.ts
+++ b/packages/rollout/__tests__/swarmSimulation.ts
@@ -17,6 +17,8 @@
   readonly maximumConcurrentFetches: number;
   /** Number of agents that hold all chunks from the start. */
   readonly initialHolders: number;
+  /** True while the agents' engines serve requests over the same links. */
+  readonly sharesLinks: boolean;
   /** Agents that lose their link, each at a time in milliseconds. */
   readonly lostAgents: readonly { readonly agent: number; readonly at: number }[];
   /** Agents whose link has only a share of the usual rate. */
@@ -80,6 +82,7 @@
           self,
           others: () => peers.filter(({ agent }) => agent !== self.agent),
           chunkMilliseconds: () => pacedTransferMilliseconds,
+          sharesLink: () => swarm.sharesLinks,
         },
         0,
       ),
--- a/packages/rollout/src/chunkPlanner.ts
+++ b/packages/rollout/src/chunkPlanner.ts
@@ -38,6 +38,8 @@
   readonly others: () => readonly ChunkPeer[];
   /** Expected transfer time of one chunk on another agent's link, in milliseconds. */
   readonly chunkMilliseconds: () => number;
+  /** True while requests share this agent's link with the chunks. */
+  readonly sharesLink: () => boolean;
 }
 
 /**
@@ -68,6 +70,12 @@
 /** Concurrent fetches at most: enough to fill a narrow link at a short round-trip time. */
 const MAXIMUM_CONCURRENT_FETCHES = 8;
 
+/**
+ * Transfer time of the fetches in progress at most while requests share the link, in milliseconds:
+ * chunks from several senders may arrive at the same time, and requests wait behind all of them.
+ */
+const MAXIMUM_SHARED_LINK_MILLISECONDS = 300;
+
 /** How much a verified chunk raises the limit of concurrent fetches. */
 const CONCURRENCY_GAIN_PER_CHUNK = 0.25;
 
@@ -192,6 +200,9 @@
   return {
     next: (missing, now) => {
       if (fetching.size >= Math.floor(concurrencyLimit)) return null;
+      const inProgressMilliseconds = (fetching.size + 1) * options.chunkMilliseconds();
+      if (options.sharesLink() && inProgressMilliseconds > MAXIMUM_SHARED_LINK_MILLISECONDS)
+        return null;
       const others = options.others().filter(({ agent }) => isParticipating(agent, now));
       const fetch = nextChunkFetch({
         region: self.region,
--- a/packages/routing/src/slotSearch.ts
+++ b/packages/routing/src/slotSearch.ts
@@ -79,7 +79,7 @@
 const LIGHTLY_LOADED_PREFILL_MILLISECONDS = 60;
 
 /** Engines asked for any free slot before a request waits or is refused. */
-const ANY_SLOT_ATTEMPTS = 5;
+const ANY_SLOT_ATTEMPTS = 10;
 
 /** Engines asked when none is known to have weights: enough to notice the first that has. */
 const UNLOADED_ATTEMPTS = 2;
