--- a/packages/bench/src/replayFleet.ts
+++ b/packages/bench/src/replayFleet.ts
@@ -161,7 +161,7 @@
   const rankEngines = (entry: Entry): readonly string[] =>
     orderEngines(
       servingEngines().map((engine) => viewOf(entry, engine)),
-      { dataCentre: entry.dataCentre, draw: () => random.next() },
+      entry.dataCentre,
     );
 
   const runAtEngine = (attempt: Attempt, engine: SimulatedEngine, onReleased: () => void): void => {
--- a/packages/gateway/src/entrySlots.ts
+++ b/packages/gateway/src/entrySlots.ts
@@ -142,7 +142,7 @@
       .filter(({ record }) => !triedEngines.has(record.id));
     const order = orderEngines(
       ready.map((engine) => engineView(engine, now)),
-      { dataCentre: entry.settings.dataCentre, draw: () => random.next() },
+      entry.settings.dataCentre,
     );
     return order.map((id) => ({
       id,
--- a/packages/routing/__tests__/slotSearch.spec.ts
+++ b/packages/routing/__tests__/slotSearch.spec.ts
@@ -8,7 +8,7 @@
   type SlotSearchResult,
 } from '../src/slotSearch.js';
 
-const engines = ['a', 'b', 'c', 'd', 'e', 'f'].map((id) => ({ id, slots: 10, mayServe: true }));
+const engines = [...'abcdefghijkl'].map((id) => ({ id, slots: 10, mayServe: true }));
 
 /** Runs a search with the given answers; returns the claims made and the result. */
 function runSearch(
@@ -53,9 +53,9 @@
   it('then accepts any slot, asking a limited number of engines by load', () => {
     const loads = { a: 0.9, b: 0.8, c: 0.1, d: 0.5, e: 1 };
     const { claims, result } = runSearch(() => full(900), loads);
-    assert.equal(claims.map(({ engine }) => engine).join(''), 'ab' + 'cdbae');
+    assert.equal(claims.map(({ engine }) => engine).join(''), 'ab' + 'fghijcdbae');
     assert.ok(claims.every(({ terms }) => !terms.mayWait));
-    assert.deepEqual(result, { kind: 'full', freeInMilliseconds: 900, asked: 7 });
+    assert.deepEqual(result, { kind: 'full', freeInMilliseconds: 900, asked: 12 });
   });
 
   it('waits only at the engine with the shortest predicted wait, if that is short enough', () => {
@@ -66,7 +66,7 @@
     const last = claims.at(-1);
     assert.equal(last?.engine, 'd');
     assert.equal(last.terms.mayWait, true);
-    assert.deepEqual(result, { kind: 'full', freeInMilliseconds: 70, asked: 7 });
+    assert.deepEqual(result, { kind: 'full', freeInMilliseconds: 70, asked: 12 });
   });
 
   it('reports that no engine is available when none answers or has weights loaded', () => {
@@ -81,7 +81,7 @@
       if (engine === 'a') return { kind: 'unloaded' };
       return engine === 'b' ? { kind: 'slow' } : full(900);
     });
-    assert.equal(claims.map(({ engine }) => engine).join(''), 'ab' + 'cde');
+    assert.equal(claims.map(({ engine }) => engine).join(''), 'ab' + 'cdefghij');
   });
 
   it('passes over engines without weights, and asks few when none has any', () => {
--- a/packages/routing/__tests__/upstreamChoice.spec.ts
+++ b/packages/routing/__tests__/upstreamChoice.spec.ts
@@ -88,7 +88,7 @@
     ...changes,
   });
   const order = (engines: readonly EngineView[]): readonly string[] =>
-    orderEngines(engines, { dataCentre: 'north', draw: () => 0 });
+    orderEngines(engines, 'north');
 
   it('puts free local engines first, then free remote, full, ungranted and unloaded ones', () => {
     const engines = [
--- a/packages/routing/src/engineOrder.ts
+++ b/packages/routing/src/engineOrder.ts
@@ -17,14 +17,6 @@
   readonly agentUnresponsive: boolean;
 }
 
-/** Inputs of the order other than the engines. */
-export interface EngineOrderContext {
-  /** Data centre of the entry. */
-  readonly dataCentre: string;
-  /** Returns uniform random numbers in [0, 1). */
-  readonly draw: () => number;
-}
-
 /** Half-life of the weight of a reported load, in milliseconds: the usual duration of a stream. */
 const VIEW_HALF_LIFE_MILLISECONDS = 800;
 
@@ -40,20 +32,16 @@
 /** Cost of an engine whose agent does not answer, so that its load is unknown. */
 const UNRESPONSIVE_AGENT_COST = 1.5;
 
-/** Range of the random cost that keeps entries with equal views from all asking the same engine. */
-const RANDOM_COST_RANGE = 0.25;
-
-function engineCost(engine: EngineView, context: EngineOrderContext): number {
+function engineCost(engine: EngineView, ownDataCentre: string): number {
   const reportWeight = 2 ** (-engine.viewAgeMilliseconds / VIEW_HALF_LIFE_MILLISECONDS);
   const reportedRequests = (engine.taken ?? 0) * reportWeight;
   const load = Math.max(reportedRequests, engine.ownRequests) / Math.max(1, engine.slots);
   return (
     load +
-    (engine.dataCentre === context.dataCentre ? 0 : REMOTE_COST) +
+    (engine.dataCentre === ownDataCentre ? 0 : REMOTE_COST) +
     (engine.loaded ? 0 : UNLOADED_COST) +
     (engine.suspended ? SUSPENDED_COST : 0) +
-    (engine.agentUnresponsive ? UNRESPONSIVE_AGENT_COST : 0) +
-    context.draw() * RANDOM_COST_RANGE
+    (engine.agentUnresponsive ? UNRESPONSIVE_AGENT_COST : 0)
   );
 }
 
@@ -64,13 +52,15 @@
  * The order may rely on stale views, also in bursts in which all entries look for slots: the
  * agents' grants limit the load of each engine, so a wrong guess costs one claim and not a late
  * answer.
+ *
+ * @param ownDataCentre - data centre of the entry.
  */
 export function orderEngines(
   engines: readonly EngineView[],
-  context: EngineOrderContext,
+  ownDataCentre: string,
 ): readonly string[] {
   return engines
-    .map((engine) => ({ id: engine.id, cost: engineCost(engine, context) }))
+    .map((engine) => ({ id: engine.id, cost: engineCost(engine, ownDataCentre) }))
     .sort((left, right) => left.cost - right.cost)
     .map(({ id }) => id);
 }
