--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -1,10 +1,10 @@
-import { createHash } from 'node:crypto';
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
 import { createChangeSignal } from './changeSignal.js';
 import { createCallerAnswer, type CallerAnswer } from './callerAnswer.js';
 import { admitRequest, isRefusal, type Refusal } from './entryAdmission.js';
+import { BodyTooLarge, digestRequest, readBody } from './entryBody.js';
 import type { EntryContext } from './entryContext.js';
 import type { EntrySlots } from './entrySlots.js';
 import { runBuffered } from './entryBuffered.js';
@@ -56,33 +56,6 @@
   callerLeft: boolean;
 }
 
-class BodyTooLarge extends Error {}
-
-async function readBody(request: IncomingMessage, limit: number): Promise<Buffer | null> {
-  const { method, headers } = request;
-  const hasBody =
-    headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-  if (!hasBody) return null;
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of request) {
-    const bytes = part as Buffer;
-    size += bytes.length;
-    if (size > limit) throw new BodyTooLarge(method);
-    parts.push(bytes);
-  }
-  return Buffer.concat(parts, size);
-}
-
-function digestRequest(key: string | null, request: IncomingMessage, body: Buffer | null): string {
-  const digest = createHash('sha256')
-    .update(
-      `${key ?? ''}\n${request.method ?? ''}\n${request.headers.host ?? ''}${request.url ?? ''}\n`,
-    )
-    .update(body ?? '');
-  return digest.digest('base64').slice(0, 22);
-}
-
 async function countConnections(server: Server): Promise<number> {
   return new Promise((resolve, reject) => {
     server.getConnections((error, count) => {
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -122,12 +122,11 @@
     else if (events.length > 0) clearTimeout(timer);
   };
 
-  const now = time.now();
   const beginBy = mustBeginBy(slot.version, clusterView.weightsOf(caller.model), settings.bounds);
   const firstEventTimeout = route.resumable
     ? FIRST_EVENT_TIMEOUT_MILLISECONDS
     : Number.POSITIVE_INFINITY;
-  const firstEventWait = Math.max(0, Math.min(firstEventTimeout, beginBy - now));
+  const firstEventWait = Math.max(0, Math.min(firstEventTimeout, beginBy - time.now()));
   if (Number.isFinite(firstEventWait)) restartTimer(firstEventWait);
   const attempt = connections.run(
     slot.address,
--- a/packages/gateway/src/versionRule.ts
+++ b/packages/gateway/src/versionRule.ts
@@ -45,35 +45,44 @@
   );
 }
 
-/** Time by which a request on a version must have begun; infinite for the newest version. */
-export function mustBeginBy(
+/** Time at which the first version newer than the held one was named; `null` if there is none. */
+export function supersededAt(
+  held: number,
+  namedVersions: readonly NamedVersion[],
+): Milliseconds | null {
+  const times = namedVersions.filter(({ version }) => version > held).map(({ namedAt }) => namedAt);
+  return times.length === 0 ? null : Math.min(...times);
+}
+
+/** Time that is a margin before the end of an older version; infinite for the newest version. */
+function timeBeforeEnd(
   version: number,
   namedVersions: readonly NamedVersion[],
-  bounds: Pick<GatewayBounds, 'versionMilliseconds'>,
+  { versionMilliseconds }: Pick<GatewayBounds, 'versionMilliseconds'>,
+  marginMilliseconds: number,
 ): Milliseconds {
   const namedAt = supersededAt(version, namedVersions);
   if (namedAt === null) return Number.POSITIVE_INFINITY;
-  return namedAt + bounds.versionMilliseconds - LAST_BEGIN_MARGIN_MILLISECONDS;
+  return namedAt + versionMilliseconds - marginMilliseconds;
 }
 
-/** Time until which an agent may grant slots for a version; infinite for the newest one. */
-export function servableUntil(
+/** Time by which a request on a version must have begun; infinite for the newest version. */
+export function mustBeginBy(
   version: number,
   namedVersions: readonly NamedVersion[],
   bounds: Pick<GatewayBounds, 'versionMilliseconds'>,
 ): Milliseconds {
-  const namedAt = supersededAt(version, namedVersions);
-  if (namedAt === null) return Number.POSITIVE_INFINITY;
-  return namedAt + bounds.versionMilliseconds - SUPERSEDED_VERSION_MARGIN_MILLISECONDS.granted;
+  return timeBeforeEnd(version, namedVersions, bounds, LAST_BEGIN_MARGIN_MILLISECONDS);
 }
 
-/** Time at which the first version newer than the held one was named; `null` if there is none. */
-export function supersededAt(
-  held: number,
+/** Time until which an agent may grant slots for a version; infinite for the newest one. */
+export function servableUntil(
+  version: number,
   namedVersions: readonly NamedVersion[],
-): Milliseconds | null {
-  const times = namedVersions.filter(({ version }) => version > held).map(({ namedAt }) => namedAt);
-  return times.length === 0 ? null : Math.min(...times);
+  bounds: Pick<GatewayBounds, 'versionMilliseconds'>,
+): Milliseconds {
+  const margin = SUPERSEDED_VERSION_MARGIN_MILLISECONDS.granted;
+  return timeBeforeEnd(version, namedVersions, bounds, margin);
 }
 
 /**
