fix(gateway): the served version is read back seldom, and only when a peer asks for it

Cause, found by reading: an agent whose copy of the served version was incomplete, for example after a fetch that ended when its engine came up with weights, read all chunks back at every question of a peer, also while the next version replaced them. The engine's models are a module of their own.

--- a/packages/gateway/src/agentWeights.ts
+++ b/packages/gateway/src/agentWeights.ts
@@ -1,7 +1,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { packChunks } from '@burdockrail/rollout/chunkBits.js';
 import type { ChunkPeer } from '@burdockrail/rollout/chunkRanking.js';
-import type { HeldVersions, KnownVersions } from '@burdockrail/rollout/versionChoice.js';
+import type { HeldVersions } from '@burdockrail/rollout/versionChoice.js';
 import { createPacer } from '@burdockrail/rollout/rolloutPacer.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { formatAddress } from '@burdockrail/protocol/protocolAddress.js';
@@ -11,6 +11,7 @@
 import { parseAddress } from './controlAddresses.js';
 import { createHttpClient, type HttpClient } from './httpClient.js';
 import type { ModelVersion } from './dialect.js';
+import { engineModels, type EngineModel } from './engineModels.js';
 import type { EngineMonitor } from './engineMonitor.js';
 import type { ClusterView } from './clusterView.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -19,10 +20,6 @@
 import { fetchManifest } from './weightsManifest.js';
 import { createWeightsFetcher } from './weightsFetcher.js';
 import { createWeightsLoader } from './weightsLoader.js';
-import { servableUntil, supersededAt } from './versionRule.js';
-
-/** Version served before any other is named. */
-const FIRST_VERSION = 1;
 
 /** Versions of a model whose chunks are kept: the one that peers may still need, and newer ones. */
 const MAXIMUM_KEPT_VERSIONS = 3;
@@ -33,6 +30,12 @@
  */
 const ENGINE_START_MILLISECONDS = 300;
 
+/**
+ * Interval between attempts to read the served version back from the staging, in milliseconds: some
+ * of its chunks may be spoilt there or replaced by the next version, and peers ask often.
+ */
+const OPEN_SERVED_INTERVAL_MILLISECONDS = 2_000;
+
 /** Fraction of the link in each direction for weights; the rest is for requests and grants. */
 const WEIGHTS_LINK_FRACTION = 0.8;
 
@@ -64,13 +67,6 @@
   readonly admitOnlyUntil: (time: Milliseconds | null) => void;
 }
 
-/** Versions of a model of the engine. */
-export interface EngineModel extends KnownVersions {
-  readonly model: string;
-  /** Time at which the loaded version was superseded; `null` if it is the newest, or there is none. */
-  readonly supersededAt: Milliseconds | null;
-}
-
 /** Parts of the weights manager that its fetcher and its loader share. */
 export interface WeightsContext extends AgentWeightsOptions {
   /** Address of this agent. */
@@ -106,6 +102,7 @@
   let stagingReservedFor: string | null = null;
   let hasEngineAnswered = false;
   let isOpeningServed = false;
+  let openedServedAt = Number.NEGATIVE_INFINITY;
   const linkBytesPerSecond = agent.linkMegabits * BYTES_PER_MEGABIT;
   /** Weights may use the whole link while the engine cannot serve requests. */
   const weightsBytesPerSecond = (): number =>
@@ -132,37 +129,13 @@
       }))
       .filter((peer) => peer.agent !== self);
 
-  const newestVersion = (model: string): number => {
-    const versionsInUse = clusterView.directory.entries
-      .flatMap(({ record }) => record.models)
-      .filter((held) => held.model === model)
-      .map(({ version }) => version);
-    return (
-      clusterView.weightsOf(model).at(-1)?.version ?? Math.max(FIRST_VERSION, ...versionsInUse)
-    );
-  };
-
-  const engineModel = (model: string, loaded: number): EngineModel => {
-    const named = clusterView.weightsOf(model);
-    return {
-      model,
-      loaded,
-      newest: newestVersion(model),
-      servableUntil: (version) => servableUntil(version, named, settings.bounds),
-      supersededAt: loaded === 0 ? null : supersededAt(loaded, named),
-    };
-  };
-
   const knownVersions = (): readonly EngineModel[] => {
     const report = engineMonitor.report(time.now());
     hasEngineAnswered ||= report !== null;
     const isStartExpected =
       !hasEngineAnswered && time.now() - startedAt > ENGINE_START_MILLISECONDS;
     if (report === null && !isStartExpected) return [];
-    const models = clusterView.table?.service(agent.service)?.engine?.models ?? [];
-    return models.map((model) =>
-      engineModel(model, report?.models.find((held) => held.model === model)?.version ?? 0),
-    );
+    return engineModels(clusterView, agent.service, report, settings.bounds);
   };
 
   const keepNewest = (model: string): void => {
@@ -249,13 +222,15 @@
     }
   };
 
-  /** Reads the chunks of the version being served, so that they can be sent to peers. */
-  const openServedChunks = (): void => {
-    const held = engineMonitor.report(time.now())?.models[0];
-    if (held === undefined || isOpeningServed) return;
-    const known = versionChunks.get(keyOf(held));
-    if (known === undefined ? versionChunks.size > 0 : known.isComplete) return;
+  /** Reads the chunks of the version being served when a peer asks for it. */
+  const openServedChunks = (wanted: ModelVersion): void => {
+    const now = time.now();
+    const held = engineMonitor.report(now)?.models[0];
+    if (held === undefined || keyOf(held) !== keyOf(wanted)) return;
+    const isDue = now - openedServedAt > OPEN_SERVED_INTERVAL_MILLISECONDS;
+    if (isOpeningServed || !isDue || versionChunks.get(keyOf(held))?.isComplete === true) return;
     isOpeningServed = true;
+    openedServedAt = now;
     openChunks(held)
       .then(async (chunks) => chunks?.adoptStaged(time.now()))
       .catch((error: unknown) => {
@@ -277,7 +252,7 @@
     handlers: {
       calls: {
         'chunk.list': async ({ model, version }) => {
-          openServedChunks();
+          openServedChunks({ model, version });
           const chunks = versionChunks.get(keyOf({ model, version }));
           const count = chunks?.manifest.digests.length ?? 0;
           const held = packChunks(chunks?.held ?? new Set(), count);
--- a/packages/gateway/src/weightsLoader.ts
+++ b/packages/gateway/src/weightsLoader.ts
@@ -2,8 +2,9 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { loadStartAt } from '@burdockrail/rollout/loadStart.js';
 import { versionToLoad } from '@burdockrail/rollout/versionChoice.js';
-import type { EngineModel, WeightsContext } from './agentWeights.js';
+import type { WeightsContext } from './agentWeights.js';
 import type { ModelVersion } from './dialect.js';
+import type { EngineModel } from './engineModels.js';
 import type { WeightsFetcher } from './weightsFetcher.js';
 
 /** Interval at which the version to load is decided, in milliseconds. */
