perf(gateway): agents look less often for chunks and versions

Each of eight workers looked through all agents and chunks each 20 ms, and each look at the versions went through the directory. Change: after a look that found nothing the workers wait 15 ms together; the directory is only read where no version is named; one look at the versions for each turn of the loader.

--- a/packages/gateway/src/chunkFetch.ts
+++ b/packages/gateway/src/chunkFetch.ts
@@ -28,6 +28,12 @@
 /** Timeout of a query for the chunks that an agent holds, in milliseconds. */
 const LIST_TIMEOUT_MILLISECONDS = 300;
 
+/**
+ * Time for which no worker plans after one found nothing to fetch, in milliseconds: looking through
+ * all agents and chunks is costly.
+ */
+const REPLAN_MILLISECONDS = 15;
+
 /** Maximum delay between checks for work, in milliseconds. */
 const IDLE_DELAY_MILLISECONDS = 20;
 
@@ -147,22 +153,25 @@
     (_digest, chunk) => (chunk + startChunk) % manifest.digests.length,
   );
 
+  let replanAt = Number.NEGATIVE_INFINITY;
   const worker = async (): Promise<void> => {
     while (!isFinished()) {
       const waitMilliseconds = pacer.waitMilliseconds(time.now());
-      if (waitMilliseconds > 0 || !chunks.acceptsChunks) {
+      if (waitMilliseconds > 0 || !chunks.acceptsChunks || time.now() < replanAt) {
         await pause(IDLE_DELAY_MILLISECONDS);
         continue;
       }
       const missingChunks = fetchOrder.filter((chunk) => !chunks.held.has(chunk));
       const nextFetch = planner.next(missingChunks, time.now());
       if (nextFetch === null) {
+        replanAt = time.now() + REPLAN_MILLISECONDS;
         if (planner.isStarved(missingChunks, time.now())) options.onStarved();
         await pause(IDLE_DELAY_MILLISECONDS);
         continue;
       }
       pacer.reserve(chunks.largestChunkBytes, time.now());
       await fetchOne(nextFetch);
+      replanAt = Number.NEGATIVE_INFINITY;
     }
   };
   await Promise.all([pollPeers(), ...Array.from({ length: WORKERS }, worker)]);
--- a/packages/gateway/src/engineModels.ts
+++ b/packages/gateway/src/engineModels.ts
@@ -17,12 +17,13 @@
 
 /** Newest version that was named or that an engine has; `null` if there is none. */
 function newestKnownVersion(clusterView: ClusterView, model: string): number | null {
+  const named = clusterView.weightsOf(model).at(-1)?.version;
+  if (named !== undefined) return named;
   const versionsInUse = clusterView.directory.entries
     .flatMap(({ record }) => record.models)
     .filter((held) => held.model === model)
     .map(({ version }) => version);
-  const named = clusterView.weightsOf(model).at(-1)?.version;
-  return named ?? (versionsInUse.length === 0 ? null : Math.max(...versionsInUse));
+  return versionsInUse.length === 0 ? null : Math.max(...versionsInUse);
 }
 
 /**
--- a/packages/gateway/src/weightsLoader.ts
+++ b/packages/gateway/src/weightsLoader.ts
@@ -68,8 +68,8 @@
   };
 
   /** Load of a whole version that is due now or later. */
-  const findLoad = (now: Milliseconds): PlannedLoad | null => {
-    for (const known of weights.knownVersions()) {
+  const findLoad = (models: readonly EngineModel[], now: Milliseconds): PlannedLoad | null => {
+    for (const known of models) {
       const { model } = known;
       const version = versionToLoad(known, weights.heldVersions(model).complete, now);
       if (version !== null) return { model, version, at: loadTurnFor({ model, version }, known) };
@@ -78,20 +78,19 @@
   };
 
   /** Time of the next load, also of a version that is still being fetched. */
-  const expectedLoadAt = (load: PlannedLoad | null, now: Milliseconds): Milliseconds => {
+  const expectedLoadAt = (
+    load: PlannedLoad | null,
+    models: readonly EngineModel[],
+    now: Milliseconds,
+  ): Milliseconds => {
     if (load !== null) return load.at;
     const { current } = fetcher;
-    const known = weights.knownVersions().find(({ model }) => model === current?.model);
+    const known = models.find(({ model }) => model === current?.model);
     if (current === null || known === undefined || known.loaded === 0)
       return Number.POSITIVE_INFINITY;
     return Math.max(current.expectedCompletionAt(now), loadTurnFor(current, known));
   };
 
-  const limitAdmission = (load: PlannedLoad | null, now: Milliseconds): void => {
-    const loadAt = expectedLoadAt(load, now);
-    admitOnlyUntil(loadAt - now < LOAD_DRAIN_MILLISECONDS ? loadAt : null);
-  };
-
   const orderLoad = async ({ model, version }: ModelVersion): Promise<void> => {
     const report = await engineMonitor.refresh();
     if (report === null || report.busy) return;
@@ -122,7 +121,7 @@
     try {
       if (!(await chunks.stage(time.now()))) return;
       await pause(Math.max(0, planned.at - time.now()));
-      const due = findLoad(time.now());
+      const due = findLoad(weights.knownVersions(), time.now());
       if (due?.model === planned.model && due.version === planned.version) await orderLoad(planned);
     } catch (error) {
       const { model, version } = planned;
@@ -134,8 +133,10 @@
     while (!stop.signal.aborted) {
       const now = time.now();
       const report = engineMonitor.report(now);
-      const planned = report === null || report.busy ? null : findLoad(now);
-      limitAdmission(planned, now);
+      const models = weights.knownVersions();
+      const planned = report === null || report.busy ? null : findLoad(models, now);
+      const loadAt = expectedLoadAt(planned, models, now);
+      admitOnlyUntil(loadAt - now < LOAD_DRAIN_MILLISECONDS ? loadAt : null);
       weights.reserveStaging(planned);
       if (planned !== null && planned.at - now < STAGE_LEAD_MILLISECONDS) await load(planned);
       await pause(CHECK_INTERVAL_MILLISECONDS);
--- a/packages/routing/__tests__/slotSearch.spec.ts
+++ b/packages/routing/__tests__/slotSearch.spec.ts
@@ -8,7 +8,8 @@
   type SlotSearchResult,
 } from '../src/slotSearch.js';
 
-const engines = [...'abcdefghijkl'].map((id) => ({ id, slots: 10, mayServe: true }));
+const engineIds = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i', 'j', 'k', 'l'];
+const engines = engineIds.map((id) => ({ id, slots: 10, mayServe: true }));
 
 /** Runs a search with the given answers; returns the claims made and the result. */
 function runSearch(
