fix(gateway): an engine whose load fails goes on serving what it has

Cause, found by reading: admission ended at the time of a load also when staging failed again and again, so an engine that cannot stage would have served nothing. Change: after a failed load requests are admitted for 250 ms before the next try.

--- a/packages/gateway/src/weightsLoader.ts
+++ b/packages/gateway/src/weightsLoader.ts
@@ -19,6 +19,9 @@
 /** Time before a load at which its chunks are staged and read back, in milliseconds. */
 const STAGE_LEAD_MILLISECONDS = 300;
 
+/** Time after a failed load in which requests are admitted again, in milliseconds. */
+const LOAD_RETRY_MILLISECONDS = 250;
+
 const SUCCESS_STATUS = 200;
 const ACCEPTED_STATUS = 202;
 const FENCED_STATUS = 412;
@@ -91,11 +94,12 @@
     return Math.max(current.expectedCompletionAt(now), loadTurnFor(current, known));
   };
 
-  const orderLoad = async ({ model, version }: ModelVersion): Promise<void> => {
+  /** Orders the load of a staged version; returns whether the engine has begun it. */
+  const orderLoad = async ({ model, version }: ModelVersion): Promise<boolean> => {
     const report = await engineMonitor.refresh();
-    if (report === null || report.busy) return;
+    if (report === null || report.busy) return false;
     // The report may show that the engine has restarted and lost its staging.
-    if (weights.chunksOf({ model, version })?.isStaged !== true) return;
+    if (weights.chunksOf({ model, version })?.isStaged !== true) return false;
     const order = { model, version, orders: report.orders, fence: fencingToken };
     const { status, body } = await engineClient.call(
       dialect.weights.load(order),
@@ -112,33 +116,39 @@
       outcome: isAccepted ? 'begun' : body.toString('utf8').slice(0, 120),
     });
     await engineMonitor.refresh();
+    return isAccepted;
   };
 
-  /** Stages a version, waits for its turn and orders the load. */
-  const load = async (planned: PlannedLoad): Promise<void> => {
-    const chunks = weights.chunksOf(planned);
-    if (chunks === undefined) return;
+  /** Stages a version, waits for its turn and orders the load; returns whether it has begun. */
+  const load = async (planned: PlannedLoad): Promise<boolean> => {
+    const { model, version } = planned;
     try {
-      if (!(await chunks.stage(time.now()))) return;
+      const isStaged = await weights.chunksOf(planned)?.stage(time.now());
+      if (isStaged !== true) return false;
       await pause(Math.max(0, planned.at - time.now()));
       const due = findLoad(weights.knownVersions(), time.now());
-      if (due?.model === planned.model && due.version === planned.version) await orderLoad(planned);
+      if (due?.model !== model || due.version !== version) return false;
+      return await orderLoad(planned);
     } catch (error) {
-      const { model, version } = planned;
       log.write('rolloutFailed', { model, version, reason: String(error) });
+      return false;
     }
   };
 
   const run = async (): Promise<void> => {
+    let retryAt = Number.NEGATIVE_INFINITY;
     while (!stop.signal.aborted) {
       const now = time.now();
       const report = engineMonitor.report(now);
       const models = weights.knownVersions();
-      const planned = report === null || report.busy ? null : findLoad(models, now);
+      const mayLoad = report?.busy === false && now >= retryAt;
+      const planned = mayLoad ? findLoad(models, now) : null;
       const loadAt = expectedLoadAt(planned, models, now);
       admitOnlyUntil(loadAt - now < LOAD_DRAIN_MILLISECONDS ? loadAt : null);
       weights.reserveStaging(planned);
-      if (planned !== null && planned.at - now < STAGE_LEAD_MILLISECONDS) await load(planned);
+      const isDue = planned !== null && planned.at - now < STAGE_LEAD_MILLISECONDS;
+      // An engine that cannot load goes on with the weights that it has.
+      if (isDue && !(await load(planned))) retryAt = time.now() + LOAD_RETRY_MILLISECONDS;
       await pause(CHECK_INTERVAL_MILLISECONDS);
     }
   };
