--- a/packages/gateway/__tests__/entrySlots.spec.ts
+++ b/packages/gateway/__tests__/entrySlots.spec.ts
@@ -38,7 +38,7 @@
   const slots = createEntrySlots(context as unknown as EntryContext, 7_701);
   const request = {
     id: 'r',
-    caller: { model: 'm', promptTokens: 1, answerTokens: 1, answerEstimate: null },
+    caller: { model: 'm', promptTokens: 1, answerTokens: 1, sharedParts: [], answerEstimate: null },
     admitted: { service: 's', team: null, route: { priority: 0 }, deadline: 1e9 },
     signal: new AbortController().signal,
   };
--- a/packages/gateway/__tests__/slotClaimClient.spec.ts
+++ b/packages/gateway/__tests__/slotClaimClient.spec.ts
@@ -39,7 +39,7 @@
   const claimClient = createSlotClaimClient(context as unknown as EntryContext);
   const request = {
     id: 'r',
-    caller: { model: 'm', promptTokens: 1, answerTokens: 1, answerEstimate: null },
+    caller: { model: 'm', promptTokens: 1, answerTokens: 1, sharedParts: [], answerEstimate: null },
     admitted: { service: 's', team: null, route: { priority: 0 }, deadline: 1e9 },
     signal: new AbortController().signal,
   };
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -18,6 +18,11 @@
   readonly promptTokens: number;
   /** Maximum number of answer tokens; 0 if the caller states none. */
   readonly answerTokens: number;
+  /**
+   * Ids of the prompt parts that other requests may share, in order; the last part of a prompt
+   * belongs to its request alone and is left out.
+   */
+  readonly sharedParts: readonly string[];
   /** Number of answer tokens that the caller expects. */
   readonly answerEstimate: number | null;
 }
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -156,6 +156,9 @@
       sent: result.kind === 'broken' || result.sent,
       reason: result.reason,
       events: progress.events,
+      content: request.contentDigest,
+      parts: caller.sharedParts.join(','),
+      sentMilliseconds: Math.round(time.now() - now),
     });
     if (result.kind === 'broken') {
       mayHaveRun = true;
