fix(limits, gateway, daemon): blame crashes on a shared prompt part, not only on whole requests

Cause: the quarantine knew a request only by a digest of caller, method, URL and body. Requests that share nothing but one part never have the same digest, so none reached three crashes. Confirming a crash took 3 s and more besides, because it waited for heartbeats to stop, and a stream without an event was sent to another engine although others like it had crashed theirs. Class of fault: blame kept on an identity narrower than the cause.

Change: crashes count against the whole request and against each shared part. A part is refused once three upstreams crashed under different requests with it; these crashes then no longer count against what else they interrupted. A run to completion clears a part, in all entries: they exchange crashes and verdicts through the control processes, and tell a control process that has started anew. A closed connection is confirmed at once by one connection attempt. No second attempt is sent when one crash more would quarantine the part. Quarantines last ten minutes instead of one and end at different times in different entries. The daemon blames prompt prefixes in the same way, also for keyed requests.

--- a/packages/daemon/src/requestClaimed.ts
+++ b/packages/daemon/src/requestClaimed.ts
@@ -64,9 +64,16 @@
   );
   services.metrics.recordAttempt(request.service.name, outcome.kind);
   endAttempt(outcome.kind === 'whole' ? 'succeeded' : 'failed', services.time.now());
-  if (outcome.kind === 'whole') return { kind: 'answered', answer: recorder.answer };
-  if (outcome.crash === 'certain' && request.idempotencyKey === undefined) {
-    await services.quarantine.report({ content: request.contentDigest, agent, granted: false });
+  if (outcome.kind === 'whole') {
+    services.quarantine.recordCompletion(request.traits);
+    return { kind: 'answered', answer: recorder.answer };
+  }
+  if (outcome.crash === 'certain') {
+    await services.quarantine.report({
+      ...request.traits,
+      agent: agentIncarnation,
+      granted: false,
+    });
   }
   return { kind: 'failed', failure: toClaimFailure(outcome) };
 }
--- a/packages/daemon/src/requestIdentify.ts
+++ b/packages/daemon/src/requestIdentify.ts
@@ -81,6 +81,8 @@
     if (service === undefined) return refusal(ResultCode.UnknownService, runState);
     if (team === undefined) return refusal(ResultCode.UnknownTeam, runState);
     const repeatable = isRepeatable(service, request);
+    const contentDigest = computeContentDigest(request);
+    const prefixes = promptPrefixDigests(request.prompt);
     const versionDigest = request.headers[requestHeaderNames.version];
     return next({
       ...request,
@@ -88,8 +90,12 @@
       service,
       priority: priorityOf(request),
       repeatable,
-      contentDigest: computeContentDigest(request),
-      prefixes: promptPrefixDigests(request.prompt),
+      contentDigest,
+      prefixes,
+      traits: {
+        content: contentDigest,
+        parts: prefixes.map((prefix) => `${service.name} ${prefix}`),
+      },
       ...(repeatable || key === undefined ? {} : { idempotencyKey: key }),
       ...(versionDigest === undefined ? {} : { versionDigest }),
     });
--- a/packages/daemon/src/requestQuarantine.ts
+++ b/packages/daemon/src/requestQuarantine.ts
@@ -1,7 +1,11 @@
 import { setTimeout } from 'node:timers/promises';
 import { rendezvousOrder } from '@burdockrail/common/rendezvousHash.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
-import { createQuarantineState, type ContentStatus } from '@burdockrail/limits/quarantineState.js';
+import {
+  createQuarantineState,
+  type ContentStatus,
+  type RequestTraits,
+} from '@burdockrail/limits/quarantineState.js';
 import { createSuspectGrants } from '@burdockrail/limits/suspectGrants.js';
 import type {
   QuarantineAdmit,
@@ -31,15 +35,15 @@
 /** Keeps requests that crash upstreams away from them, in cooperation with the other entries. */
 export interface Quarantine {
   readonly handlers: Partial<PeerHandlers>;
-  statusOf(content: string): ContentStatus;
+  statusOf(traits: RequestTraits): ContentStatus;
   /** Asks the owner for a grant to run a suspected content; retries for a bounded time if busy. */
   admit(service: string, run: QuarantineAdmit): Promise<QuarantineAdmitReply>;
   /** Ends a granted run. */
   release(service: string, content: string): void;
   /** Reports a crash to all entries; resolves when the reachable ones have confirmed it. */
   report(report: QuarantineReport): Promise<void>;
-  /** Notifies all entries that a suspected content ran to completion. */
-  clear(content: string): void;
+  /** Records that a request ran to completion; notifies all entries if a trait was suspected. */
+  recordCompletion(traits: RequestTraits): void;
 }
 
 /** Converts a duration to whole seconds for a retry header; at least 1. */
@@ -57,7 +61,7 @@
 
   const decideLocally = (run: QuarantineAdmit): QuarantineAdmitReply => {
     const now = time.now();
-    const status = quarantineState.statusOf(run.content, now);
+    const status = quarantineState.statusOf({ content: run.content, parts: [] }, now);
     if (status.kind === 'quarantined') {
       return { kind: 'quarantined', retryAfterMilliseconds: status.until - now };
     }
@@ -89,6 +93,11 @@
     return decideLocally(run);
   };
 
+  const notifySound = (traits: readonly string[]): void => {
+    if (traits.length === 0) return;
+    for (const { address } of otherPeers) client.notify(address, 'quarantine.clear', { traits });
+  };
+
   return {
     handlers: {
       calls: {
@@ -98,17 +107,19 @@
           return Promise.resolve({});
         },
         'quarantine.report': async (report) => {
-          quarantineState.recordCrash(report, time.now());
+          const { soundParts } = quarantineState.recordCrash(report, time.now());
+          // The entry that reported the crash does not know yet that these prefixes are sound.
+          notifySound(soundParts);
           return Promise.resolve({});
         },
       },
       notifications: {
-        'quarantine.clear': ({ content }) => {
-          quarantineState.recordCompletion(content);
+        'quarantine.clear': ({ traits }) => {
+          quarantineState.recordSound(traits, time.now());
         },
       },
     },
-    statusOf: (content) => quarantineState.statusOf(content, time.now()),
+    statusOf: (traits) => quarantineState.statusOf(traits, time.now()),
     admit: async (service, run) => {
       const waitUntil =
         time.now() + Math.min(MAXIMUM_GRANT_WAIT_MILLISECONDS, run.timeoutMilliseconds);
@@ -130,7 +141,7 @@
     },
     report: async (report) => {
       quarantineState.recordCrash(report, time.now());
-      context.log.write('requestCrashedUpstream', { ...report });
+      context.log.write('requestCrashedUpstream', { ...report, parts: report.parts.join(',') });
       const callOptions = { timeoutMilliseconds: REPORT_TIMEOUT_MILLISECONDS };
       await Promise.all(
         otherPeers.map(async ({ address }) =>
@@ -141,9 +152,8 @@
         ),
       );
     },
-    clear: (content) => {
-      quarantineState.recordCompletion(content);
-      for (const { address } of otherPeers) client.notify(address, 'quarantine.clear', { content });
+    recordCompletion: (traits) => {
+      notifySound(quarantineState.recordCompletion(traits, time.now()));
     },
   };
 }
@@ -154,10 +164,10 @@
   now: () => number,
 ): RequestFilter<IdentifiedRequest, IdentifiedRequest> {
   return async (request, next) => {
-    const status = quarantine.statusOf(request.contentDigest);
+    const status = quarantine.statusOf(request.traits);
+    if (status.kind !== 'quarantined') return next(request);
     // A keyed request runs at most once, so it cannot crash one upstream after another.
-    const isExempt = request.idempotencyKey !== undefined;
-    if (status.kind !== 'quarantined' || isExempt) return next(request);
+    if (status.isContent && request.idempotencyKey !== undefined) return next(request);
     const retryAfterSeconds = toRetryAfterSeconds(status.until - now());
     return refusal(ResultCode.Quarantined, initialRunState(request), { retryAfterSeconds });
   };
--- a/packages/daemon/src/requestRepeatable.ts
+++ b/packages/daemon/src/requestRepeatable.ts
@@ -104,8 +104,14 @@
   const { quarantine } = services;
   const content = request.contentDigest;
   const service = request.service.name;
-  const { agent } = upstream.announcement;
-  const needsGrant = quarantine.statusOf(content).kind !== 'clear';
+  const { agent, incarnation } = upstream.announcement;
+  const status = quarantine.statusOf(request.traits);
+  if (status.kind === 'quarantined') {
+    // Upstreams may have crashed since the request was admitted.
+    const retryAfterSeconds = toRetryAfterSeconds(status.until - services.time.now());
+    return refusal(ResultCode.Quarantined, 'not-run', { retryAfterSeconds });
+  }
+  const needsGrant = status.kind === 'suspect';
   if (needsGrant) {
     const timeoutMilliseconds = Math.max(1, request.deadlineAt - services.time.now());
     const reply = await quarantine.admit(service, { content, agent, timeoutMilliseconds });
@@ -118,10 +124,8 @@
   const outcome = await runAttempt(services, request, upstream);
   const isCrash = outcome.kind === 'failed' && outcome.crash !== 'none';
   if (isCrash && !request.caller.disconnected.aborted)
-    await quarantine.report({ content, agent, granted: needsGrant });
-  if (outcome.kind === 'whole' && quarantine.statusOf(content).kind !== 'clear') {
-    quarantine.clear(content);
-  }
+    await quarantine.report({ ...request.traits, agent: incarnation, granted: needsGrant });
+  if (outcome.kind === 'whole') quarantine.recordCompletion(request.traits);
   if (needsGrant) quarantine.release(service, content);
   return outcome;
 }
--- a/packages/daemon/src/requestTypes.ts
+++ b/packages/daemon/src/requestTypes.ts
@@ -4,6 +4,7 @@
   ServiceConfiguration,
   TeamConfiguration,
 } from '@burdockrail/fleet/fleetConfiguration.js';
+import type { RequestTraits } from '@burdockrail/limits/quarantineState.js';
 import type { RequestCaller } from './requestCaller.js';
 
 /** A request whose head and body were received. */
@@ -36,6 +37,8 @@
   readonly versionDigest?: string;
   /** Digest of method, path and body; does not depend on the sender. */
   readonly contentDigest: string;
+  /** What the request has in common with others, for the quarantine. */
+  readonly traits: RequestTraits;
   /** Digests of the prompt's prefixes, shortest first. */
   readonly prefixes: readonly string[];
 }
--- a/packages/gateway/src/agentRole.ts
+++ b/packages/gateway/src/agentRole.ts
@@ -98,7 +98,7 @@
           role: 'agent',
           caller: formatAddress(settings.internal),
           configurationVersion: clusterView.table?.configuration.version ?? 0,
-          crashes: [],
+          findings: [],
           ...(record === undefined || !isSameIncarnation
             ? {}
             : { engine: { id: record.id, models: report.models } }),
--- a/packages/gateway/src/clusterView.ts
+++ b/packages/gateway/src/clusterView.ts
@@ -2,7 +2,6 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { createDirectoryView, type DirectoryView } from '@burdockrail/membership/directoryView.js';
 import type {
-  ContentCrash,
   DirectoryWatchReply,
   CompressedConfiguration,
 } from '@burdockrail/protocol/protocolDirectory.js';
@@ -35,7 +34,6 @@
 export interface ClusterViewOptions {
   readonly onConfiguration?: (table: RouteTable) => void;
   readonly onWeights?: () => void;
-  readonly onCrashes?: (crashes: readonly ContentCrash[]) => void;
 }
 
 /**
@@ -112,7 +110,6 @@
       applyWeights(update, now);
       directory.apply(update, now);
       if (update.entries > 0) entries = update.entries;
-      if (update.crashes.length > 0) options.onCrashes?.(update.crashes);
       if (update.confirmedAgeMilliseconds === null) return;
       confirmedAt = Math.max(confirmedAt, askedAt - update.confirmedAgeMilliseconds);
     },
--- a/packages/gateway/src/controlDirectory.ts
+++ b/packages/gateway/src/controlDirectory.ts
@@ -7,7 +7,7 @@
 import { formatAddress } from '@burdockrail/protocol/protocolAddress.js';
 import type {
   ControlPeer,
-  ContentCrash,
+  TraitFinding,
   DirectoryWatchReply,
   DirectoryWatch,
   DesiredWeights,
@@ -18,6 +18,7 @@
 import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
 import { createChangeSignal } from './changeSignal.js';
 import type { ControlGroup } from './controlGroup.js';
+import { createFindingLog } from './findingLog.js';
 import { parseAddress } from './controlAddresses.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ControlSettings } from './gatewaySettings.js';
@@ -47,9 +48,6 @@
 /** Time for which an entry counts as active after its last watch, in milliseconds. */
 const ENTRY_ACTIVE_MILLISECONDS = 3_000;
 
-/** Maximum number of recent crash reports that are kept and shared. */
-const MAXIMUM_CRASHES = 200;
-
 /** Upstream directory of a control process, which answers the watches of other processes. */
 export interface ControlDirectory extends AsyncDisposable {
   readonly upstreams: UpstreamRegistry;
@@ -85,8 +83,7 @@
   const peerEntryCounts = new Map<string, { readonly count: number; readonly at: Milliseconds }>();
   const namingsKnownSince = new Map<string, Milliseconds>();
   const peerWatches = new Map<string, Promise<void>>();
-  let crashes: readonly ContentCrash[] = [];
-  let crashRevision = 0;
+  const findings = createFindingLog();
   const silenceLimitMilliseconds =
     MISSED_HEARTBEATS * settings.bounds.heartbeatMilliseconds + HEARTBEAT_GRACE_MILLISECONDS;
 
@@ -147,21 +144,8 @@
     return held !== null && held.version > version ? held : null;
   };
 
-  const addCrashes = (reported: readonly ContentCrash[]): void => {
-    const isKnown = (report: ContentCrash): boolean =>
-      crashes.some(
-        ({ content, upstream }) => content === report.content && upstream === report.upstream,
-      );
-    const newCrashReports = reported.filter((report) => !isKnown(report));
-    if (newCrashReports.length === 0) return;
-    crashes = [...crashes, ...newCrashReports].slice(-MAXIMUM_CRASHES);
-    crashRevision += newCrashReports.length;
-    changes.notify();
-  };
-
-  const crashesSince = (revision: number): readonly ContentCrash[] => {
-    const count = Math.min(crashes.length, crashRevision - revision);
-    return count <= 0 ? [] : crashes.slice(-count);
+  const addFindings = (reported: readonly TraitFinding[]): void => {
+    if (findings.add(reported)) changes.notify();
   };
 
   const confirmedAge = (): number | null =>
@@ -181,7 +165,7 @@
       upstreams.setModels(watch.engine.id, watch.engine.models);
       if (upstreams.latestRevision(false) !== previousRevision) changes.notify();
     }
-    addCrashes(watch.crashes);
+    addFindings(watch.findings);
   };
 
   const weightsFingerprint = (): string => JSON.stringify(group.state.weights);
@@ -197,13 +181,13 @@
     const newConfiguration = (): CompressedConfiguration | null =>
       watch.relay ? null : newerConfiguration(watch.configurationVersion);
     const weightsBefore = weightsFingerprint();
-    const knownCrashes = isSameIncarnation ? watch.crashRevision : 0;
+    const knownFindings = isSameIncarnation ? watch.findingRevision : 0;
     const hasChanges = (): boolean =>
       !isSameIncarnation ||
       upstreams.latestRevision(false) > knownRevision ||
       newConfiguration() !== null ||
       weightsFingerprint() !== weightsBefore ||
-      crashRevision > knownCrashes;
+      findings.revision > knownFindings;
     const deadline = time.now() + watch.waitMilliseconds;
     while (!hasChanges() && time.now() < deadline && !aborted.aborted) {
       await changes.wait(Math.max(1, deadline - time.now()), aborted);
@@ -226,8 +210,8 @@
       confirmedAgeMilliseconds: confirmedAge(),
       controls: controlPeers(),
       entries: watch.relay ? countOwnEntries(now) : countAllEntries(now),
-      crashRevision,
-      crashes: crashesSince(knownCrashes),
+      findingRevision: findings.revision,
+      findings: findings.since(knownFindings),
     };
   };
 
@@ -237,7 +221,7 @@
   const watchPeer = async (address: string): Promise<void> => {
     let peerIncarnation = '';
     let revision = 0;
-    let knownCrashes = 0;
+    let knownFindings = 0;
     let isLost = false;
     while (!stop.signal.aborted) {
       const connection = client.connectionTo(parseAddress(address));
@@ -252,8 +236,8 @@
             relay: true,
             caller: self,
             role: 'control',
-            crashRevision: knownCrashes,
-            crashes: [],
+            findingRevision: knownFindings,
+            findings: [],
           },
           {
             timeoutMilliseconds: PEER_WATCH_WAIT_MILLISECONDS + PEER_ANSWER_MARGIN_MILLISECONDS,
@@ -263,12 +247,12 @@
         const now = time.now();
         peerIncarnation = update.control;
         revision = update.revision;
-        knownCrashes = update.crashRevision;
+        knownFindings = update.findingRevision;
         for (const { record, ageMilliseconds } of update.records) {
           applyRecord(record, now - ageMilliseconds, address);
         }
         peerEntryCounts.set(address, { count: update.entries, at: now });
-        addCrashes(update.crashes);
+        addFindings(update.findings);
         group.addContacts(update.controls.map((known) => known.address));
         if (isLost) log.write('controlRegained', { control: address });
         isLost = false;
--- a/packages/gateway/src/directoryWatcher.ts
+++ b/packages/gateway/src/directoryWatcher.ts
@@ -27,7 +27,7 @@
 /** Fields of a watch that depend on the role. */
 export type WatchBody = Pick<
   DirectoryWatch,
-  'role' | 'caller' | 'configurationVersion' | 'engine' | 'crashes'
+  'role' | 'caller' | 'configurationVersion' | 'engine' | 'findings'
 >;
 
 /** Options of {@link createDirectoryWatcher}. */
@@ -60,7 +60,7 @@
   );
   let controlIncarnation = '';
   let revision = 0;
-  let crashRevision = 0;
+  let findingRevision = 0;
   let controlLostAt: Milliseconds | null = null;
   let seedsReadAt = Number.NEGATIVE_INFINITY;
 
@@ -71,7 +71,7 @@
       ...buildBody(),
       control: controlIncarnation,
       revision,
-      crashRevision,
+      findingRevision,
       relay: false,
       waitMilliseconds: LONG_POLL_MILLISECONDS,
     };
@@ -84,7 +84,7 @@
       });
     controlIncarnation = update.control;
     revision = update.revision;
-    crashRevision = update.crashRevision;
+    findingRevision = update.findingRevision;
     addresses.recordAnswer(address);
     addresses.replacePeers(update.controls);
     onUpdate(update, askedAt);
--- a/packages/gateway/src/entryBuffered.ts
+++ b/packages/gateway/src/entryBuffered.ts
@@ -73,7 +73,7 @@
  * shows, that it was not executed.
  */
 export async function runBuffered(entry: EntryContext, request: EntryRequest): Promise<void> {
-  const { time, random, upstreams, clusterView, retryBudget, log } = entry;
+  const { time, random, upstreams, clusterView, retryBudget, quarantine, log } = entry;
   const { admitted, answer, signal, trace } = request;
   const { route, service } = admitted;
   const isRepeatable = route.kind === 'repeatable';
@@ -87,6 +87,7 @@
     !signal.aborted &&
     sentCount < route.attempts &&
     (isRepeatable || !mayHaveRun) &&
+    (sentCount === 0 || quarantine.mayRetry(request.traits, time.now())) &&
     admitted.deadline - time.now() > MINIMUM_ATTEMPT_MILLISECONDS;
 
   while (canAttempt()) {
@@ -114,7 +115,7 @@
     lastOutcome = outcome;
     if (outcome.kind === 'answered') {
       const isFailure = outcome.status >= SERVER_ERROR_STATUS;
-      entry.recordCompletion(request.contentDigest);
+      quarantine.recordCompletion(request.traits, time.now());
       if (isFailure) failureAnswer = outcome;
       if (!isFailure || !isRepeatable) {
         answer.sendBuffered(outcome.status, outcome.rawHeaders, outcome.body);
@@ -135,7 +136,7 @@
     if (outcome.kind === 'unknown' || outcome.sent) sentCount += 1;
     if (outcome.kind === 'unknown') mayHaveRun = true;
     if (outcome.kind === 'unknown' && outcome.verdict === 'broken' && !signal.aborted) {
-      entry.recordConnectionLoss({ content: request.contentDigest, upstream: id });
+      quarantine.recordConnectionLoss(request.traits, id);
     }
   }
   if (signal.aborted) return;
--- a/packages/gateway/src/entryContext.ts
+++ b/packages/gateway/src/entryContext.ts
@@ -1,9 +1,8 @@
 import type { ByteBudget } from '@burdockrail/limits/byteBudget.js';
 import type { CallerElapsedEstimator } from '@burdockrail/limits/callerElapsedEstimator.js';
-import type { QuarantineState } from '@burdockrail/limits/quarantineState.js';
 import type { SharedRetryBudget } from '@burdockrail/limits/sharedRetryBudget.js';
-import type { ContentCrash } from '@burdockrail/protocol/protocolDirectory.js';
 import type { ClusterView } from './clusterView.js';
+import type { EntryQuarantine } from './entryQuarantine.js';
 import type { EntryUpstreams } from './entryUpstreams.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { UpstreamConnections } from './upstreamConnections.js';
@@ -15,13 +14,9 @@
   readonly connections: UpstreamConnections;
   readonly retryBudget: SharedRetryBudget;
   readonly callerElapsed: CallerElapsedEstimator;
-  readonly quarantine: QuarantineState;
+  readonly quarantine: EntryQuarantine;
   /** Memory for answers that are buffered until they are complete. */
   readonly answerMemory: ByteBudget;
-  /** Records that the connection to an upstream broke while it executed a request. */
-  recordConnectionLoss(sighting: ContentCrash): void;
-  /** Records that an upstream executed a request to completion; `content` is its digest. */
-  recordCompletion(content: string): void;
 }
 
 /** Fraction of an upstream's connection limit that all entries together may use. */
--- a/packages/gateway/src/entryRequest.ts
+++ b/packages/gateway/src/entryRequest.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import type { RequestTraits } from '@burdockrail/limits/quarantineState.js';
 import { isConnectionHeader, type CallerAnswer } from './callerAnswer.js';
 import type { AttemptHeaders, CallerHeaders, Dialect } from './dialect.js';
 import type { AdmittedRequest } from './entryAdmission.js';
@@ -19,8 +20,8 @@
   readonly arrivedAt: Milliseconds;
   /** Time that the caller has spent on earlier attempts, in milliseconds. */
   readonly elapsedMilliseconds: Milliseconds;
-  /** Digest of key, method, URL and body; identifies equal requests for the quarantine. */
-  readonly contentDigest: string;
+  /** What the request has in common with others, for the quarantine. */
+  readonly traits: RequestTraits;
   readonly answer: CallerAnswer;
   /** Aborts when the caller disconnects or the deadline passes. */
   readonly signal: AbortSignal;
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -4,16 +4,11 @@
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { createByteBudget } from '@burdockrail/limits/byteBudget.js';
 import { createCallerElapsedEstimator } from '@burdockrail/limits/callerElapsedEstimator.js';
-import {
-  createCrashAttribution,
-  type UpstreamLiveness,
-} from '@burdockrail/limits/crashAttribution.js';
-import { createQuarantineState } from '@burdockrail/limits/quarantineState.js';
 import { createSharedRetryBudget } from '@burdockrail/limits/sharedRetryBudget.js';
-import type { ContentCrash } from '@burdockrail/protocol/protocolDirectory.js';
 import { createDirectoryWatcher } from './directoryWatcher.js';
 import { createClusterView } from './clusterView.js';
 import type { EntryContext } from './entryContext.js';
+import { createEntryQuarantine } from './entryQuarantine.js';
 import { createEntrySlots } from './entrySlots.js';
 import { startEntryServer, type EntryServer } from './entryServer.js';
 import { createEntryUpstreams } from './entryUpstreams.js';
@@ -43,9 +38,6 @@
 /** Memory for all answers that are buffered at the same time, in bytes; a process has some 200 MB. */
 const MAXIMUM_ANSWER_MEMORY_BYTES = 48 * 1024 * 1024;
 
-/** Upstreams that a request must crash to be quarantined; two crashes may be coincidence. */
-const CRASHES_TO_QUARANTINE = 3;
-
 /** Interval at which the state of removed upstreams is discarded, in milliseconds. */
 const CLEANUP_INTERVAL_MILLISECONDS = 5_000;
 
@@ -58,20 +50,12 @@
   const { time, dialect, log, metrics } = context;
   const { bounds } = context.settings;
   const disposables = createDisposalStack();
-  const unreportedCrashes: ContentCrash[] = [];
   let draining = false;
   let server: EntryServer | null = null;
 
-  const quarantine = createQuarantineState(CRASHES_TO_QUARANTINE);
-  const crashAttribution = createCrashAttribution();
-  const recordCrash = ({ content, upstream }: ContentCrash): void => {
-    quarantine.recordCrash({ content, agent: upstream, granted: false }, time.now());
-  };
+  const quarantine = createEntryQuarantine(context, () => clusterView);
   const clusterView = createClusterView(context, {
     onConfiguration: () => server?.applyLimits(),
-    onCrashes: (crashes) => {
-      crashes.filter((crash) => crashAttribution.isFirstReport(crash)).forEach(recordCrash);
-    },
   });
   const connections = disposables.use(createUpstreamConnections(context.settings.localAddress));
   const upstreams = createEntryUpstreams(clusterView);
@@ -84,27 +68,6 @@
     quarantine,
     answerMemory: createByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES),
     callerElapsed: createCallerElapsedEstimator(),
-    recordConnectionLoss: (sighting) => {
-      const startedAt = clusterView.directory.get(sighting.upstream)?.record.startedAt ?? 0;
-      crashAttribution.recordInterruption(sighting, startedAt, time.now());
-    },
-    recordCompletion: (content) => {
-      crashAttribution.recordCompletion(content);
-      quarantine.recordCompletion(content);
-    },
-  };
-  const detectCrashes = (): void => {
-    const findUpstreamLife = (upstream: string): UpstreamLiveness | null => {
-      const directoryEntry = clusterView.directory.get(upstream);
-      if (directoryEntry === undefined || directoryEntry.record.state === 'gone') return null;
-      return { startedAt: directoryEntry.record.startedAt, silent: directoryEntry.silent };
-    };
-    for (const crash of crashAttribution.takeConfirmed(findUpstreamLife, time.now())) {
-      const { content, upstream } = crash;
-      log.write('contentCrashed', { content, upstream });
-      if (crashAttribution.isFirstReport(crash)) recordCrash(crash);
-      unreportedCrashes.push(crash);
-    }
   };
   const watcher = disposables.use(
     createDirectoryWatcher({
@@ -113,12 +76,14 @@
         role: 'entry',
         caller: '',
         configurationVersion: clusterView.table?.configuration.version ?? 0,
-        crashes: unreportedCrashes.splice(0),
+        findings: quarantine.takeFindings(),
       }),
       onUpdate: (update, askedAt) => {
-        clusterView.apply(update, askedAt, time.now());
+        const now = time.now();
+        clusterView.apply(update, askedAt, now);
         server?.notifyClusterChange();
-        detectCrashes();
+        quarantine.applyFindings(update.findings, update.control, now);
+        quarantine.detectCrashes(now);
       },
     }),
   );
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
+import type { RequestTraits } from '@burdockrail/limits/quarantineState.js';
 import { createChangeSignal } from './changeSignal.js';
 import { createCallerAnswer, type CallerAnswer } from './callerAnswer.js';
 import { admitRequest, isRefusal, type Refusal } from './entryAdmission.js';
@@ -9,6 +10,7 @@
 import type { EntrySlots } from './entrySlots.js';
 import { runBuffered } from './entryBuffered.js';
 import { forwardedHeaders, type EntryRequest, type RequestTrace } from './entryRequest.js';
+import { refusalOfQuarantined } from './entryQuarantine.js';
 import { runStream } from './entryStream.js';
 import type { EntrySettings } from './gatewaySettings.js';
 
@@ -187,13 +189,13 @@
       metadata.route = route.name;
       metadata.objective = route.objectiveMilliseconds;
       metadata.team = team?.name ?? '';
-      const contentDigest = digestRequest(caller.key, request, body);
-      if (quarantine.statusOf(contentDigest, time.now()).kind === 'quarantined') {
-        refuse({
-          code: ResultCode.Quarantined,
-          detail: 'this request has crashed several upstreams',
-          retryAfterMilliseconds: 30_000,
-        });
+      const traits: RequestTraits = {
+        content: digestRequest(caller.key, request, body),
+        parts: caller.sharedParts.map((part) => `${caller.model} ${part}`),
+      };
+      const quarantineRefusal = refusalOfQuarantined(quarantine, traits, time.now());
+      if (quarantineRefusal !== null) {
+        refuse(quarantineRefusal);
         return;
       }
       retryBudget.recordRequest(service, arrivedAt);
@@ -225,7 +227,7 @@
           route.name,
           caller.deadlineMilliseconds,
         ),
-        contentDigest,
+        traits,
         answer,
         signal: cancellation.signal,
         trace,
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -2,6 +2,7 @@
 import { refusalRetryAfterMilliseconds } from '@burdockrail/limits/refusalRetryAfter.js';
 import { streamSlackMilliseconds } from '@burdockrail/limits/streamSlack.js';
 import type { EntryContext } from './entryContext.js';
+import { refusalOfQuarantined } from './entryQuarantine.js';
 import type { EntrySlots, GrantedSlot } from './entrySlots.js';
 import type { EntryRequest } from './entryRequest.js';
 import { attemptStream, type StreamAttemptOutcome } from './streamAttempt.js';
@@ -15,6 +16,9 @@
 /** Additional attempts beyond the route's limit after engines were lost. */
 const EXTRA_ATTEMPTS_AFTER_LOSS = 1;
 
+/** Events after which an engine is unlikely to crash because of the request's prompt. */
+const SOUND_RUN_EVENTS = 3;
+
 /** Events forwarded so far; prevents duplicates and gaps when a stream is resumed. */
 interface Progress {
   lastEventId: number | null;
@@ -28,7 +32,7 @@
   slots: EntrySlots,
   request: EntryRequest,
 ): Promise<void> {
-  const { time, clusterView, retryBudget, upstreams, log } = entry;
+  const { time, clusterView, retryBudget, upstreams, quarantine, log } = entry;
   const { admitted, answer, signal, trace, caller } = request;
   const { route, service } = admitted;
   const triedEngines = new Set<string>();
@@ -45,6 +49,7 @@
     if (signal.aborted || answer.state !== 'open') return false;
     if (mayHaveRun && !route.resumable) return false;
     if (progress.events > 0 && progress.lastEventId === null) return false;
+    if (sentCount > 0 && !quarantine.mayRetry(request.traits, time.now())) return false;
     const limit = route.attempts + Math.min(lossCount, EXTRA_ATTEMPTS_AFTER_LOSS);
     return sentCount < limit && admitted.deadline - time.now() > MINIMUM_ATTEMPT_MILLISECONDS;
   };
@@ -123,10 +128,18 @@
         lastEventId: progress.lastEventId,
       });
     }
+    const quarantineRefusal = refusalOfQuarantined(quarantine, request.traits, time.now());
+    if (quarantineRefusal !== null && !mayHaveRun) {
+      slot.release();
+      trace.cause = quarantineRefusal.detail;
+      answer.refuse(quarantineRefusal);
+      return;
+    }
+    const eventsBefore = progress.events;
     const result = await attemptAt(slot);
     if (result.kind === 'complete') {
       upstreams.recordVerdict(slot.engine, 'answered', time.now());
-      entry.recordCompletion(request.contentDigest);
+      quarantine.recordCompletion(request.traits, time.now());
       answer.finish();
       return;
     }
@@ -156,7 +169,7 @@
       sent: result.kind === 'broken' || result.sent,
       reason: result.reason,
       events: progress.events,
-      content: request.contentDigest,
+      content: request.traits.content,
       parts: caller.sharedParts.join(','),
       sentMilliseconds: Math.round(time.now() - now),
     });
@@ -165,7 +178,9 @@
       sentCount += 1;
       if (result.verdict === 'broken') {
         lossCount += 1;
-        entry.recordConnectionLoss({ content: request.contentDigest, upstream: slot.engine });
+        const hasWritten = progress.events - eventsBefore >= SOUND_RUN_EVENTS;
+        const { content, parts } = request.traits;
+        quarantine.recordConnectionLoss({ content, parts: hasWritten ? [] : parts }, slot.engine);
       }
     } else if (result.sent) sentCount += 1;
   }
--- a/packages/limits/__tests__/crashAttribution.spec.ts
+++ b/packages/limits/__tests__/crashAttribution.spec.ts
@@ -7,12 +7,12 @@
   known[upstream] ?? null;
 
 describe('crash attribution', () => {
-  const run = { content: 'c', upstream: 'a' };
+  const run = { content: 'c', parts: [], upstream: 'a', startedAt: 10 };
 
   it('counts an interrupted run only when its upstream is gone, silent or restarted', () => {
     const attribution = createCrashAttribution();
     for (const upstream of ['a', 'b', 'c', 'd'])
-      attribution.recordInterruption({ ...run, upstream }, 10, 0);
+      attribution.recordInterruption({ ...run, upstream }, 0);
     const known = {
       a: { startedAt: 10, silent: false },
       b: { startedAt: 10, silent: true },
@@ -27,7 +27,7 @@
 
   it('drops interrupted runs whose upstream stays alive, as after a network reset', () => {
     const attribution = createCrashAttribution();
-    attribution.recordInterruption(run, 10, 0);
+    attribution.recordInterruption(run, 0);
     assert.deepEqual(
       attribution.takeConfirmed(livenessLookup({ a: { startedAt: 10, silent: false } }), 7_000),
       [],
@@ -37,18 +37,17 @@
 });
 
 describe('upstreams that crash one after another while a content completes elsewhere', () => {
-  const run = { content: 'popular', upstream: 'a' };
+  const run = { content: 'popular', parts: [], upstream: 'a', startedAt: 10 };
 
   it('are not counted against the content', () => {
     const attribution = createCrashAttribution();
     for (const upstream of ['a', 'b', 'c']) {
-      attribution.recordInterruption({ ...run, upstream }, 10, 0);
+      attribution.recordInterruption({ ...run, upstream }, 0);
       attribution.recordCompletion('popular');
     }
-    attribution.recordInterruption({ content: 'poison', upstream: 'c' }, 10, 0);
-    assert.deepEqual(attribution.takeConfirmed(livenessLookup({}), 100), [
-      { content: 'poison', upstream: 'c' },
-    ]);
+    const poison = { ...run, content: 'poison', upstream: 'c' };
+    attribution.recordInterruption(poison, 0);
+    assert.deepEqual(attribution.takeConfirmed(livenessLookup({}), 100), [poison]);
   });
 
   it('are counted once when another control process reports all its crashes again', () => {
@@ -56,23 +55,25 @@
     assert.equal(attribution.isFirstReport(run), true);
     assert.equal(attribution.isFirstReport(run), false);
     assert.equal(attribution.isFirstReport({ ...run, upstream: 'b' }), true);
+    assert.equal(attribution.isFirstReport({ ...run, startedAt: 11 }), true);
   });
 });
 
 describe('a popular content', () => {
   it('is quarantined only after crashes of three upstreams since it last completed', () => {
     const state = createQuarantineState(3);
+    const popular = { content: 'popular', parts: [] };
     const recordCrash = (agent: string) => {
-      state.recordCrash({ content: 'popular', agent, granted: false }, 0);
+      state.recordCrash({ ...popular, agent, granted: false }, 0);
     };
     recordCrash('a');
     recordCrash('b');
-    assert.equal(state.statusOf('popular', 1).kind, 'suspect');
-    state.recordCompletion('popular');
+    assert.equal(state.statusOf(popular, 1).kind, 'suspect');
+    state.recordCompletion(popular, 0);
     recordCrash('c');
-    assert.equal(state.statusOf('popular', 1).kind, 'suspect');
+    assert.equal(state.statusOf(popular, 1).kind, 'suspect');
     recordCrash('d');
     recordCrash('e');
-    assert.equal(state.statusOf('popular', 1).kind, 'quarantined');
+    assert.equal(state.statusOf(popular, 1).kind, 'quarantined');
   });
 });
--- a/packages/limits/src/crashAttribution.ts
+++ b/packages/limits/src/crashAttribution.ts
@@ -1,10 +1,11 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import type { RequestTraits } from './quarantineState.js';
 
-/** A request content whose run at an upstream was interrupted. */
-export interface InterruptedRun {
-  /** Digest of caller, method, path and body. */
-  readonly content: string;
+/** A request whose run at an upstream was interrupted. */
+export interface InterruptedRun extends RequestTraits {
   readonly upstream: string;
+  /** Start of the upstream's incarnation, in Unix milliseconds. */
+  readonly startedAt: number;
 }
 
 /** Current liveness of an upstream. */
@@ -16,8 +17,7 @@
 
 /** Decides which interrupted runs were caused by a crash of their upstream. */
 export interface CrashAttribution {
-  /** Records a run that was interrupted at the incarnation that began at `startedAt`. */
-  recordInterruption(run: InterruptedRun, startedAt: number, now: Milliseconds): void;
+  recordInterruption(run: InterruptedRun, now: Milliseconds): void;
   /** The content ran to completion, so its pending interruptions are not counted as crashes. */
   recordCompletion(content: string): void;
   /** True the first time that a crash is reported; other processes report the same crash again. */
@@ -35,7 +35,6 @@
 
 interface PendingRun {
   readonly run: InterruptedRun;
-  readonly upstreamStartedAt: number;
   readonly interruptedAt: Milliseconds;
 }
 
@@ -65,8 +64,8 @@
       if (pending.length === 0) return;
       pending = pending.filter(({ run }) => run.content !== content);
     },
-    isFirstReport: ({ content, upstream }) => {
-      const key = `${content} ${upstream}`;
+    isFirstReport: ({ content, upstream, startedAt }) => {
+      const key = `${content} ${upstream} ${startedAt}`;
       if (reportedRuns.has(key)) return false;
       reportedRuns.add(key);
       const [oldest] = reportedRuns;
@@ -74,15 +73,13 @@
         reportedRuns.delete(oldest);
       return true;
     },
-    recordInterruption: (run, startedAt, now) => {
-      pending = [...pending, { run, upstreamStartedAt: startedAt, interruptedAt: now }].slice(
-        -MAXIMUM_TRACKED_RUNS,
-      );
+    recordInterruption: (run, now) => {
+      pending = [...pending, { run, interruptedAt: now }].slice(-MAXIMUM_TRACKED_RUNS);
     },
     takeConfirmed: (livenessOf, now) => {
-      const hasCrashed = ({ run, upstreamStartedAt }: PendingRun): boolean => {
+      const hasCrashed = ({ run }: PendingRun): boolean => {
         const liveness = livenessOf(run.upstream);
-        return liveness === null || liveness.silent || liveness.startedAt > upstreamStartedAt;
+        return liveness === null || liveness.silent || liveness.startedAt > run.startedAt;
       };
       const crashed = pending.filter(hasCrashed);
       pending = pending.filter((item) => {
--- a/packages/membership/__tests__/upstreamRegistry.spec.ts
+++ b/packages/membership/__tests__/upstreamRegistry.spec.ts
@@ -107,8 +107,8 @@
     confirmedAgeMilliseconds: 0,
     controls: [],
     entries: 1,
-    crashRevision: 0,
-    crashes: [],
+    findingRevision: 0,
+    findings: [],
   };
 
   it('keeps records that a recently started control process does not know yet', () => {
--- a/packages/protocol/src/protocolDirectory.ts
+++ b/packages/protocol/src/protocolDirectory.ts
@@ -65,17 +65,32 @@
   readonly role: 'entry' | 'control' | 'agent';
   /** Loaded models that an agent read from its engine; newer than the engine's own heartbeat. */
   readonly engine?: { readonly id: string; readonly models: readonly HeldModel[] };
-  /** Number of crashes that the caller has received from this control process since its start. */
-  readonly crashRevision: number;
-  /** Crashes that the caller observed since its last call. */
-  readonly crashes: readonly ContentCrash[];
+  /** Revision of the findings that the caller has received from this control process. */
+  readonly findingRevision: number;
+  /** What the caller found out since its last call. */
+  readonly findings: readonly TraitFinding[];
 }
 
-/** An upstream's crash while it ran a request with a given content. */
-export interface ContentCrash {
+/** What one entry found out about requests that crash upstreams. */
+export type TraitFinding = CrashSighting | TraitVerdict;
+
+/** An upstream's crash while it ran a request. */
+export interface CrashSighting {
+  readonly kind: 'crash';
   /** Digest of the request's caller, method, path and body. */
   readonly content: string;
+  /** Shared parts of its prompt, in order, without those known to be sound. */
+  readonly parts: readonly string[];
   readonly upstream: string;
+  /** Start of the crashed incarnation in Unix milliseconds. */
+  readonly startedAt: number;
+}
+
+/** Verdict on a trait: a content digest or a shared part. */
+export interface TraitVerdict {
+  /** `sound` if a request with the trait ran to completion. */
+  readonly kind: 'quarantine' | 'sound';
+  readonly trait: string;
 }
 
 /** Answer to {@link DirectoryWatch}. */
@@ -96,10 +111,10 @@
   readonly controls: readonly ControlPeer[];
   /** Number of entries that watch any control process, as known to this one. */
   readonly entries: number;
-  /** Number of crashes reported to this process since its start. */
-  readonly crashRevision: number;
-  /** Crashes that the caller has not yet received. */
-  readonly crashes: readonly ContentCrash[];
+  /** Revision of the newest finding of this process; it counts from the process's start. */
+  readonly findingRevision: number;
+  /** Findings that the caller has not yet received. */
+  readonly findings: readonly TraitFinding[];
 }
 
 /** A routing configuration as sent by operators. */
--- a/packages/protocol/src/protocolQuarantine.ts
+++ b/packages/protocol/src/protocolQuarantine.ts
@@ -2,6 +2,9 @@
 export interface QuarantineReport {
   /** Digest of the request's method, path and body. */
   readonly content: string;
+  /** Prefixes of the request's prompt, shortest first. */
+  readonly parts: readonly string[];
+  /** Incarnation of the upstream's agent. */
   readonly agent: string;
   /** True if the content was already suspect, so that the run had a grant. */
   readonly granted: boolean;
@@ -26,7 +29,8 @@
   readonly content: string;
 }
 
-/** Reports to another entry that a suspect request ran to completion. */
+/** Reports to another entry that requests with suspected traits ran to completion. */
 export interface QuarantineClear {
-  readonly content: string;
+  /** Digests of contents, or prefixes of prompts. */
+  readonly traits: readonly string[];
 }
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -153,6 +153,11 @@
     level: 'warn',
     text: 'An upstream ended while it ran a request; after three upstreams its content is refused.',
   },
+  traitQuarantined: {
+    number: 2205,
+    level: 'warn',
+    text: 'Requests with this content or prompt part are refused, because upstreams crashed under it.',
+  },
   controlLost: {
     number: 4100,
     level: 'warn',
