--- a/packages/gateway/__tests__/troubledUpstreams.spec.ts
+++ b/packages/gateway/__tests__/troubledUpstreams.spec.ts
@@ -301,3 +301,67 @@
     }
   });
 });
+
+describe('a stream that ends with its connection', { timeout: 30_000 }, () => {
+  const event = 'id: 1\ndata: a\n\n';
+  const framings = {
+    none: { head: `${signedHead}\r\n`, body: (text: string) => text },
+    chunks: {
+      head: `${signedHead}transfer-encoding: chunked\r\n\r\n`,
+      body: (text: string) => `${text.length.toString(16)}\r\n${text}\r\n0\r\n\r\n`,
+    },
+    length: {
+      head: signedHead,
+      body: (text: string) => `content-length: ${text.length}\r\n\r\n${text}`,
+    },
+  } as const;
+
+  async function outcomeOf(
+    framing: keyof typeof framings,
+    text: string,
+    ending: 'close' | 'reset',
+  ): Promise<StreamAttemptOutcome> {
+    const { head, body } = framings[framing];
+    const server = createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        socket.write(head + body(text), () => {
+          if (ending === 'close') socket.end();
+          else setTimeout(() => socket.resetAndDestroy(), 20);
+        });
+      });
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    try {
+      await using connections = createUpstreamConnections('127.0.0.1');
+      const { port } = server.address() as AddressInfo;
+      const { entry, request, slot } = createAttempt(port, connections, true);
+      return await attemptStream(entry, request, slot, null, {
+        head: () => undefined,
+        event: () => true,
+        onDrain: () => undefined,
+      });
+    } finally {
+      server.close();
+    }
+  }
+
+  it('is complete with neither a length nor chunks after a whole event and an orderly close', async () => {
+    assert.deepEqual(await outcomeOf('none', event + event, 'close'), { kind: 'complete' });
+  });
+
+  it('is broken off by a reset', async () => {
+    assert.equal((await outcomeOf('none', event, 'reset')).kind, 'broken');
+  });
+
+  for (const framing of ['none', 'chunks', 'length'] as const) {
+    it(`is broken off inside an event (${framing})`, async () => {
+      assert.deepEqual(await outcomeOf(framing, `${event}id: 2\ndata: b`, 'close'), {
+        kind: 'broken',
+        verdict: 'broken',
+        reason: 'stream ended inside an event',
+      });
+    });
+  }
+});
