feat(gateway): entries log the limits that upstreams name

The header is decoded in the adapter, and upstreamLimited (2206) says when what an upstream names has changed. Nothing is decided by it yet.

--- a/packages/gateway/__tests__/entryDecisions.spec.ts
+++ b/packages/gateway/__tests__/entryDecisions.spec.ts
@@ -81,7 +81,13 @@
 });
 
 describe('classifyAnswer', () => {
-  const headers = { requestId: 'id', notRun: false, signed: true, load: null };
+  const headers = {
+    requestId: 'id',
+    notRun: false,
+    signed: true,
+    load: null,
+    requestsPerSecond: null,
+  };
   const body = Buffer.from('x');
 
   it('accepts only a signed answer to this request', () => {
--- a/packages/gateway/__tests__/troubledUpstreams.spec.ts
+++ b/packages/gateway/__tests__/troubledUpstreams.spec.ts
@@ -84,6 +84,7 @@
       entries: 1,
     },
     upstreams: { recordLoad: () => undefined },
+    limits: { recordAnswer: () => undefined },
     dialect: {
       attemptHeaders: () => [],
       lastEventIdHeader: 'last-event-id',
@@ -92,6 +93,7 @@
         signed: headers['x-signed'] === 'yes',
         notRun: false,
         load: null,
+        requestsPerSecond: null,
       }),
     },
   } as unknown as EntryContext;
--- a/packages/gateway/src/bufferedAttempt.ts
+++ b/packages/gateway/src/bufferedAttempt.ts
@@ -21,7 +21,7 @@
   upstream: { readonly id: string; readonly address: string },
   timeoutMilliseconds: number,
 ): Promise<BufferedAttemptOutcome> {
-  const { connections, dialect, time, upstreams, answerMemory } = entry;
+  const { connections, dialect, time, upstreams, limits, answerMemory } = entry;
   const { admitted, signal } = request;
   const outgoing = outgoingRequest(
     request,
@@ -63,6 +63,7 @@
             const { running, waiting } = answerHeaders.load;
             upstreams.recordLoad(upstream.id, running + waiting, time.now());
           }
+          limits.recordAnswer(upstream.id, answerHeaders);
           buffered = { status, headers: answerHeaders, rawHeaders, parts: [], size: 0 };
         },
         data: (bytes) => {
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -47,6 +47,11 @@
   /** True when the answer is signed by an upstream. */
   readonly signed: boolean;
   readonly load: { readonly running: number; readonly waiting: number } | null;
+  /**
+   * Requests per second that the upstream takes from all entries together until an answer names
+   * no limit; `null` if this one names none.
+   */
+  readonly requestsPerSecond: number | null;
 }
 
 /** A request of an upstream or operator to a control process. */
--- a/packages/gateway/src/entryContext.ts
+++ b/packages/gateway/src/entryContext.ts
@@ -6,12 +6,14 @@
 import type { EntryUpstreams } from './entryUpstreams.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { UpstreamConnections } from './upstreamConnections.js';
+import type { UpstreamLimits } from './upstreamLimits.js';
 
 /** Dependencies shared by the modules of an entry. */
 export interface EntryContext extends GatewayContext {
   readonly clusterView: ClusterView;
   readonly upstreams: EntryUpstreams;
   readonly connections: UpstreamConnections;
+  readonly limits: UpstreamLimits;
   readonly retryBudget: SharedRetryBudget;
   readonly callerElapsed: CallerElapsedEstimator;
   readonly quarantine: EntryQuarantine;
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -15,6 +15,7 @@
 import type { GatewayContext, GatewayRole } from './gatewayContext.js';
 import type { EntrySettings } from './gatewaySettings.js';
 import { createUpstreamConnections } from './upstreamConnections.js';
+import { createUpstreamLimits } from './upstreamLimits.js';
 
 /** Fraction of the revocation time after which an unconfirmed entry reports not ready. */
 const UNREADY_AGE_FRACTION = 0.5;
@@ -59,11 +60,13 @@
   });
   const connections = disposables.use(createUpstreamConnections(context.settings.localAddress));
   const upstreams = createEntryUpstreams(clusterView);
+  const limits = createUpstreamLimits(context);
   const entry: EntryContext = {
     ...context,
     clusterView,
     upstreams,
     connections,
+    limits,
     retryBudget: createSharedRetryBudget(bounds.retries),
     quarantine,
     answerMemory: createByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES),
@@ -140,6 +143,7 @@
       );
       const cleanupTimer = setInterval(() => {
         upstreams.retain();
+        limits.retain(new Set(clusterView.directory.entries.map(({ record }) => record.id)));
         connections.retain(
           new Set(clusterView.directory.entries.map(({ record }) => record.address)),
         );
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -54,7 +54,7 @@
   lastEventId: number | null,
   observer: StreamObserver,
 ): Promise<StreamAttemptOutcome> {
-  const { connections, dialect, time, clusterView, settings } = entry;
+  const { connections, dialect, time, clusterView, limits, settings } = entry;
   const { admitted, signal, caller } = request;
   const { route } = admitted;
   const outgoing = outgoingRequest(
@@ -152,6 +152,7 @@
           fail('the answer belongs to another request');
           return;
         }
+        limits.recordAnswer(slot.engine, answerHeaders);
         head = { status, headers: answerHeaders, raw: rawHeaders };
         if (status !== SUCCESS_STATUS) bufferedParts = [];
         else if (!answerHeaders.signed || answerHeaders.requestId === null)
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -158,6 +158,11 @@
     level: 'warn',
     text: 'Requests with this content or prompt part are refused, because upstreams crashed under it.',
   },
+  upstreamLimited: {
+    number: 2206,
+    level: 'info',
+    text: 'The number of requests per second that an upstream names has changed; null is no limit.',
+  },
   controlLost: {
     number: 4100,
     level: 'warn',
