fix(gateway, daemon, limits): keep the limits that upstreams name

Cause: nothing read the header, and neither the grants of agents nor the choice of an upstream had a place for a rate that all entries share. Class of fault: a limit that holds for all senders together has to be kept in one place or be divided, and can't be kept by each sender alone.

Change: an entry passes what an answer names to the engine's agent, which grants slots at that rate, says in each grant which limit it keeps, and looks fully taken meanwhile, so that entries ask others first. Upstreams without an agent, and engines whose agent is silent, get requests in turns: control processes number the entries, and an unused turn expires. Where all upstreams are limited the request is refused at once. A limit ends with the first signed answer that names none; one request in five seconds always passes, so a limit of 0 can end. The daemon's agents keep the limit of their upstream at the gate through which all attempts pass; such a refusal has not run and doesn't count against the upstream.

--- a/packages/daemon/__tests__/attemptService.spec.ts
+++ b/packages/daemon/__tests__/attemptService.spec.ts
@@ -3,6 +3,7 @@
 import { createServer, type RequestListener } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { describe, it } from 'node:test';
+import { setTimeout as pause } from 'node:timers/promises';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { createDisposalStack, type DisposalStack } from '@burdockrail/common/disposalStack.js';
 import { monotonicClock } from '@burdockrail/common/timeSource.js';
@@ -95,6 +96,51 @@
   'x-weights-digest': DIGEST,
 };
 
+describe('an upstream that names a limit', () => {
+  it('gets no more attempts than it allows until it names none; the others have not run', async () => {
+    await using disposables = createDisposalStack();
+    let limit: string | null = '2';
+    let requests = 0;
+    const { run } = await createFixture(disposables, (_request, response) => {
+      requests += 1;
+      response.writeHead(200, {
+        'x-request-id': 'attempt',
+        'content-length': '5',
+        ...(limit === null ? {} : { 'x-requests-per-second': limit }),
+      });
+      response.end('whole');
+    });
+    await run();
+    const outcomes = [];
+    for (let index = 0; index < 20; index += 1) outcomes.push((await run()).at(-1));
+    assert.ok(requests <= 3, `${requests} requests`);
+    const refused = outcomes.filter((item) => item?.kind === 'failed');
+    assert.ok(refused.length >= 18);
+    for (const item of refused) {
+      assert.equal(item.code, ResultCode.Overloaded);
+      assert.equal(item.run, 'not-run');
+    }
+    limit = null;
+    await pause(600);
+    await run();
+    const before = requests;
+    for (let index = 0; index < 5; index += 1) await run();
+    assert.equal(requests, before + 5);
+  });
+
+  it('is not limited by a value that is no number', async () => {
+    await using disposables = createDisposalStack();
+    let requests = 0;
+    const { run } = await createFixture(disposables, (_request, response) => {
+      requests += 1;
+      response.writeHead(200, { 'x-request-id': 'attempt', 'x-requests-per-second': '-1 or so' });
+      response.end();
+    });
+    for (let index = 0; index < 5; index += 1) await run();
+    assert.equal(requests, 5);
+  });
+});
+
 describe('createAttemptService', () => {
   it('relays a complete answer with the digest of the weights that gave it', async () => {
     await using disposables = createDisposalStack();
--- a/packages/daemon/src/attemptAnswer.ts
+++ b/packages/daemon/src/attemptAnswer.ts
@@ -4,6 +4,7 @@
 import { AttemptError, connectionLostError, sendError } from './attemptFailure.js';
 import { createEventSplitter, chooseEventAction } from './attemptEvents.js';
 import {
+  REQUESTS_PER_SECOND_HEADER,
   WEIGHTS_DIGEST_HEADER,
   REQUEST_ID_HEADER,
   endToEndHeaders,
@@ -50,6 +51,13 @@
   return isChunked && firstHeaderValue(response, 'connection')?.toLowerCase() !== 'close';
 }
 
+function namedLimit(response: Response): number | null {
+  const requestsPerSecond = Number(
+    firstHeaderValue(response, REQUESTS_PER_SECOND_HEADER) ?? Number.NaN,
+  );
+  return requestsPerSecond >= 0 && Number.isFinite(requestsPerSecond) ? requestsPerSecond : null;
+}
+
 function checkAttemptId(start: AttemptStart, response: Response): void {
   const requestId = firstHeaderValue(response, REQUEST_ID_HEADER);
   if (requestId === start.attemptId) return;
@@ -85,6 +93,8 @@
 export interface UpstreamAnswerOptions {
   readonly upstream: AttemptUpstream;
   readonly allowsDigest: DigestCheck;
+  /** Receives the limit that each answer names, in requests per second; `null` without one. */
+  readonly onLimit: (requestsPerSecond: number | null) => void;
 }
 
 async function* readBody(
@@ -257,6 +267,7 @@
   response.body.on('error', () => undefined);
   try {
     checkAttemptId(start, response);
+    options.onLimit(namedLimit(response));
     checkDigest(start, response, options.allowsDigest);
     if (isEventStream(response)) {
       yield headItem(start, response);
--- a/packages/daemon/src/attemptService.ts
+++ b/packages/daemon/src/attemptService.ts
@@ -1,5 +1,6 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { TimeSource } from '@burdockrail/common/timeSource.js';
+import { createNamedLimit } from '@burdockrail/limits/namedLimit.js';
 import type {
   AttemptItem,
   AttemptStart,
@@ -29,7 +30,7 @@
 }
 
 /** Options of {@link createAttemptService}. */
-export interface AttemptServiceOptions extends UpstreamAnswerOptions {
+export interface AttemptServiceOptions extends Omit<UpstreamAnswerOptions, 'onLimit'> {
   readonly gate: AttemptGate;
   readonly incarnation: string;
   readonly service: string;
@@ -95,6 +96,11 @@
   return new AttemptError(ResultCode.AttemptNeverStarted, 'not-run', detail);
 }
 
+function limitedError(): AttemptError {
+  const detail = 'the upstream limits its requests';
+  return new AttemptError(ResultCode.Overloaded, 'not-run', detail);
+}
+
 function timeoutError(start: AttemptStart): AttemptError {
   const detail = `no complete answer within ${start.timeoutMilliseconds} ms`;
   return new AttemptError(ResultCode.DeadlineExceeded, 'unknown', detail);
@@ -110,6 +116,16 @@
 export function createAttemptService(options: AttemptServiceOptions): AttemptService {
   const table: AttemptTable = createAttemptTable(options.incarnation);
   const running = new Set<Promise<void>>();
+  const limit = createNamedLimit();
+  const answerOptions: UpstreamAnswerOptions = {
+    ...options,
+    onLimit: (requestsPerSecond) => {
+      if (requestsPerSecond === limit.requestsPerSecond) return;
+      const former = limit.requestsPerSecond;
+      options.log.write('upstreamLimited', { requestsPerSecond, former });
+      limit.set(requestsPerSecond, options.time.now());
+    },
+  };
   let isDraining = false;
 
   const runRepeatable = async (
@@ -120,7 +136,8 @@
     const timeout = AbortSignal.timeout(start.timeoutMilliseconds);
     const signal = AbortSignal.any([cancelled, timeout]);
     try {
-      for await (const item of readUpstreamAnswer(options, start, signal)) await sink.write(item);
+      for await (const item of readUpstreamAnswer(answerOptions, start, signal))
+        await sink.write(item);
     } catch (error) {
       if (signal.aborted) await options.upstream.cancel(start.attemptId);
       if (cancelled.aborted) return;
@@ -147,7 +164,7 @@
       });
     }, start.timeoutMilliseconds);
     try {
-      for await (const item of readUpstreamAnswer(options, start, signal)) {
+      for await (const item of readUpstreamAnswer(answerOptions, start, signal)) {
         collector.add(item);
         if (item.kind === 'end') {
           const end = { kind: 'finished', answer: collector.answer() } as const;
@@ -195,6 +212,7 @@
   ): Promise<void> => {
     const refusal = isDraining ? shuttingDownError() : findRefusal(options, start);
     if (refusal !== null) return refuse(start, sink, refusal);
+    if (limit.take(options.time.now()) > 0) return refuse(start, sink, limitedError());
     const decision = table.start(start, options.time.now());
     if (decision.kind === 'refuse') {
       const detail = 'the attempt must not start at this agent';
--- a/packages/daemon/src/attemptUpstream.ts
+++ b/packages/daemon/src/attemptUpstream.ts
@@ -14,6 +14,12 @@
 /** Header with the digest of the weights that gave the answer. */
 export const WEIGHTS_DIGEST_HEADER = 'x-weights-digest';
 
+/**
+ * Header with the requests per second that the upstream takes from all callers together; an answer
+ * without it names no limit.
+ */
+export const REQUESTS_PER_SECOND_HEADER = 'x-requests-per-second';
+
 /** Headers that apply to a single connection and are not forwarded. */
 const hopByHopHeaders: ReadonlySet<string> = new Set([
   'connection',
--- a/packages/daemon/src/requestRepeatable.ts
+++ b/packages/daemon/src/requestRepeatable.ts
@@ -13,6 +13,12 @@
 import { chooseUpstream } from './requestRoute.js';
 import { refusal, type IdentifiedRequest, type RequestResult } from './requestTypes.js';
 
+/** Failures that say nothing against the upstream; it names a limit when it is overloaded. */
+const blamelessCodes: ReadonlySet<ResultCode> = new Set([
+  ResultCode.DeadlineExceeded,
+  ResultCode.Overloaded,
+]);
+
 /** Attempts of a repeatable request so far. */
 interface RepeatableProgress {
   readonly excluded: ReadonlySet<string>;
@@ -86,7 +92,7 @@
   const isUpstreamFault =
     outcome.kind === 'failed' &&
     !request.caller.disconnected.aborted &&
-    outcome.code !== ResultCode.DeadlineExceeded;
+    !blamelessCodes.has(outcome.code);
   const verdict = outcome.kind === 'whole' ? 'succeeded' : isUpstreamFault ? 'failed' : 'neutral';
   endAttempt(verdict, services.time.now());
   return outcome;
--- a/packages/gateway/__tests__/entrySlots.spec.ts
+++ b/packages/gateway/__tests__/entrySlots.spec.ts
@@ -19,7 +19,7 @@
 };
 
 /** Slots of an entry that knows one engine, whose agent answers as the test decides. */
-function createClaim(call: () => Promise<never>) {
+function createClaim(call: () => Promise<never>, untilAllowed = 0) {
   const known = { record, silent: false, heardAt: 0 };
   const context = {
     client: { connectionTo: () => ({ call, destroy: () => undefined }), notify: () => undefined },
@@ -27,6 +27,7 @@
     random: createSeededRandom(1),
     log: { write: () => undefined },
     settings: { dataCentre: 'north', bounds: { versionMilliseconds: 8_000 } },
+    limits: { take: () => untilAllowed },
     upstreams: { ownRequests: () => 0, isSuspended: () => false },
     clusterView: {
       table: null,
@@ -56,4 +57,10 @@
     assert.equal((await claim()).kind, 'granted');
     assert.equal((await claim()).kind, 'granted');
   });
+
+  it('is not taken beyond the entry’s share of the limit that the engine names', async () => {
+    const claim = createClaim(async () => Promise.reject(new Error('refused')), 1_000);
+    assert.equal((await claim()).kind, 'absent');
+    assert.equal((await claim()).kind, 'absent');
+  });
 });
--- a/packages/gateway/__tests__/slotClaimClient.spec.ts
+++ b/packages/gateway/__tests__/slotClaimClient.spec.ts
@@ -20,6 +20,7 @@
   places: 4,
   readingMilliseconds: 0,
   freeInMilliseconds: 0,
+  requestsPerSecond: null,
 };
 
 /** Creates a client whose connection answers as the test decides. */
--- a/packages/gateway/src/agentSlots.ts
+++ b/packages/gateway/src/agentSlots.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import { createNamedLimit } from '@burdockrail/limits/namedLimit.js';
 import { createSlotQueue, type WaitingClaimOutcome } from '@burdockrail/limits/slotQueue.js';
 import { toSlotRequest } from '@burdockrail/limits/slotRequest.js';
 import type { SlotClaim, SlotReply } from '@burdockrail/protocol/protocolDirectory.js';
@@ -40,6 +41,7 @@
 ): AgentSlots {
   const { time, log, metrics } = context;
   const queue = createSlotQueue(0);
+  const limit = createNamedLimit();
   const ticketResolvers = new Map<number, (outcome: WaitingClaimOutcome) => void>();
 
   const resolveTickets = (outcomes: readonly WaitingClaimOutcome[]): void => {
@@ -77,6 +79,7 @@
     places: queue.slots,
     readingMilliseconds: queue.prefillBacklogMilliseconds(time.now()),
     freeInMilliseconds,
+    requestsPerSecond: limit.requestsPerSecond,
   });
 
   const refuse = (claim: SlotClaim, answer: SlotReply): SlotReply => {
@@ -103,6 +106,12 @@
       return refuse(claim, buildReply('unloaded', engine, 0, 0, LOADING_RETRY_AFTER_MILLISECONDS));
     }
     if (queue.slots !== slots) resolveTickets(queue.resize(slots, now));
+    const untilAllowed = limit.take(now);
+    if (untilAllowed > 0) {
+      // Entries ask an engine with free slots first; this one has none to give.
+      const answer = buildReply('full', engine, version, 0, untilAllowed);
+      return refuse(claim, { ...answer, taken: queue.slots });
+    }
     const decision = queue.claim(toSlotRequest(claim, rules, now), now);
     scheduleExpiry();
     if (decision.kind === 'granted') {
@@ -110,6 +119,7 @@
       return buildReply('granted', engine, version, decision.slot, 0);
     }
     if (decision.kind === 'full') {
+      limit.giveBack();
       return refuse(claim, buildReply('full', engine, version, 0, decision.freeInMilliseconds));
     }
     const { ticket } = decision;
@@ -122,9 +132,11 @@
       });
     });
     if (outcome.kind === 'full') {
+      limit.giveBack();
       return refuse(claim, buildReply('full', engine, version, 0, outcome.freeInMilliseconds));
     }
     if (signal.aborted) {
+      limit.giveBack();
       resolveTickets(queue.release(outcome.slot, time.now()));
       return buildReply('full', engine, version, 0, 0);
     }
@@ -142,6 +154,7 @@
       return queue.waiting;
     },
     reset: () => {
+      limit.set(null, time.now());
       resolveTickets(queue.reset(time.now()));
     },
     admitOnlyUntil: (endsBy) => {
@@ -152,6 +165,15 @@
         'place.claim': async (claim, { signal }) => claimSlot(claim, signal),
       },
       notifications: {
+        'place.limit': ({ engine, requestsPerSecond }) => {
+          if (engine !== engineState().engine) return;
+          log.write('upstreamLimited', {
+            upstream: engine,
+            requestsPerSecond,
+            former: limit.requestsPerSecond,
+          });
+          limit.set(requestsPerSecond, time.now());
+        },
         'place.release': ({ place: slot }) => {
           resolveTickets(queue.release(slot, time.now()));
         },
--- a/packages/gateway/src/clusterView.ts
+++ b/packages/gateway/src/clusterView.ts
@@ -24,6 +24,8 @@
   readonly confirmedAt: Milliseconds;
   /** Number of entries in the deployment. */
   readonly entries: number;
+  /** Place of this entry among all, from 0. */
+  readonly index: number;
   /** Versions named for a model, in ascending order. */
   weightsOf(model: string): readonly NamedVersion[];
   /** Applies an answer to a watch; `askedAt` is the time of the call. */
@@ -53,6 +55,7 @@
   let table: RouteTable | null = null;
   let confirmedAt = Number.NEGATIVE_INFINITY;
   let entries = ASSUMED_ENTRIES;
+  let index = 0;
 
   const applyConfiguration = (packed: CompressedConfiguration): void => {
     const previous = table?.configuration.version ?? 0;
@@ -101,6 +104,9 @@
     get confirmedAt() {
       return confirmedAt;
     },
+    get index() {
+      return index;
+    },
     get entries() {
       return entries;
     },
@@ -110,6 +116,7 @@
       applyWeights(update, now);
       directory.apply(update, now);
       if (update.entries > 0) entries = update.entries;
+      index = update.entryIndex;
       if (update.confirmedAgeMilliseconds === null) return;
       confirmedAt = Math.max(confirmedAt, askedAt - update.confirmedAgeMilliseconds);
     },
--- a/packages/gateway/src/controlDirectory.ts
+++ b/packages/gateway/src/controlDirectory.ts
@@ -130,6 +130,18 @@
     return countOwnEntries(now) + peers.reduce((sum, { count }) => sum + count, 0);
   };
 
+  /** Place of an entry among all: control processes number their watchers one after the other. */
+  const entryIndex = (name: string, now: Milliseconds): number => {
+    const isActive = (at: Milliseconds): boolean => now - at < ENTRY_ACTIVE_MILLISECONDS;
+    const precedingPeers = [...peerEntryCounts]
+      .filter(([address, { at }]) => address < self && isActive(at))
+      .reduce((sum, [, { count }]) => sum + count, 0);
+    const precedingEntries = [...entriesSeenAt].filter(
+      ([other, at]) => other < name && isActive(at),
+    );
+    return precedingPeers + precedingEntries.length;
+  };
+
   const controlPeers = (): readonly ControlPeer[] => {
     const members = group.members.map((address) => ({
       address,
@@ -210,6 +222,7 @@
       confirmedAgeMilliseconds: confirmedAge(),
       controls: controlPeers(),
       entries: watch.relay ? countOwnEntries(now) : countAllEntries(now),
+      entryIndex: watch.role === 'entry' ? entryIndex(watcher.name, now) : 0,
       findingRevision: findings.revision,
       findings: findings.since(knownFindings),
     };
--- a/packages/gateway/src/entryBuffered.ts
+++ b/packages/gateway/src/entryBuffered.ts
@@ -18,6 +18,12 @@
 /** Retry delay when no upstream is ready, in milliseconds: a restart or partition takes longer. */
 const NO_UPSTREAM_RETRY_AFTER_MILLISECONDS = 500;
 
+/**
+ * Longest retry delay when all upstreams limit their requests, in milliseconds: another entry may
+ * have a turn long before this one.
+ */
+const LIMITED_RETRY_AFTER_MILLISECONDS = 500;
+
 const SERVER_ERROR_STATUS = 500;
 
 function recordVerdict(
@@ -45,12 +51,23 @@
 }
 
 /** Selects the refusal for a caller whose attempts all ended without an answer. */
-function refusalAfter(lastOutcome: BufferedAttemptOutcome | null, mayHaveRun: boolean): Refusal {
+function refusalAfter(
+  lastOutcome: BufferedAttemptOutcome | null,
+  mayHaveRun: boolean,
+  limitedMilliseconds: number | null,
+): Refusal {
   if (mayHaveRun) {
     const detail =
       lastOutcome === null || lastOutcome.kind === 'answered' ? '' : lastOutcome.reason;
     return { code: ResultCode.UpstreamFailed, detail, retryAfterMilliseconds: null };
   }
+  if (limitedMilliseconds !== null) {
+    return {
+      code: ResultCode.Overloaded,
+      detail: 'upstreams limit their requests',
+      retryAfterMilliseconds: Math.min(limitedMilliseconds, LIMITED_RETRY_AFTER_MILLISECONDS),
+    };
+  }
   if (lastOutcome === null || lastOutcome.kind === 'answered') {
     return {
       code: ResultCode.NoUpstream,
@@ -73,7 +90,7 @@
  * shows, that it was not executed.
  */
 export async function runBuffered(entry: EntryContext, request: EntryRequest): Promise<void> {
-  const { time, random, upstreams, clusterView, retryBudget, quarantine, log } = entry;
+  const { time, random, upstreams, clusterView, retryBudget, quarantine, limits, log } = entry;
   const { admitted, answer, signal, trace } = request;
   const { route, service } = admitted;
   const isRepeatable = route.kind === 'repeatable';
@@ -81,6 +98,7 @@
   let sentCount = 0;
   let mayHaveRun = false;
   let lastOutcome: BufferedAttemptOutcome | null = null;
+  let limitedMilliseconds: number | null = null;
   let failureAnswer: Extract<BufferedAttemptOutcome, { readonly kind: 'answered' }> | null = null;
 
   const canAttempt = (): boolean =>
@@ -97,9 +115,14 @@
     const chosen = chooseUpstream(candidates, criteria);
     const directoryEntry = chosen === undefined ? undefined : clusterView.directory.get(chosen.id);
     if (directoryEntry === undefined) break;
-    if (sentCount > 0 && !retryBudget.trySpend(service, clusterView.entries, now)) break;
     const { id, address } = directoryEntry.record;
     tried.add(id);
+    const untilAllowed = limits.take(id, clusterView, Date.now());
+    if (untilAllowed > 0) {
+      limitedMilliseconds = Math.min(limitedMilliseconds ?? untilAllowed, untilAllowed);
+      continue;
+    }
+    if (sentCount > 0 && !retryBudget.trySpend(service, clusterView.entries, now)) break;
     const remainingMilliseconds = admitted.deadline - now;
     const canFailOver = isRepeatable && sentCount + 1 < route.attempts && candidates.length > 1;
     const attemptTimeoutMilliseconds = route.objectiveMilliseconds * ATTEMPT_TIMEOUT_OBJECTIVES;
@@ -144,7 +167,7 @@
     answer.sendBuffered(failureAnswer.status, failureAnswer.rawHeaders, failureAnswer.body);
     return;
   }
-  const refusal = refusalAfter(lastOutcome, mayHaveRun);
+  const refusal = refusalAfter(lastOutcome, mayHaveRun, limitedMilliseconds);
   trace.cause = refusal.detail;
   answer.refuse(refusal);
 }
--- a/packages/gateway/src/entrySlots.ts
+++ b/packages/gateway/src/entrySlots.ts
@@ -14,6 +14,7 @@
 import { CLAIM_WAIT_MILLISECONDS, createSlotClaimClient } from './slotClaimClient.js';
 import type { EntryContext } from './entryContext.js';
 import type { EntryRequest } from './entryRequest.js';
+import type { NamedLimitAnswer } from './upstreamLimits.js';
 import { parseAddress } from './controlAddresses.js';
 import { mayServeVersion } from './versionRule.js';
 
@@ -26,6 +27,8 @@
   readonly address: string;
   /** Version of the weights that the engine has loaded. */
   readonly version: number;
+  /** Tells the engine's agent what an answer of the engine says about the engine's limit. */
+  reportLimit(answer: NamedLimitAnswer): void;
   release(): void;
 }
 
@@ -53,7 +56,7 @@
 
 /** Creates the slot claims of an entry. */
 export function createEntrySlots(entry: EntryContext, agentPort: number): EntrySlots {
-  const { client, time, clusterView, upstreams, random } = entry;
+  const { client, time, clusterView, upstreams, limits, random } = entry;
   const latestReplies = new Map<string, AgentReply>();
   const claimClient = createSlotClaimClient(entry);
 
@@ -97,6 +100,11 @@
       engine: record.id,
       address: record.address,
       version: reply.version,
+      reportLimit: ({ requestsPerSecond, signed }) => {
+        if (requestsPerSecond === reply.requestsPerSecond) return;
+        if (requestsPerSecond === null && !signed) return;
+        client.notify(agent, 'place.limit', { engine: record.id, requestsPerSecond });
+      },
       release: () => {
         if (released) return;
         released = true;
@@ -122,11 +130,12 @@
       ownRequests: upstreams.ownRequests(record.id),
       draw: random.next(),
     });
-    if (!mayTake) return null;
+    if (!mayTake || limits.take(record.id, clusterView, Date.now()) > 0) return null;
     return {
       engine: record.id,
       address: record.address,
       version: heldModel.version,
+      reportLimit: () => undefined,
       release: () => undefined,
     };
   };
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -153,6 +153,7 @@
           return;
         }
         limits.recordAnswer(slot.engine, answerHeaders);
+        slot.reportLimit(answerHeaders);
         head = { status, headers: answerHeaders, raw: rawHeaders };
         if (status !== SUCCESS_STATUS) bufferedParts = [];
         else if (!answerHeaders.signed || answerHeaders.requestId === null)
--- a/packages/protocol/src/protocolDirectory.ts
+++ b/packages/protocol/src/protocolDirectory.ts
@@ -111,6 +111,8 @@
   readonly controls: readonly ControlPeer[];
   /** Number of entries that watch any control process, as known to this one. */
   readonly entries: number;
+  /** Place of the caller among these entries, from 0; 0 for a caller that is no entry. */
+  readonly entryIndex: number;
   /** Revision of the newest finding of this process; it counts from the process's start. */
   readonly findingRevision: number;
   /** Findings that the caller has not yet received. */
@@ -168,6 +170,16 @@
   readonly readingMilliseconds: number;
   /** Predicted time until a slot is free, in milliseconds. */
   readonly freeInMilliseconds: number;
+  /** Limit that the agent keeps for the engine, in requests per second; `null` for none. */
+  readonly requestsPerSecond: number | null;
+}
+
+/** Tells an agent what the answer of its engine said about the engine's limit. */
+export interface EngineLimit {
+  /** Id of the engine that answered. */
+  readonly engine: string;
+  /** `null` if the answer named no limit. */
+  readonly requestsPerSecond: number | null;
 }
 
 /** Releases a slot. */
--- a/packages/protocol/src/protocolKinds.ts
+++ b/packages/protocol/src/protocolKinds.ts
@@ -29,6 +29,7 @@
   ChunkRead,
   DirectoryWatchReply,
   DirectoryWatch,
+  EngineLimit,
   SlotClaim,
   SlotRelease,
   SlotReply,
@@ -98,6 +99,7 @@
 export interface PeerNotifications {
   'agreement.message': AgreementMessage;
   'membership.beat': RegistrarHeartbeat;
+  'place.limit': EngineLimit;
   'place.release': SlotRelease;
   'place.withdraw': SlotWithdrawal;
   'quarantine.clear': QuarantineClear;
--- a/packages/standins/src/engineCompletions.ts
+++ b/packages/standins/src/engineCompletions.ts
@@ -6,6 +6,7 @@
 import { answerLength, answerToken, prefixDigests, promptText } from './enginePrompt.js';
 import type { CompletionBody } from './enginePrompt.js';
 import type { EngineState } from './engineState.js';
+import { limitHeaders } from './faultSet.js';
 import { createEngineStream, type EngineStream } from './engineStream.js';
 import { headerOf, readJson, sendJson, type StandinExchange } from './standinServer.js';
 
@@ -103,7 +104,8 @@
   const digest = state.weights.digest;
   const shownDigest = digest === completion.digestAtStart ? digest : 'mixed';
   const headers = { 'content-type': 'application/json', 'content-length': answer.length };
-  response.writeHead(200, { ...headers, ...answerHeaders(completion, shownDigest) });
+  const limit = limitHeaders(state.faults.consume('limit'));
+  response.writeHead(200, { ...headers, ...limit, ...answerHeaders(completion, shownDigest) });
   if (completion.cutAfterTokens < completion.length) {
     response.write(answer.slice(0, answer.length / 2), () => response.destroy());
     return;
@@ -148,11 +150,16 @@
   stream.push(tokenEvent(completion, index, state.weights.digest));
 }
 
-function sendStreamHead(response: ServerResponse, completion: Completion): void {
+function sendStreamHead(
+  state: EngineState,
+  response: ServerResponse,
+  completion: Completion,
+): void {
   if (response.destroyed) return;
   response.writeHead(200, {
     'content-type': 'text/event-stream',
     'cache-control': 'no-store',
+    ...limitHeaders(state.faults.consume('limit')),
     ...answerHeaders(completion, completion.digestAtStart),
   });
   response.flushHeaders();
@@ -224,7 +231,7 @@
       length: completion.length,
       prefill: () => {
         const milliseconds = startSequence(state, completion);
-        sendStreamHead(response, completion);
+        sendStreamHead(state, response, completion);
         return milliseconds;
       },
       onToken: (index) => {
@@ -275,7 +282,7 @@
         return;
       }
       state.counts.resumed += 1;
-      sendStreamHead(response, completion);
+      sendStreamHead(state, response, completion);
       stream.addReader(response, Number(headerOf(request, 'last-event-id') ?? -1));
     },
     cancel: ({ response, parameters: [id = ''] }) => {
--- a/packages/standins/src/engineFaults.ts
+++ b/packages/standins/src/engineFaults.ts
@@ -1,4 +1,4 @@
-import type { FaultBase } from './faultSet.js';
+import type { FaultBase, LimitFault } from './faultSet.js';
 
 /** Faults of an engine; `crossed` answers with the identity of the previous request. */
 export type EngineFault = FaultBase &
@@ -10,6 +10,7 @@
     | { readonly kind: 'late'; readonly milliseconds: number }
     | { readonly kind: 'crash'; readonly marker: string }
     | { readonly kind: 'error' }
+    | LimitFault
     | { readonly kind: 'corrupt-chunk' }
     | { readonly kind: 'order-late'; readonly milliseconds: number }
     | { readonly kind: 'order-refused' }
--- a/packages/standins/src/faultSet.ts
+++ b/packages/standins/src/faultSet.ts
@@ -9,6 +9,17 @@
   readonly share?: number;
 }
 
+/** The server names a limit in its answers, in requests per second; it keeps none itself. */
+export interface LimitFault {
+  readonly kind: 'limit';
+  readonly requestsPerSecond: number;
+}
+
+/** Headers of an answer under a `limit` fault; none without one. */
+export function limitHeaders(fault: LimitFault | undefined): Readonly<Record<string, string>> {
+  return fault === undefined ? {} : { 'x-requests-per-second': String(fault.requestsPerSecond) };
+}
+
 /** Faults that a test has set for a stand-in. */
 export interface FaultSet<Fault extends FaultBase> {
   /** Replaces all faults. */
--- a/packages/standins/src/plainServer.ts
+++ b/packages/standins/src/plainServer.ts
@@ -1,6 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { digestOf } from '@burdockrail/common/digest.js';
-import { createFaultSet, type FaultBase } from './faultSet.js';
+import { createFaultSet, limitHeaders, type FaultBase, type LimitFault } from './faultSet.js';
 import { controlRoutes } from './standinControl.js';
 import {
   createStandinServer,
@@ -28,6 +28,7 @@
     | { readonly kind: 'cut' }
     | { readonly kind: 'stall' }
     | { readonly kind: 'error' }
+    | LimitFault
   );
 
 /** Counts of a plain service; a crash does not reset them. */
@@ -98,7 +99,11 @@
   const send = (exchange: StandinExchange, answer: PlainAnswer): void => {
     const { response } = exchange;
     const text = JSON.stringify(answer);
-    const headers = { 'content-type': 'application/json', 'content-length': text.length };
+    const headers = {
+      'content-type': 'application/json',
+      'content-length': text.length,
+      ...limitHeaders(faults.consume('limit')),
+    };
     response.writeHead(200, { ...headers, 'x-request-id': answer.requestId ?? '' });
     if (faults.consume('cut') !== undefined) {
       response.write(text.slice(0, text.length / 2), () => response.destroy());
