--- a/packages/bench/__tests__/replay.spec.ts
+++ b/packages/bench/__tests__/replay.spec.ts
@@ -1,11 +1,17 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
+import { replayArrivals } from '../src/replayFleet.js';
+import { drawArrivals } from '../src/replayTraffic.js';
 import { replayScenario } from '../src/replayMain.js';
 import { replayScenarios } from '../src/replayScenarios.js';
 import { createVirtualClock } from '../src/virtualClock.js';
 
 const SEEDS = 2;
 
+/** Time in which all entries learn what one of them knows, in milliseconds. */
+const CONTACT_MILLISECONDS = 3_000;
+
 function scenarioNamed(name: string) {
   const scenario = replayScenarios.find((candidate) => candidate.name === name);
   assert.ok(scenario !== undefined);
@@ -50,6 +56,28 @@
     assert.ok(agents.net > alone.net + 0.2, `${agents.net} and ${alone.net}`);
   });
 
+  it('keeps requests that crash engines away from them, and serves the others', () => {
+    const scenario = scenarioNamed('crashes');
+    for (const seed of [1, 2, 3]) {
+      const arrivals = drawArrivals(scenario.traffic, createSeededRandom(seed));
+      const results = replayArrivals({ ...scenario.fleet, seed }, arrivals);
+      const crashingSent = results
+        .filter(({ arrival }) => arrival.isCrashing)
+        .flatMap(({ sent }) => sent.map(({ at }) => at))
+        .sort((left, right) => left - right);
+      const fifth = crashingSent[4] ?? Number.POSITIVE_INFINITY;
+      const late = crashingSent.filter((at) => at > fifth + CONTACT_MILLISECONDS);
+      assert.ok(late.length <= 3, `${late.length} sent late with seed ${seed}`);
+      const sound = results.filter(({ arrival }) => !arrival.isCrashing);
+      const after = sound.filter(({ arrival }) => arrival.at > fifth + 2 * CONTACT_MILLISECONDS);
+      const served = after.filter(({ outcome }) => outcome !== 'refused').length;
+      assert.ok(served > after.length / 2, `${served} of ${after.length} with seed ${seed}`);
+    }
+    const withQuarantine = replayScenario(scenario, 'agents', SEEDS);
+    const without = { ...scenario, fleet: { ...scenario.fleet, quarantines: false } };
+    assert.ok(withQuarantine.net > replayScenario(without, 'agents', SEEDS).net + 0.2);
+  });
+
   it('gives the same results for the same seed', () => {
     const scenario = scenarioNamed('brim');
     assert.deepEqual(replayScenario(scenario, 'agents', 1), replayScenario(scenario, 'agents', 1));
--- a/packages/bench/src/replayFleet.ts
+++ b/packages/bench/src/replayFleet.ts
@@ -1,4 +1,9 @@
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
+import {
+  createQuarantineState,
+  type QuarantineState,
+  type RequestTraits,
+} from '@burdockrail/limits/quarantineState.js';
 import type { EnginePerformance } from '@burdockrail/limits/slotRequest.js';
 import { refusalRetryAfterMilliseconds } from '@burdockrail/limits/refusalRetryAfter.js';
 import { streamSlackMilliseconds } from '@burdockrail/limits/streamSlack.js';
@@ -45,6 +50,8 @@
   readonly longestWaitMilliseconds: number;
   /** Deadline of callers' requests, in milliseconds. */
   readonly deadlineMilliseconds: number;
+  /** Whether entries keep requests that crash engines away from them; true by default. */
+  readonly quarantines?: boolean;
   /** Retries of a caller after refusals. */
   readonly maximumRetries: number;
   readonly seed: number;
@@ -65,6 +72,8 @@
   /** Longest time until an attempt was refused, in milliseconds. */
   readonly refusalMilliseconds: number;
   readonly refusals: number;
+  /** Times at which the request was sent to engines, with the position of each. */
+  readonly sent: readonly { readonly engine: string; readonly at: number }[];
 }
 
 interface EngineObservation {
@@ -79,6 +88,7 @@
   readonly dataCentre: string;
   readonly observations: Map<string, EngineObservation>;
   readonly ownRequests: Map<string, number>;
+  readonly quarantine: QuarantineState;
 }
 
 /** One attempt of a caller. */
@@ -87,6 +97,9 @@
   readonly entry: Entry;
   readonly refuse: (freeInMilliseconds: number | null) => void;
   readonly finish: (outcome: 'onTime' | 'late', firstMilliseconds: number) => void;
+  /** The engine has crashed; the request is sent again if another attempt is left. */
+  readonly interrupted: () => void;
+  readonly onSent: (engine: string) => void;
 }
 
 /** Time for which an entry skips an engine that reported no weights, in milliseconds. */
@@ -98,6 +111,25 @@
 /** Upper limit on the advised wait before a retry, as a share of the time until the deadline. */
 const RETRY_WAIT_SHARE = 1 / 3;
 
+/** Time for which an engine is down after a crash, until it has loaded its weights again. */
+const CRASH_MILLISECONDS = 2_500;
+
+/** Time until all entries have learnt of a crash, in milliseconds. */
+const FINDING_MILLISECONDS = 700;
+
+/** Upstreams that must crash under one request to be quarantined; the same as the entry's. */
+const CRASHES_TO_QUARANTINE = 3;
+
+/** Attempts of an entry at engines that crash. */
+const CRASH_ATTEMPTS = 2;
+
+/** Prompt part of all requests that crash engines. */
+const CRASHING_PART = 'crashing';
+
+function traitsOf({ at, isCrashing }: StreamArrival): RequestTraits {
+  return { content: String(at), parts: isCrashing ? ['common', CRASHING_PART] : ['common'] };
+}
+
 /** Replays arrivals in virtual time with the routing and admission code of entries and agents. */
 export function replayArrivals(
   fleet: ReplayFleet,
@@ -119,7 +151,12 @@
   );
   const routerCount = fleet.routingMode === 'dispatchers' ? fleet.dataCentres : fleet.entries;
   const entries = Array.from({ length: routerCount }, (_value, index): Entry => {
-    return { dataCentre: dataCentreOf(index), observations: new Map(), ownRequests: new Map() };
+    return {
+      dataCentre: dataCentreOf(index),
+      observations: new Map(),
+      ownRequests: new Map(),
+      quarantine: createQuarantineState(CRASHES_TO_QUARANTINE),
+    };
   });
   let lastId = 0;
 
@@ -175,6 +212,10 @@
     const request = { id: lastId, promptTokens, answerTokens };
     entry.ownRequests.set(engine.id, (entry.ownRequests.get(engine.id) ?? 0) + 1);
     const onTokens = (isLast: boolean): void => {
+      if (arrival.isCrashing) {
+        engine.crash(CRASH_MILLISECONDS);
+        return;
+      }
       const at = clock.now() + delay - arrival.at;
       if (firstAt !== null) longestPause = Math.max(longestPause, at - lastAt);
       firstAt ??= at;
@@ -182,14 +223,28 @@
       if (!isLast) return;
       const isOnTime =
         firstAt <= kind.objectiveMilliseconds && longestPause <= kind.maximumPauseMilliseconds;
+      entry.quarantine.recordCompletion(traitsOf(arrival), clock.now());
       attempt.finish(isOnTime ? 'onTime' : 'late', firstAt);
       clock.schedule(delay, () => {
         entry.ownRequests.set(engine.id, (entry.ownRequests.get(engine.id) ?? 1) - 1);
         clock.schedule(delay, onReleased);
       });
     };
+    const onCrash = (): void => {
+      entry.ownRequests.set(engine.id, (entry.ownRequests.get(engine.id) ?? 1) - 1);
+      const { content, parts } = traitsOf(arrival);
+      // A request that had begun to be answered is not what its engine crashed of.
+      const suspects = firstAt === null ? parts : [];
+      const report = { content, parts: suspects, agent: `${engine.id} ${clock.now()}` };
+      clock.schedule(FINDING_MILLISECONDS, () => {
+        for (const { quarantine } of entries)
+          quarantine.recordCrash({ ...report, granted: false }, clock.now());
+      });
+      clock.schedule(delay, attempt.interrupted);
+    };
     clock.schedule(delay, () => {
-      engine.run(request, onTokens);
+      attempt.onSent(engine.id);
+      engine.run(request, { onTokens, onCrash });
     });
   };
 
@@ -287,24 +342,48 @@
   const sendArrival = (arrival: StreamArrival): void => {
     let refusals = 0;
     let refusalMilliseconds = 0;
+    let crashes = 0;
+    const sent: { readonly engine: string; readonly at: number }[] = [];
+    const endUnserved = (): void => {
+      const ended = { firstMilliseconds: null, refusalMilliseconds, refusals, sent };
+      results.push({ arrival, outcome: 'refused', ...ended });
+    };
     const attempt = (): void => {
       const entry = entries[random.nextInteger(entries.length)];
       if (entry === undefined) return;
       const arrivedAt = clock.now();
+      const status = entry.quarantine.statusOf(traitsOf(arrival), arrivedAt);
+      if (fleet.quarantines !== false && status.kind === 'quarantined') {
+        endUnserved();
+        return;
+      }
       route({
         arrival,
         entry,
         finish: (outcome, firstMilliseconds) => {
-          results.push({ arrival, outcome, firstMilliseconds, refusalMilliseconds, refusals });
+          results.push({
+            arrival,
+            outcome,
+            firstMilliseconds,
+            refusalMilliseconds,
+            refusals,
+            sent,
+          });
+        },
+        interrupted: () => {
+          crashes += 1;
+          if (crashes < CRASH_ATTEMPTS) attempt();
+          else endUnserved();
+        },
+        onSent: (engine) => {
+          sent.push({ engine, at: clock.now() });
         },
         refuse: (freeInMilliseconds) => {
           refusals += 1;
           refusalMilliseconds = Math.max(refusalMilliseconds, clock.now() - arrivedAt);
           const remaining = fleet.deadlineMilliseconds - (clock.now() - arrival.at);
           if (refusals > fleet.maximumRetries || remaining <= 0) {
-            const firstMilliseconds = null;
-            const outcome = 'refused';
-            results.push({ arrival, outcome, firstMilliseconds, refusalMilliseconds, refusals });
+            endUnserved();
             return;
           }
           const slackMilliseconds = slackOf(arrival);
--- a/packages/bench/src/replayMain.ts
+++ b/packages/bench/src/replayMain.ts
@@ -18,7 +18,9 @@
     const arrivals = drawArrivals(scenario.traffic, createSeededRandom(seed));
     return replayArrivals({ ...scenario.fleet, routingMode, seed }, arrivals);
   });
-  return summarizeReplay(`${scenario.name} ${routingMode}`, runs.flat());
+  // Requests that crash engines are owed no answer.
+  const sound = runs.flat().filter(({ arrival }) => !arrival.isCrashing);
+  return summarizeReplay(`${scenario.name} ${routingMode}`, sound);
 }
 
 const percent = (share: number): string => (share * 100).toFixed(1);
--- a/packages/bench/src/replayScenarios.ts
+++ b/packages/bench/src/replayScenarios.ts
@@ -226,4 +226,10 @@
     fleet: { ...deskFleet, loadsAtSeconds: spreadLoads(19, 4, 2.8) },
     traffic: { ...steadyTraffic(160), seconds: 10, kinds: deskKinds },
   },
+  {
+    name: 'crashes',
+    pattern: 'one request in twelve crashes the engine that begins to answer it',
+    fleet: { ...fleet, engines: alwaysServing(10) },
+    traffic: { ...steadyTraffic(40), crashing: { share: 1 / 12, fromSecond: 3 } },
+  },
 ];
--- a/packages/bench/src/replayTraffic.ts
+++ b/packages/bench/src/replayTraffic.ts
@@ -28,6 +28,15 @@
   readonly estimatedAnswerTokens: number;
   /** Worth of the answer on time; larger requests are worth more. */
   readonly worth: number;
+  /** True if the request crashes each engine that begins to answer it. */
+  readonly isCrashing: boolean;
+}
+
+/** Requests of a pattern that crash engines. */
+export interface CrashingTraffic {
+  /** Share of the arrivals. */
+  readonly share: number;
+  readonly fromSecond: number;
 }
 
 /** Arrival rate over time; each step sets the share of the full rate from a second on. */
@@ -36,6 +45,7 @@
   readonly steps: readonly { readonly from: number; readonly share: number }[];
   readonly seconds: number;
   readonly kinds: readonly StreamKind[];
+  readonly crashing?: CrashingTraffic;
 }
 
 /** Share of the worth that does not depend on the request's size. */
@@ -82,6 +92,12 @@
   const arrivals: StreamArrival[] = [];
   const rateAt = (second: number): number =>
     pattern.perSecond * (pattern.steps.findLast(({ from }) => from <= second)?.share ?? 1);
+  const drawIsCrashing = (second: number): boolean => {
+    const { crashing } = pattern;
+    return (
+      crashing !== undefined && second >= crashing.fromSecond && random.next() < crashing.share
+    );
+  };
   for (let second = 0; ;) {
     second += -Math.log(1 - random.next()) / rateAt(second);
     const kind = drawKind(random, pattern.kinds);
@@ -97,6 +113,7 @@
         answerTokens * Math.exp(drawNormal(random) * ESTIMATE_DEVIATION),
       ),
       worth: worthOf(kind, promptTokens, answerTokens),
+      isCrashing: drawIsCrashing(second),
     });
   }
 }
--- a/packages/bench/src/simulatedEngine.ts
+++ b/packages/bench/src/simulatedEngine.ts
@@ -19,6 +19,14 @@
   /** The engine loads weights. */
   | { readonly kind: 'unloaded' };
 
+/** Receives what happens to a request at an engine. */
+export interface RunListener {
+  /** Called after each pass that generated tokens for the request. */
+  onTokens(isLast: boolean): void;
+  /** The engine crashed before the last token. */
+  onCrash(): void;
+}
+
 /** An engine with the agent that grants its slots, simulated in virtual time. */
 export interface SimulatedEngine {
   readonly id: string;
@@ -31,8 +39,9 @@
   readonly taken: number;
   claim(work: ClaimWork, onResult: (result: ClaimResult) => void): void;
   release(slot: number): void;
-  /** Runs a request; `onTokens` is called after each pass that generated tokens for it. */
-  run(request: PassRequest, onTokens: (isLast: boolean) => void): void;
+  run(request: PassRequest, listener: RunListener): void;
+  /** Ends all its requests; the engine serves again after a time, in milliseconds. */
+  crash(downMilliseconds: number): void;
   /** Loads other weights at a time: drains before it, and serves nothing until they are loaded. */
   loadWeightsAt(time: number): void;
 }
@@ -58,12 +67,13 @@
 /** Creates an idle engine. */
 export function createSimulatedEngine(options: SimulatedEngineOptions): SimulatedEngine {
   const { clock, performance } = options;
-  const passes = createEnginePasses(options.passes);
+  let passes = createEnginePasses(options.passes);
   const queue = createSlotQueue(performance.slots);
   const waitingClaims = new Map<number, (outcome: WaitingClaimOutcome) => void>();
-  const tokenListeners = new Map<number, (isLast: boolean) => void>();
+  const listeners = new Map<number, RunListener>();
   let isBusy = false;
   let isLoading = false;
+  let isDown = false;
 
   const finishLoadWhenIdle = (): void => {
     if (!isLoading || passes.running + passes.waiting > 0) return;
@@ -78,11 +88,13 @@
     const end = passes.begin(clock.now());
     if (end === null) return;
     isBusy = true;
+    const startedPasses = passes;
     clock.schedule(end - clock.now(), () => {
+      if (passes !== startedPasses) return;
       isBusy = false;
       for (const { id, isLast } of passes.end()) {
-        tokenListeners.get(id)?.(isLast);
-        if (isLast) tokenListeners.delete(id);
+        listeners.get(id)?.onTokens(isLast);
+        if (isLast) listeners.delete(id);
       }
       runPass();
       finishLoadWhenIdle();
@@ -125,7 +137,7 @@
     },
     claim: (work, onResult) => {
       const now = clock.now();
-      if (isLoading) {
+      if (isLoading || isDown) {
         onResult({ kind: 'unloaded' });
         return;
       }
@@ -137,11 +149,27 @@
     release: (slot) => {
       deliverOutcomes(queue.release(slot, clock.now()));
     },
-    run: (request, onTokens) => {
-      tokenListeners.set(request.id, onTokens);
+    run: (request, listener) => {
+      if (isDown) {
+        listener.onCrash();
+        return;
+      }
+      listeners.set(request.id, listener);
       passes.add(request);
       runPass();
     },
+    crash: (downMilliseconds) => {
+      const interrupted = [...listeners.values()];
+      listeners.clear();
+      passes = createEnginePasses(options.passes);
+      isBusy = false;
+      isDown = true;
+      deliverOutcomes(queue.reset(clock.now()));
+      for (const listener of interrupted) listener.onCrash();
+      clock.schedule(downMilliseconds, () => {
+        isDown = false;
+      });
+    },
     loadWeightsAt: (time) => {
       clock.schedule(time - DRAIN_MILLISECONDS - clock.now(), () => {
         queue.drainBy(time);
