--- a/packages/bench/__tests__/replay.spec.ts
+++ b/packages/bench/__tests__/replay.spec.ts
@@ -78,6 +78,26 @@
     assert.ok(withQuarantine.net > replayScenario(without, 'agents', SEEDS).net + 0.2);
   });
 
+  it('sends engines no more than the limits that they name, and serves all requests', () => {
+    const scenario = scenarioNamed('limits');
+    const arrivals = drawArrivals(scenario.traffic, createSeededRandom(1));
+    const results = replayArrivals({ ...scenario.fleet, seed: 1 }, arrivals);
+    for (const { engine, requestsPerSecond, fromSecond } of scenario.fleet.limits ?? []) {
+      const times = results
+        .flatMap(({ sent }) => sent)
+        .filter((sending) => sending.engine === String(engine))
+        .map(({ at }) => at)
+        .filter((at) => at > fromSecond * 1_000 + CONTACT_MILLISECONDS);
+      const most = Math.max(
+        ...times.map((start) => times.filter((at) => at >= start && at < start + 4_000).length),
+      );
+      assert.ok(most <= 1.5 * 4 * requestsPerSecond + 5, `${most} in 4 s`);
+    }
+    const { onTime, refused } = replayScenario(scenario, 'agents', SEEDS);
+    assert.ok(onTime > 0.95, `${onTime}`);
+    assert.ok(refused < 0.05, `${refused}`);
+  });
+
   it('gives the same results for the same seed', () => {
     const scenario = scenarioNamed('brim');
     assert.deepEqual(replayScenario(scenario, 'agents', 1), replayScenario(scenario, 'agents', 1));
--- a/packages/bench/src/replayFleet.ts
+++ b/packages/bench/src/replayFleet.ts
@@ -50,6 +50,8 @@
   readonly longestWaitMilliseconds: number;
   /** Deadline of callers' requests, in milliseconds. */
   readonly deadlineMilliseconds: number;
+  /** Limits that engines name, and since when; none by default. */
+  readonly limits?: readonly ReplayLimit[];
   /** Whether entries keep requests that crash engines away from them; true by default. */
   readonly quarantines?: boolean;
   /** Retries of a caller after refusals. */
@@ -63,6 +65,14 @@
   readonly untilSecond: number;
 }
 
+/** Limit that an engine names. */
+export interface ReplayLimit {
+  /** Position of the engine in the fleet. */
+  readonly engine: number;
+  readonly requestsPerSecond: number;
+  readonly fromSecond: number;
+}
+
 /** Outcome of one caller's request. */
 export interface ReplayResult {
   readonly arrival: StreamArrival;
@@ -407,6 +417,11 @@
   fleet.loadsAtSeconds.forEach((second, index) => {
     engines[index]?.loadWeightsAt(second * 1_000);
   });
+  for (const { engine, requestsPerSecond, fromSecond } of fleet.limits ?? []) {
+    clock.schedule(fromSecond * 1_000, () => {
+      engines[engine]?.setLimit(requestsPerSecond);
+    });
+  }
   if (fleet.routingMode === 'alone') reportLoads();
   clock.runUntil((arrivals.at(-1)?.at ?? 0) + 4 * fleet.deadlineMilliseconds);
   return results;
--- a/packages/bench/src/replayScenarios.ts
+++ b/packages/bench/src/replayScenarios.ts
@@ -232,4 +232,17 @@
     fleet: { ...fleet, engines: alwaysServing(10) },
     traffic: { ...steadyTraffic(40), crashing: { share: 1 / 12, fromSecond: 3 } },
   },
+  {
+    name: 'limits',
+    pattern: 'two of ten engines name a limit far below their share of the arrivals',
+    fleet: {
+      ...fleet,
+      engines: alwaysServing(10),
+      limits: [
+        { engine: 0, requestsPerSecond: 1, fromSecond: 3 },
+        { engine: 1, requestsPerSecond: 1.4, fromSecond: 3 },
+      ],
+    },
+    traffic: steadyTraffic(40),
+  },
 ];
--- a/packages/bench/src/simulatedEngine.ts
+++ b/packages/bench/src/simulatedEngine.ts
@@ -1,4 +1,5 @@
 import { createSlotQueue, type WaitingClaimOutcome } from '@burdockrail/limits/slotQueue.js';
+import { createNamedLimit } from '@burdockrail/limits/namedLimit.js';
 import {
   toSlotRequest,
   type ClaimWork,
@@ -42,6 +43,8 @@
   run(request: PassRequest, listener: RunListener): void;
   /** Ends all its requests; the engine serves again after a time, in milliseconds. */
   crash(downMilliseconds: number): void;
+  /** Limit that the engine names, kept by its agent, in requests per second; `null` for none. */
+  setLimit(requestsPerSecond: number | null): void;
   /** Loads other weights at a time: drains before it, and serves nothing until they are loaded. */
   loadWeightsAt(time: number): void;
 }
@@ -68,6 +71,7 @@
 export function createSimulatedEngine(options: SimulatedEngineOptions): SimulatedEngine {
   const { clock, performance } = options;
   let passes = createEnginePasses(options.passes);
+  const limit = createNamedLimit();
   const queue = createSlotQueue(performance.slots);
   const waitingClaims = new Map<number, (outcome: WaitingClaimOutcome) => void>();
   const listeners = new Map<number, RunListener>();
@@ -141,8 +145,14 @@
         onResult({ kind: 'unloaded' });
         return;
       }
+      const untilAllowed = limit.take(now);
+      if (untilAllowed > 0) {
+        onResult({ kind: 'full', freeInMilliseconds: untilAllowed });
+        return;
+      }
       const decision = queue.claim(toSlotRequest(work, performance, now), now);
       scheduleExpiry();
+      if (decision.kind === 'full') limit.giveBack();
       if (decision.kind === 'waiting') waitingClaims.set(decision.ticket, onResult);
       else onResult(decision);
     },
@@ -164,12 +174,16 @@
       passes = createEnginePasses(options.passes);
       isBusy = false;
       isDown = true;
+      limit.set(null, clock.now());
       deliverOutcomes(queue.reset(clock.now()));
       for (const listener of interrupted) listener.onCrash();
       clock.schedule(downMilliseconds, () => {
         isDown = false;
       });
     },
+    setLimit: (requestsPerSecond) => {
+      limit.set(requestsPerSecond, clock.now());
+    },
     loadWeightsAt: (time) => {
       clock.schedule(time - DRAIN_MILLISECONDS - clock.now(), () => {
         queue.drainBy(time);
