--- a/packages/gateway/src/agentSlots.ts
+++ b/packages/gateway/src/agentSlots.ts
@@ -167,6 +167,8 @@
       notifications: {
         'place.limit': ({ engine, requestsPerSecond }) => {
           if (engine !== engineState().engine) return;
+          // Entries whose grants are older report the same limit again.
+          if (requestsPerSecond === limit.requestsPerSecond) return;
           log.write('upstreamLimited', {
             upstream: engine,
             requestsPerSecond,
