fix(limits): crashes that are long apart don't add up, and one after a quarantine is enough

A part kept its crashes for ever, so three over months could have quarantined it; and an entry that learnt of a quarantine from another kept no crashes, so after its end three more engines would have crashed. Both are in quarantineParts.spec.ts.

--- a/packages/limits/__tests__/quarantineParts.spec.ts
+++ b/packages/limits/__tests__/quarantineParts.spec.ts
@@ -90,18 +90,29 @@
     assert.equal(isRefused(state, request('new', 'part')), true);
   });
 
-  it('is refused again after one crash that follows its quarantine, for twice as long', () => {
+  it('is not blamed for crashes that are long apart', () => {
     const state = createQuarantineState(THRESHOLD);
-    for (const index of [1, 2, 3]) crash(state, request(`r${index}`, 'part'), `u${index}`);
-    const first = state.statusOf(request('new', 'part'), 1);
-    assert.ok(first.kind === 'quarantined');
-    const later = first.until + 1;
-    assert.equal(isRefused(state, request('new', 'part'), later), false);
-    crash(state, request('r4', 'part'), 'u4', later);
-    const second = state.statusOf(request('new', 'part'), later);
-    assert.ok(second.kind === 'quarantined');
-    assert.equal(second.until - later, 2 * first.until);
+    const hour = 3_600_000;
+    for (const index of [1, 2, 3, 4])
+      crash(state, request(`r${index}`, 'part'), `u${index}`, index * hour);
+    assert.equal(isRefused(state, request('new', 'part'), 4 * hour + 1), false);
   });
+
+  for (const learntFrom of ['crashes', 'another entry'] as const)
+    it(`is refused again after one crash that follows its quarantine, for twice as long (${learntFrom})`, () => {
+      const state = createQuarantineState(THRESHOLD);
+      if (learntFrom === 'crashes')
+        for (const index of [1, 2, 3]) crash(state, request(`r${index}`, 'part'), `u${index}`);
+      else state.recordQuarantine('part', 0);
+      const first = state.statusOf(request('new', 'part'), 1);
+      assert.ok(first.kind === 'quarantined');
+      const later = first.until + 1;
+      assert.equal(isRefused(state, request('new', 'part'), later), false);
+      crash(state, request('r4', 'part'), 'u4', later);
+      const second = state.statusOf(request('new', 'part'), later);
+      assert.ok(second.kind === 'quarantined');
+      assert.equal(second.until - later, 2 * first.until);
+    });
 });
 
 describe('parts that sound requests share with crashing ones', () => {
--- a/packages/limits/src/quarantineState.ts
+++ b/packages/limits/src/quarantineState.ts
@@ -106,7 +106,7 @@
  * when several upstreams crashed under it, and then explains these crashes: they no longer count
  * against the other requests that they interrupted. Equal requests are blamed as a whole; a part is
  * blamed when requests crash that have nothing else in common. Each further quarantine of a trait
- * lasts twice as long.
+ * lasts twice as long, and one crash after the last is enough for it.
  *
  * @param contentThreshold - upstreams whose crashes quarantine equal requests; higher where a crash
  * may have other causes.
@@ -135,19 +135,26 @@
 
   const addCrash = (trait: string, { agent, content }: CrashReport, now: Milliseconds): void => {
     const record = records.get(trait) ?? newRecord;
-    const crashes = new Map([...record.crashes, [agent, content]]);
+    const isRecent = now <= record.crashedAt + SUSPICION_MILLISECONDS;
+    const crashes = new Map([...(isRecent ? record.crashes : []), [agent, content] as const]);
     records.set(trait, { ...record, crashes, crashedAt: now });
   };
 
   /** True if the crashes show that the part crashes upstreams, whatever else a request holds. */
   const isPartToBlame = (part: string): boolean => {
-    const { crashes } = records.get(part) ?? newRecord;
+    const { crashes, quarantineCount } = records.get(part) ?? newRecord;
+    if (quarantineCount > 0) return true;
     const threshold = soundTraits.has(part) ? PART_THRESHOLD * SOUND_PART_FACTOR : PART_THRESHOLD;
     return crashes.size >= threshold && new Set(crashes.values()).size >= PART_CONTENTS;
   };
 
+  const isContentToBlame = (content: string): boolean => {
+    const { crashes, quarantineCount } = records.get(content) ?? newRecord;
+    return quarantineCount > 0 || crashes.size >= contentThreshold;
+  };
+
   const findCulprit = ({ content, parts, granted }: CrashReport): string | null => {
-    if (granted || (records.get(content)?.crashes.size ?? 0) >= contentThreshold) return content;
+    if (granted || isContentToBlame(content)) return content;
     const crashCount = (part: string): number => records.get(part)?.crashes.size ?? 0;
     // Of parts with equally many crashes the least shared one is blamed.
     return parts.filter(isPartToBlame).reduce<string | null>((worst, part) => {
