fix(faultproxy): a link keeps its rate for slices that are overdue when submitted

Cause: a slice whose end lies in the past is transmitted within submit, which leaves the link idle; the next one began from the same old time again, so two used the link at once. The link now remembers when it is free. A new case with a clock that is late failed with the second slice at the end of the first.

--- a/packages/faultproxy/__tests__/sharedLink.spec.ts
+++ b/packages/faultproxy/__tests__/sharedLink.spec.ts
@@ -47,4 +47,26 @@
       'the total rate equals the link rate',
     );
   });
+
+  it('keeps its rate for slices that are already overdue when they are submitted', async () => {
+    const lateMilliseconds = 10_000;
+    const link = createSharedLink(
+      BYTES_PER_SECOND,
+      createEventQueue({ now: () => lateMilliseconds }),
+    );
+    const flow = {};
+    const times = await Promise.all(
+      Array.from(
+        { length: 20 },
+        async () =>
+          new Promise<number>((resolve) => {
+            link.submit(flow, SLICE_BYTES, 0, resolve);
+          }),
+      ),
+    );
+    const sliceMilliseconds = (SLICE_BYTES / BYTES_PER_SECOND) * 1_000;
+    times.forEach((at, index) => {
+      assert.ok(at >= (index + 1) * sliceMilliseconds - 1e-6, `slice ${index} at ${at} ms`);
+    });
+  });
 });
--- a/packages/faultproxy/src/sharedLink.ts
+++ b/packages/faultproxy/src/sharedLink.ts
@@ -40,6 +40,7 @@
   const slicesByFlow = new Map<object, QueuedSlice[]>();
   const quantum = quantumBytes(bytesPerSecond);
   let isBusy = false;
+  let freeAt = Number.NEGATIVE_INFINITY;
 
   const takeQuantum = (slices: QueuedSlice[]): readonly QueuedSlice[] => {
     let bytes = 0;
@@ -69,6 +70,7 @@
     let at = now;
     for (const [index, slice] of slices.entries()) {
       at += (slice.bytes / bytesPerSecond) * MILLISECONDS_PER_SECOND;
+      freeAt = at;
       const isLast = index === slices.length - 1;
       events.schedule(at, (transmittedAt) => {
         if (isLast) transmitNextFlow(transmittedAt);
@@ -82,7 +84,8 @@
     submit: (flow, bytes, now, onTransmitted) => {
       const slice = { bytes, onTransmitted };
       if (!isBusy) {
-        transmit([slice], now);
+        // A slice that is overdue when it is submitted leaves the link idle at once.
+        transmit([slice], Math.max(now, freeAt));
         return;
       }
       const slices = slicesByFlow.get(flow);
