--- a/packages/proofs/__tests__/quarantine.spec.ts
+++ b/packages/proofs/__tests__/quarantine.spec.ts
@@ -6,11 +6,15 @@
 import type { SystemLayout } from '@burdockrail/harness/systemLayout.js';
 import { waitUntil } from '@burdockrail/harness/waitUntil.js';
 import { startServingSystem } from '@burdockrail/harness/systemOperation.js';
+import { MODEL, modelLayout, sendModelRequest, waitUntilEnginesLoaded } from './modelSystem.js';
 
 const SERVICE = 'rejestr';
 const CRASH_MARKER = 'crashes-each-upstream';
 const PREFIX = 'the same first words of many requests, ';
 
+/** Crashes after which the cause must be known. */
+const CRASHES_UNTIL_KNOWN = 5;
+
 /** Time limit for a refusal that needs no upstream. */
 const IMMEDIATE_ANSWER_MILLISECONDS = 500;
 
@@ -86,3 +90,52 @@
     );
   });
 });
+
+describe('prompts that share a prefix which crashes every engine', () => {
+  const commonText = 'what all prompts begin with, '.repeat(20);
+  const crashingText = `${CRASH_MARKER} ${'in a part that some prompts share, '.repeat(20)}`;
+  const ownText = (number: number): string => `the rest of prompt ${number}, `.repeat(20);
+
+  it('are refused at all entries although no two are alike; the other prompts are answered', async () => {
+    await using system = await startServingSystem(
+      modelLayout({ entries: { 'sul-lagoa': 2, 'serra-leste': 2 } }),
+    );
+    const entries = system.machinesWithRole('entry').map(({ name }) => name);
+    const engines = system.agentsOf(MODEL).map(({ name }) => name);
+    const ask = async (number: number, text: string): Promise<CallerAnswer> => {
+      const entry = entries[number % entries.length] ?? '';
+      const options = { stream: true, maximumTokens: 8, timeoutMilliseconds: 10_000 };
+      const { answer } = await sendModelRequest(
+        system,
+        entry,
+        `${text}${ownText(number)}`,
+        options,
+      );
+      assert.ok(answer !== null, 'no answer');
+      return answer;
+    };
+    for (let number = 0; number < 8; number += 1)
+      assert.equal((await ask(number, commonText)).code, ResultCode.Ok);
+    for (const engine of engines)
+      await system.engineClient(engine).faults([{ kind: 'crash', marker: CRASH_MARKER }]);
+    const crashingAnswers: CallerAnswer[] = [];
+    for (let number = 100; number < 116; number += 1)
+      crashingAnswers.push(await ask(number, commonText + crashingText));
+    const counts = await Promise.all(
+      engines.map(async (name) =>
+        waitUntil(async () => system.engineClient(name).counts(), {
+          description: `counts of ${name}`,
+        }),
+      ),
+    );
+    const crashes = counts.reduce((sum, engine) => sum + engine.crashes, 0);
+    assert.ok(crashes > 0 && crashes <= CRASHES_UNTIL_KNOWN, `${crashes} engines crashed`);
+    for (const answer of crashingAnswers.slice(-4)) {
+      assert.equal(answer.code, ResultCode.Quarantined);
+      assert.equal(answer.run, 'not-run');
+    }
+    await waitUntilEnginesLoaded(system, 'one');
+    for (let number = 200; number < 208; number += 1)
+      assert.equal((await ask(number, commonText)).code, ResultCode.Ok);
+  });
+});
