--- a/packages/daemon/__tests__/attemptService.spec.ts
+++ b/packages/daemon/__tests__/attemptService.spec.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { createServer, type RequestListener } from 'node:http';
+import { createServer, type RequestListener, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { describe, it } from 'node:test';
 import { setTimeout as pause } from 'node:timers/promises';
@@ -141,6 +141,54 @@
   });
 });
 
+describe('an answer with neither a length nor chunks', () => {
+  /** Sends a body that ends with its connection. */
+  const sendUnframed = (
+    response: ServerResponse,
+    headers: Readonly<Record<string, string>>,
+    body: string,
+  ): void => {
+    response.useChunkedEncodingByDefault = false;
+    response.writeHead(200, { ...headers, connection: 'close' });
+    response.end(body);
+  };
+
+  it('is a complete stream after its last event', async () => {
+    await using disposables = createDisposalStack();
+    const text = encodeEvent(0, 'a') + encodeEvent(1, '[DONE]');
+    const { run } = await createFixture(disposables, (_request, response) => {
+      sendUnframed(response, streamHeaders, text);
+    });
+    const items = await run();
+    assert.equal(items.at(-1)?.kind, 'end');
+    assert.equal(concatBody(items), text);
+  });
+
+  it('is resumed as a stream that ends inside an event', async () => {
+    await using disposables = createDisposalStack();
+    const { run } = await createFixture(disposables, (request, response) => {
+      if (request.method === 'POST')
+        sendUnframed(response, streamHeaders, `${encodeEvent(0, 'a')}id: 1\nda`);
+      else sendUnframed(response, streamHeaders, encodeEvent(1, 'b') + encodeEvent(2, '[DONE]'));
+    });
+    const items = await run();
+    assert.equal(items.at(-1)?.kind, 'end');
+    assert.equal(
+      concatBody(items),
+      encodeEvent(0, 'a') + encodeEvent(1, 'b') + encodeEvent(2, '[DONE]'),
+    );
+  });
+
+  it('is not passed on as complete when it is no stream, because it may be cut', async () => {
+    await using disposables = createDisposalStack();
+    const { run } = await createFixture(disposables, (_request, response) => {
+      sendUnframed(response, { 'x-request-id': 'attempt' }, 'perhaps whole');
+    });
+    const last = (await run()).at(-1);
+    assert.equal(last?.kind === 'failed' && last.code, ResultCode.AnswerIncomplete);
+  });
+});
+
 describe('createAttemptService', () => {
   it('relays a complete answer with the digest of the weights that gave it', async () => {
     await using disposables = createDisposalStack();
