--- a/packages/bench/src/replayFleet.ts
+++ b/packages/bench/src/replayFleet.ts
@@ -1,9 +1,5 @@
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
-import {
-  createQuarantineState,
-  type QuarantineState,
-  type RequestTraits,
-} from '@burdockrail/limits/quarantineState.js';
+import type { QuarantineState } from '@burdockrail/limits/quarantineState.js';
 import type { EnginePerformance } from '@burdockrail/limits/slotRequest.js';
 import { refusalRetryAfterMilliseconds } from '@burdockrail/limits/refusalRetryAfter.js';
 import { streamSlackMilliseconds } from '@burdockrail/limits/streamSlack.js';
@@ -14,6 +10,14 @@
   type SlotSearchResult,
 } from '@burdockrail/routing/slotSearch.js';
 import type { PassSettings } from '@burdockrail/standins/enginePasses.js';
+import {
+  CRASH_ATTEMPTS,
+  CRASH_MILLISECONDS,
+  FINDING_MILLISECONDS,
+  crashReport,
+  createReplayQuarantine,
+  traitsOf,
+} from './replayCrashes.js';
 import {
   createSimulatedEngine,
   type ClaimResult,
@@ -121,25 +125,6 @@
 /** Upper limit on the advised wait before a retry, as a share of the time until the deadline. */
 const RETRY_WAIT_SHARE = 1 / 3;
 
-/** Time for which an engine is down after a crash, until it has loaded its weights again. */
-const CRASH_MILLISECONDS = 2_500;
-
-/** Time until all entries have learnt of a crash, in milliseconds. */
-const FINDING_MILLISECONDS = 700;
-
-/** Upstreams that must crash under one request to be quarantined; the same as the entry's. */
-const CRASHES_TO_QUARANTINE = 3;
-
-/** Attempts of an entry at engines that crash. */
-const CRASH_ATTEMPTS = 2;
-
-/** Prompt part of all requests that crash engines. */
-const CRASHING_PART = 'crashing';
-
-function traitsOf({ at, isCrashing }: StreamArrival): RequestTraits {
-  return { content: String(at), parts: isCrashing ? ['common', CRASHING_PART] : ['common'] };
-}
-
 /** Replays arrivals in virtual time with the routing and admission code of entries and agents. */
 export function replayArrivals(
   fleet: ReplayFleet,
@@ -165,7 +150,7 @@
       dataCentre: dataCentreOf(index),
       observations: new Map(),
       ownRequests: new Map(),
-      quarantine: createQuarantineState(CRASHES_TO_QUARANTINE),
+      quarantine: createReplayQuarantine(),
     };
   });
   let lastId = 0;
@@ -242,13 +227,9 @@
     };
     const onCrash = (): void => {
       entry.ownRequests.set(engine.id, (entry.ownRequests.get(engine.id) ?? 1) - 1);
-      const { content, parts } = traitsOf(arrival);
-      // A request that had begun to be answered is not what its engine crashed of.
-      const suspects = firstAt === null ? parts : [];
-      const report = { content, parts: suspects, agent: `${engine.id} ${clock.now()}` };
+      const report = crashReport(arrival, engine.id, firstAt !== null, clock.now());
       clock.schedule(FINDING_MILLISECONDS, () => {
-        for (const { quarantine } of entries)
-          quarantine.recordCrash({ ...report, granted: false }, clock.now());
+        for (const { quarantine } of entries) quarantine.recordCrash(report, clock.now());
       });
       clock.schedule(delay, attempt.interrupted);
     };
