fix(harness): free ports are none of outgoing connections

Seen: 'measures a small rollout in which the origin sends one copy' once, listen EADDRINUSE. Cause: the harness took a port from the kernel's range of outgoing connections and closed it; a connection of the same machine's address could get it before the daemon listened. Ports now come from below that range.

--- a/packages/harness/src/addressPlan.ts
+++ b/packages/harness/src/addressPlan.ts
@@ -1,5 +1,5 @@
 import { once } from 'node:events';
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
 import { randomInt } from 'node:crypto';
 import type { Address } from '@burdockrail/protocol/protocolAddress.js';
 
@@ -10,6 +10,10 @@
 const NETWORK_OCTET_START = 16;
 const NETWORK_OCTET_END = 250;
 
+/** Range of ports below those of outgoing connections; the end is exclusive. */
+const PORT_START = 10_000;
+const PORT_END = 32_768;
+
 /** Third octet of the addresses of the origin, the weight store and callers. */
 const EXTERNAL_HOSTS_OCTET = 200;
 
@@ -35,14 +39,35 @@
   };
 }
 
-/** Finds a port of a host that is currently free. */
-export async function findFreeAddress(host: string): Promise<Address> {
+async function isFree(host: string, port: number): Promise<boolean> {
   const server = createServer();
-  server.listen(0, host);
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
+  const isListening = new Promise<boolean>((resolve, reject) => {
+    server.once('listening', () => {
+      resolve(true);
+    });
+    server.once('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'EADDRINUSE') resolve(false);
+      else reject(error);
+    });
+  });
+  server.listen(port, host);
+  if (!(await isListening)) return false;
   const closed = once(server, 'close');
   server.close();
   await closed;
-  return { host, port };
+  return true;
+}
+
+/**
+ * Finds a port of a host that is currently free.
+ *
+ * @remarks
+ * The port stays free until the process that it is for listens on it: it is none that the kernel
+ * gives to outgoing connections, which the machines of a system open from the same address.
+ */
+export async function findFreeAddress(host: string): Promise<Address> {
+  for (;;) {
+    const port = randomInt(PORT_START, PORT_END);
+    if (await isFree(host, port)) return { host, port };
+  }
 }
