fix(gateway): a stream quarantined during its claim is not sent again

Cause: runStream checked the quarantine after the claim only for requests that had certainly not run, so the claim for a second attempt, which may take as long as the slack, ended in an attempt whatever other entries had found out meanwhile. packages/daemon checks before every attempt. Change: after the claim the slot is released and the attempts end when the request may not be retried; attempts that aren't made aren't counted in the trace.

--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -118,6 +118,18 @@
       slot.release();
       return;
     }
+    // Engines may have crashed under such requests since the claim was sent.
+    const quarantineRefusal = refusalOfQuarantined(quarantine, request.traits, time.now());
+    if (quarantineRefusal !== null && !mayHaveRun) {
+      slot.release();
+      trace.cause = quarantineRefusal.detail;
+      answer.refuse(quarantineRefusal);
+      return;
+    }
+    if (sentCount > 0 && !quarantine.mayRetry(request.traits, time.now())) {
+      slot.release();
+      break;
+    }
     triedEngines.add(slot.engine);
     trace.attempts += 1;
     trace.upstreams.push(slot.engine);
@@ -128,13 +140,6 @@
         lastEventId: progress.lastEventId,
       });
     }
-    const quarantineRefusal = refusalOfQuarantined(quarantine, request.traits, time.now());
-    if (quarantineRefusal !== null && !mayHaveRun) {
-      slot.release();
-      trace.cause = quarantineRefusal.detail;
-      answer.refuse(quarantineRefusal);
-      return;
-    }
     const eventsBefore = progress.events;
     const result = await attemptAt(slot);
     if (result.kind === 'complete') {
