fix(harness): a system that could not start ends all its processes

Cause: a daemon was known to its system only once it was ready; those still starting when another failed were not ended at the disposal, and kept the test's process alive. Change: a daemon belongs to its system from its start on; its readiness is a promise of its own, which no longer polls after an early exit.

--- a/packages/harness/__tests__/system.spec.ts
+++ b/packages/harness/__tests__/system.spec.ts
@@ -1,9 +1,13 @@
 import assert from 'node:assert/strict';
 import { existsSync } from 'node:fs';
-import { dirname } from 'node:path';
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { dirname, join } from 'node:path';
 import { describe, it } from 'node:test';
 import { startSystem } from '../src/system.js';
 import type { SystemLayout } from '../src/systemLayout.js';
+import { placeSystem } from '../src/systemPlacement.js';
+import { createSystemProcesses } from '../src/systemProcesses.js';
 import { waitUntilTrue } from '../src/waitUntil.js';
 
 const layout: SystemLayout = {
@@ -51,3 +55,18 @@
     });
   }
 });
+
+describe('the processes of a system', () => {
+  it('are all ended when one of them could not start', async () => {
+    const folder = await mkdtemp(join(tmpdir(), 'burdockrail-'));
+    const placement = await placeSystem(layout, folder);
+    const processes = await createSystemProcesses(placement, layout, folder);
+    const starts = processes.names.map(async (name) => processes.start(name));
+    const failures = starts.map(async (start) => assert.rejects(start));
+    await processes[Symbol.asyncDispose]();
+    const running = processes.names.filter((name) => processes.process(name).running);
+    assert.deepEqual(running, []);
+    await Promise.all(failures);
+    await rm(folder, { recursive: true });
+  });
+});
--- a/packages/harness/src/daemonProcess.ts
+++ b/packages/harness/src/daemonProcess.ts
@@ -2,7 +2,7 @@
 import { createWriteStream } from 'node:fs';
 import { createInterface } from 'node:readline';
 import { fileURLToPath } from 'node:url';
-import { waitUntil } from './waitUntil.js';
+import { waitUntil, waitUntilTrue } from './waitUntil.js';
 
 /** An event in a process's JSON log. */
 export interface LoggedEvent {
@@ -14,6 +14,8 @@
 /** A started daemon; a restart creates another. */
 export interface DaemonProcess extends AsyncDisposable {
   readonly pid: number;
+  /** Resolves when the daemon has logged that it started; rejects if it exits before or is late. */
+  readonly ready: Promise<void>;
   /** Events logged so far since this start. */
   readonly events: readonly LoggedEvent[];
   /** Resolves with the exit code, or with the name of the signal that ended the process. */
@@ -61,11 +63,8 @@
   }
 }
 
-/** Starts a daemon; resolves when it logs that it has started. */
-export async function startDaemonProcess(
-  settingsPath: string,
-  logPath: string,
-): Promise<DaemonProcess> {
+/** Starts a daemon. */
+export function startDaemonProcess(settingsPath: string, logPath: string): DaemonProcess {
   const child = spawn(process.execPath, [daemonProgram, settingsPath], {
     stdio: ['ignore', 'ignore', 'pipe'],
   });
@@ -89,15 +88,32 @@
       resolve(signal ?? code ?? 0);
     });
   });
-  const daemon: DaemonProcess = {
+  const findEvent = (name: string): LoggedEvent | undefined =>
+    events.find((event) => event.name === name);
+  const waitUntilReady = async (): Promise<void> => {
+    await waitUntilTrue(() => findEvent('processStarted') !== undefined || !running, {
+      description: `start with ${settingsPath} (${logPath})`,
+      timeoutMilliseconds: START_TIMEOUT_MILLISECONDS,
+    });
+    if (running) return;
+    const tail = logTail.join('\n');
+    throw new Error(
+      `daemon with ${settingsPath} exited (${await exited}) before it was ready:\n${tail}`,
+    );
+  };
+  const ready = waitUntilReady();
+  // Whoever ends a daemon during its start may not be interested in the outcome.
+  ready.catch(() => undefined);
+  return {
     pid: child.pid ?? 0,
+    ready,
     events,
     exited,
     get running() {
       return running;
     },
     waitForEvent: async (name, timeoutMilliseconds) =>
-      waitUntil(() => events.find((event) => event.name === name), {
+      waitUntil(() => findEvent(name), {
         description: `event ${name} (${logPath})`,
         ...(timeoutMilliseconds === undefined ? {} : { timeoutMilliseconds }),
       }),
@@ -109,14 +125,4 @@
       await exited;
     },
   };
-  const earlyExit = exited.then((code) => {
-    const tail = logTail.join('\n');
-    throw new Error(`daemon with ${settingsPath} exited (${code}) before it was ready:\n${tail}`);
-  });
-  earlyExit.catch(() => undefined);
-  await Promise.race([
-    daemon.waitForEvent('processStarted', START_TIMEOUT_MILLISECONDS),
-    earlyExit,
-  ]);
-  return daemon;
 }
--- a/packages/harness/src/systemProcesses.ts
+++ b/packages/harness/src/systemProcesses.ts
@@ -52,8 +52,9 @@
     return found;
   };
   const start = async (name: string): Promise<DaemonProcess> => {
-    const started = await startDaemonProcess(settingsPath(name), logPath(name));
+    const started = startDaemonProcess(settingsPath(name), logPath(name));
     processes.set(name, started);
+    await started.ready;
     return started;
   };
   const kill = async (name: string): Promise<void> => find(name)[Symbol.asyncDispose]();
