fix(standins): a closed stand-in lets its process end

Cause: the stand-in's close reset every connection; a reset of one that is shutting down fails in Node 20 after its handle was marked as closing, so the handle is never closed, and the process spins in CleanupHandles at its exit. Evidence: answers.spec in a loop hung in 2 of 107 runs (35th and 14th of their loops); in the second, gdb showed one TCP handle in the loop's queue, neither closing nor closed, with SHUT and READ_EOF set, no other and no request. Ruled out: a child left over, an open listener (none in /proc). Change: the stand-in closes connections as the fault proxy does, without a reset once they shut down; abortSocket moves to packages/common.

--- a/packages/faultproxy/src/linkConnection.ts
+++ b/packages/faultproxy/src/linkConnection.ts
@@ -1,8 +1,8 @@
 import { connect, type Socket } from 'node:net';
+import { abortSocket } from '@burdockrail/common/abortSocket.js';
 import type { SeededRandom } from '@burdockrail/common/seededRandom.js';
 import type { TimeSource } from '@burdockrail/common/timeSource.js';
 import type { EventQueue } from './eventQueue.js';
-import { abortSocket } from './abortSocket.js';
 import type { LinkCounter } from './linkCounts.js';
 import { createLinkFlow, type LinkFlow } from './linkFlow.js';
 import type { LinkAddress, LinkMachine } from './linkMachine.js';
--- a/packages/faultproxy/src/linkFlow.ts
+++ b/packages/faultproxy/src/linkFlow.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net';
+import { abortSocket } from '@burdockrail/common/abortSocket.js';
 import type { SeededRandom } from '@burdockrail/common/seededRandom.js';
 import type { Milliseconds, TimeSource } from '@burdockrail/common/timeSource.js';
-import { abortSocket } from './abortSocket.js';
 import type { EventQueue } from './eventQueue.js';
 import type { LinkBehaviour } from './linkRule.js';
 import type { SharedLink } from './sharedLink.js';
--- a/packages/standins/src/standinServer.ts
+++ b/packages/standins/src/standinServer.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import { abortSocket } from '@burdockrail/common/abortSocket.js';
 
 /** Listen address of a stand-in; port 0 selects a free port. */
 export interface StandinAddress {
@@ -117,7 +118,7 @@
   const close = async (): Promise<void> => {
     const closed = once(server, 'close');
     server.close();
-    for (const socket of sockets) socket.resetAndDestroy();
+    for (const socket of sockets) abortSocket(socket);
     await closed;
   };
   let server = createListener();
