--- a/packages/bench/src/replayFleet.ts
+++ b/packages/bench/src/replayFleet.ts
@@ -1,114 +1,39 @@
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
-import type { QuarantineState } from '@burdockrail/limits/quarantineState.js';
-import type { EnginePerformance } from '@burdockrail/limits/slotRequest.js';
 import { refusalRetryAfterMilliseconds } from '@burdockrail/limits/refusalRetryAfter.js';
 import { streamSlackMilliseconds } from '@burdockrail/limits/streamSlack.js';
-import { orderEngines, type EngineView } from '@burdockrail/routing/engineOrder.js';
+import { orderEngines } from '@burdockrail/routing/engineOrder.js';
 import {
   searchSlot,
   type SlotSearchClaim,
   type SlotSearchResult,
 } from '@burdockrail/routing/slotSearch.js';
-import type { PassSettings } from '@burdockrail/standins/enginePasses.js';
 import {
   CRASH_ATTEMPTS,
   CRASH_MILLISECONDS,
   FINDING_MILLISECONDS,
   crashReport,
-  createReplayQuarantine,
   traitsOf,
 } from './replayCrashes.js';
+import {
+  changeOwnRequests,
+  createReplayEntry,
+  engineViewAt,
+  mayAsk,
+  type ReplayEntry,
+} from './replayEntry.js';
 import {
   createSimulatedEngine,
   type ClaimResult,
   type SimulatedEngine,
 } from './simulatedEngine.js';
 import type { StreamArrival } from './replayTraffic.js';
+import type { ReplayFleet, ReplayResult } from './replayTypes.js';
 import { createVirtualClock } from './virtualClock.js';
 
-/** Which component routes requests to engines. */
-export type RoutingMode =
-  /** Entries claim slots from the engines' agents, which own them. */
-  | 'agents'
-  /** The same, but through one dispatcher per data centre. */
-  | 'dispatchers'
-  /** Each entry decides alone, from loads that engines report periodically. */
-  | 'alone';
-
-/** Simulated fleet that arrivals are replayed on. */
-export interface ReplayFleet {
-  readonly routingMode: RoutingMode;
-  readonly entries: number;
-  readonly dataCentres: number;
-  readonly engines: readonly ServingPeriod[];
-  /** Times at which engines load other weights, in seconds; empty for none. */
-  readonly loadsAtSeconds: readonly number[];
-  readonly performance: EnginePerformance;
-  readonly passes: PassSettings;
-  /** One-way latency of a message within and between data centres, including its handling. */
-  readonly localLatencyMilliseconds: number;
-  readonly remoteLatencyMilliseconds: number;
-  /** Interval of the engines' load reports and their age on arrival, in milliseconds. */
-  readonly reportMilliseconds: number;
-  /** Longest wait of a claim at an agent, in milliseconds. */
-  readonly longestWaitMilliseconds: number;
-  /** Deadline of callers' requests, in milliseconds. */
-  readonly deadlineMilliseconds: number;
-  /** Limits that engines name, and since when; none by default. */
-  readonly limits?: readonly ReplayLimit[];
-  /** Whether entries keep requests that crash engines away from them; true by default. */
-  readonly quarantines?: boolean;
-  /** Retries of a caller after refusals. */
-  readonly maximumRetries: number;
-  readonly seed: number;
-}
-
-/** Time during which an engine serves. */
-export interface ServingPeriod {
-  readonly fromSecond: number;
-  readonly untilSecond: number;
-}
-
-/** Limit that an engine names. */
-export interface ReplayLimit {
-  /** Position of the engine in the fleet. */
-  readonly engine: number;
-  readonly requestsPerSecond: number;
-  readonly fromSecond: number;
-}
-
-/** Outcome of one caller's request. */
-export interface ReplayResult {
-  readonly arrival: StreamArrival;
-  readonly outcome: 'onTime' | 'late' | 'refused';
-  /** Time from the first attempt to the first event, in milliseconds; `null` without one. */
-  readonly firstMilliseconds: number | null;
-  /** Longest time until an attempt was refused, in milliseconds. */
-  readonly refusalMilliseconds: number;
-  readonly refusals: number;
-  /** Times at which the request was sent to engines, with the position of each. */
-  readonly sent: readonly { readonly engine: string; readonly at: number }[];
-}
-
-interface EngineObservation {
-  readonly taken: number;
-  readonly load: number;
-  /** True when the engine had no weights that may be served. */
-  readonly unloaded: boolean;
-  readonly at: number;
-}
-
-interface Entry {
-  readonly dataCentre: string;
-  readonly observations: Map<string, EngineObservation>;
-  readonly ownRequests: Map<string, number>;
-  readonly quarantine: QuarantineState;
-}
-
 /** One attempt of a caller. */
 interface Attempt {
   readonly arrival: StreamArrival;
-  readonly entry: Entry;
+  readonly entry: ReplayEntry;
   readonly refuse: (freeInMilliseconds: number | null) => void;
   readonly finish: (outcome: 'onTime' | 'late', firstMilliseconds: number) => void;
   /** The engine has crashed; the request is sent again if another attempt is left. */
@@ -116,9 +41,6 @@
   readonly onSent: (engine: string) => void;
 }
 
-/** Time for which an entry skips an engine that reported no weights, in milliseconds. */
-const UNLOADED_MILLISECONDS = 100;
-
 /** Time that a caller takes to open a new connection, in milliseconds. */
 const RECONNECT_MILLISECONDS = 8;
 
@@ -145,17 +67,12 @@
     }),
   );
   const routerCount = fleet.routingMode === 'dispatchers' ? fleet.dataCentres : fleet.entries;
-  const entries = Array.from({ length: routerCount }, (_value, index): Entry => {
-    return {
-      dataCentre: dataCentreOf(index),
-      observations: new Map(),
-      ownRequests: new Map(),
-      quarantine: createReplayQuarantine(),
-    };
-  });
+  const entries = Array.from({ length: routerCount }, (_value, index) =>
+    createReplayEntry(dataCentreOf(index)),
+  );
   let lastId = 0;
 
-  const latencyTo = (entry: Entry, engine: SimulatedEngine): number => {
+  const latencyTo = (entry: ReplayEntry, engine: SimulatedEngine): number => {
     const isLocal = entry.dataCentre === engine.dataCentre;
     const hopDelay = fleet.routingMode === 'dispatchers' ? fleet.localLatencyMilliseconds : 0;
     return hopDelay + (isLocal ? fleet.localLatencyMilliseconds : fleet.remoteLatencyMilliseconds);
@@ -169,30 +86,9 @@
     });
   };
 
-  const viewOf = (entry: Entry, engine: SimulatedEngine): EngineView => {
-    const observation = entry.observations.get(engine.id);
-    return {
-      id: engine.id,
-      dataCentre: engine.dataCentre,
-      slots: performance.slots,
-      taken: observation?.taken ?? null,
-      viewAgeMilliseconds: observation === undefined ? 0 : clock.now() - observation.at,
-      ownRequests: entry.ownRequests.get(engine.id) ?? 0,
-      loaded: true,
-      suspended: false,
-      agentUnresponsive: false,
-    };
-  };
-
-  const mayServe = (entry: Entry, id: string): boolean => {
-    const observation = entry.observations.get(id);
-    if (observation?.unloaded !== true) return true;
-    return clock.now() - observation.at >= UNLOADED_MILLISECONDS;
-  };
-
-  const rankEngines = (entry: Entry): readonly string[] =>
+  const rankEngines = (entry: ReplayEntry): readonly string[] =>
     orderEngines(
-      servingEngines().map((engine) => viewOf(entry, engine)),
+      servingEngines().map((engine) => engineViewAt(entry, engine, performance.slots, clock.now())),
       entry.dataCentre,
     );
 
@@ -205,7 +101,7 @@
     let longestPause = 0;
     lastId += 1;
     const request = { id: lastId, promptTokens, answerTokens };
-    entry.ownRequests.set(engine.id, (entry.ownRequests.get(engine.id) ?? 0) + 1);
+    changeOwnRequests(entry, engine.id, 1);
     const onTokens = (isLast: boolean): void => {
       if (arrival.isCrashing) {
         engine.crash(CRASH_MILLISECONDS);
@@ -221,12 +117,12 @@
       entry.quarantine.recordCompletion(traitsOf(arrival), clock.now());
       attempt.finish(isOnTime ? 'onTime' : 'late', firstAt);
       clock.schedule(delay, () => {
-        entry.ownRequests.set(engine.id, (entry.ownRequests.get(engine.id) ?? 1) - 1);
+        changeOwnRequests(entry, engine.id, -1);
         clock.schedule(delay, onReleased);
       });
     };
     const onCrash = (): void => {
-      entry.ownRequests.set(engine.id, (entry.ownRequests.get(engine.id) ?? 1) - 1);
+      changeOwnRequests(entry, engine.id, -1);
       const report = crashReport(arrival, engine.id, firstAt !== null, clock.now());
       clock.schedule(FINDING_MILLISECONDS, () => {
         for (const { quarantine } of entries) quarantine.recordCrash(report, clock.now());
@@ -253,7 +149,7 @@
     const slackMilliseconds = slackOf(arrival);
     const search = searchSlot({
       engines: rankEngines(entry).map((id) => {
-        return { id, slots: performance.slots, mayServe: mayServe(entry, id) };
+        return { id, slots: performance.slots, mayServe: mayAsk(entry, id, clock.now()) };
       }),
       loadOf: (id) => entry.observations.get(id)?.load ?? 0,
       longestWaitMilliseconds: fleet.longestWaitMilliseconds,
--- a/packages/bench/src/replayMain.ts
+++ b/packages/bench/src/replayMain.ts
@@ -1,6 +1,7 @@
 import { parseArgs } from 'node:util';
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
-import { replayArrivals, type RoutingMode } from './replayFleet.js';
+import { replayArrivals } from './replayFleet.js';
+import type { RoutingMode } from './replayTypes.js';
 import { replayScenarios, type ReplayScenario } from './replayScenarios.js';
 import { summarizeReplay, type ReplaySummary } from './replaySummary.js';
 import { drawArrivals } from './replayTraffic.js';
--- a/packages/bench/src/replayScenarios.ts
+++ b/packages/bench/src/replayScenarios.ts
@@ -1,6 +1,6 @@
 import type { EnginePerformance } from '@burdockrail/limits/slotRequest.js';
 import type { PassSettings } from '@burdockrail/standins/enginePasses.js';
-import type { ServingPeriod, ReplayFleet } from './replayFleet.js';
+import type { ServingPeriod, ReplayFleet } from './replayTypes.js';
 import type { StreamKind, TrafficPattern } from './replayTraffic.js';
 
 /** A fleet and its traffic, replayed to compare routing modes. */
--- a/packages/bench/src/replaySummary.ts
+++ b/packages/bench/src/replaySummary.ts
@@ -1,5 +1,5 @@
 import { createLatencyRecorder } from './latencySummary.js';
-import type { ReplayResult } from './replayFleet.js';
+import type { ReplayResult } from './replayTypes.js';
 
 /** Results of a replay, from the callers' point of view. */
 export interface ReplaySummary {
