test(limits, gateway): a repeated request that has run to completion before

One entry counted the third crash against the equal request before it had learnt of the part's third crash, and refused the equal request for ten minutes, though it had run to completion hundreds of times.

--- a/packages/gateway/__tests__/entryQuarantine.spec.ts
+++ b/packages/gateway/__tests__/entryQuarantine.spec.ts
@@ -95,6 +95,21 @@
     assert.equal(isRefused(first, 'common'), false);
   });
 
+  it('lifts the quarantine of a repeated request that another entry has seen run to completion', async () => {
+    const upstreams = upstreamsAt(await closedPort());
+    const first = createQuarantine(upstreams);
+    const second = createQuarantine(upstreams);
+    const repeated = { content: 'same', parts: [] };
+    second.recordCompletion(repeated, 0);
+    for (const upstream of ['u1', 'u2', 'u3']) first.recordConnectionLoss(repeated, upstream);
+    await pause(PROBE_MILLISECONDS);
+    assert.equal(first.statusOf(repeated, performance.now()).kind, 'quarantined');
+    relay(first, second);
+    assert.notEqual(second.statusOf(repeated, performance.now()).kind, 'quarantined');
+    relay(second, first);
+    assert.notEqual(first.statusOf(repeated, performance.now()).kind, 'quarantined');
+  });
+
   it('counts no crash while the upstream accepts connections, as after a network reset', async () => {
     const server = createServer((socket) => socket.destroy()).listen(0, '127.0.0.1');
     await once(server, 'listening');
--- a/packages/limits/__tests__/quarantineParts.spec.ts
+++ b/packages/limits/__tests__/quarantineParts.spec.ts
@@ -115,6 +115,29 @@
     });
 });
 
+describe('a repeated request that has run to completion before', () => {
+  const repeated = request('same');
+
+  it('is not blamed for crashes of three upstreams, which have other causes', () => {
+    const state = createQuarantineState(THRESHOLD);
+    state.recordCompletion(repeated, 0);
+    for (const agent of ['u1', 'u2', 'u3']) crash(state, repeated, agent);
+    assert.equal(isRefused(state, repeated), false);
+    for (const agent of ['u4', 'u5', 'u6', 'u7', 'u8', 'u9']) crash(state, repeated, agent);
+    assert.equal(isRefused(state, repeated), true);
+  });
+
+  it('is known as sound', () => {
+    const state = createQuarantineState(THRESHOLD);
+    state.recordCompletion(repeated, 0);
+    assert.equal(state.isSound('same'), true);
+    assert.deepEqual(
+      state.recordCrash({ ...repeated, agent: 'u1', granted: false }, 0).soundParts,
+      ['same'],
+    );
+  });
+});
+
 describe('parts that sound requests share with crashing ones', () => {
   it('are not refused while one other part explains all crashes', () => {
     fc.assert(
