fix(limits): a repeated request that has run to completion is not blamed by chance

Cause: the crashes of a part are explained only once the part's third one is known; an entry that hears of the third crash under the equal request first blames that one, and its verdict stays and spreads. Only parts, not whole requests, had the higher threshold of what has run to completion. Change: whole requests that completed count as sound like parts: nine crashes instead of three, and an entry that knows one lifts the verdict of the others. A request that has never completed can still be blamed so.

--- a/packages/daemon/src/requestQuarantine.ts
+++ b/packages/daemon/src/requestQuarantine.ts
@@ -107,9 +107,10 @@
           return Promise.resolve({});
         },
         'quarantine.report': async (report) => {
-          const { soundParts } = quarantineState.recordCrash(report, time.now());
-          // The entry that reported the crash does not know yet that these prefixes are sound.
-          notifySound(soundParts);
+          const { soundTraits } = quarantineState.recordCrash(report, time.now());
+          // The entry that reported the crash may not know that these prefixes are sound. A content
+          // is cleared by its next granted run instead.
+          notifySound(soundTraits.filter((trait) => report.parts.includes(trait)));
           return Promise.resolve({});
         },
       },
--- a/packages/gateway/src/entryQuarantine.ts
+++ b/packages/gateway/src/entryQuarantine.ts
@@ -81,7 +81,7 @@
       log.write('traitQuarantined', { trait: finding.quarantined, content, upstream });
       report('quarantine', [finding.quarantined]);
     }
-    return finding.soundParts;
+    return finding.soundTraits;
   };
 
   const findLiveness = (upstream: string): UpstreamLiveness | null => {
@@ -115,7 +115,7 @@
   const handlers: FindingHandlers = {
     crash: (crash, now) => {
       if (!attribution.isFirstReport(crash)) return;
-      // The entry that reported the crash does not know yet that these parts are sound.
+      // The entry that reported the crash does not know yet that these traits are sound.
       report('sound', recordCrash(crash, now));
     },
     quarantine: ({ trait }, now) => {
--- a/packages/limits/src/quarantineState.ts
+++ b/packages/limits/src/quarantineState.ts
@@ -19,8 +19,8 @@
 /** Upstreams that must crash under a part; fewer may be coincidence. */
 const PART_THRESHOLD = 3;
 
-/** Multiple of the threshold for a part under which requests have run to completion before. */
-const SOUND_PART_FACTOR = 3;
+/** Multiple of the threshold for a trait under which requests have run to completion before. */
+const SOUND_FACTOR = 3;
 
 /** Different requests that must crash upstreams before a part that they share is blamed. */
 const PART_CONTENTS = 2;
@@ -57,8 +57,8 @@
 export interface CrashFinding {
   /** Trait that is quarantined because of this report; `null` if none is. */
   readonly quarantined: string | null;
-  /** Reported parts under which requests have run to completion here. */
-  readonly soundParts: readonly string[];
+  /** Reported traits under which requests have run to completion here. */
+  readonly soundTraits: readonly string[];
 }
 
 /** Crashes by request trait, as known to one entry. */
@@ -105,7 +105,8 @@
  * A crash interrupts all requests of its upstream and has one cause, so a trait is quarantined only
  * when several upstreams crashed under it, and then explains these crashes: they no longer count
  * against the other requests that they interrupted. Equal requests are blamed as a whole; a part is
- * blamed when requests crash that have nothing else in common. Each further quarantine of a trait
+ * blamed when requests crash that have nothing else in common. What has run to completion before
+ * takes more crashes: several causes can interrupt it by chance. Each further quarantine of a trait
  * lasts twice as long, and one crash after the last is enough for it.
  *
  * @param contentThreshold - upstreams whose crashes quarantine equal requests; higher where a crash
@@ -116,7 +117,9 @@
 export function createQuarantineState(contentThreshold = 2, stretch = 0): QuarantineState {
   const records = createRecentMap<TraitRecord>(MAXIMUM_TRACKED_TRAITS);
   const explainedCrashes = createRecentMap<string>(MAXIMUM_EXPLAINED_CRASHES);
+  // Contents are many; they must not displace the parts, of which there are few.
   const soundTraits = createRecentMap<Milliseconds>(MAXIMUM_TRACKED_TRAITS);
+  const soundContents = createRecentMap<Milliseconds>(MAXIMUM_TRACKED_TRAITS);
 
   const extendQuarantine = (record: TraitRecord, now: Milliseconds): TraitRecord => {
     if (now < record.quarantinedUntil) return record;
@@ -140,17 +143,24 @@
     records.set(trait, { ...record, crashes, crashedAt: now });
   };
 
+  const isSound = (trait: string): boolean => soundTraits.has(trait) || soundContents.has(trait);
+
+  const thresholdOf = (trait: string, threshold: number): number =>
+    isSound(trait) ? threshold * SOUND_FACTOR : threshold;
+
   /** True if the crashes show that the part crashes upstreams, whatever else a request holds. */
   const isPartToBlame = (part: string): boolean => {
     const { crashes, quarantineCount } = records.get(part) ?? newRecord;
     if (quarantineCount > 0) return true;
-    const threshold = soundTraits.has(part) ? PART_THRESHOLD * SOUND_PART_FACTOR : PART_THRESHOLD;
-    return crashes.size >= threshold && new Set(crashes.values()).size >= PART_CONTENTS;
+    return (
+      crashes.size >= thresholdOf(part, PART_THRESHOLD) &&
+      new Set(crashes.values()).size >= PART_CONTENTS
+    );
   };
 
   const isContentToBlame = (content: string): boolean => {
     const { crashes, quarantineCount } = records.get(content) ?? newRecord;
-    return quarantineCount > 0 || crashes.size >= contentThreshold;
+    return quarantineCount > 0 || crashes.size >= thresholdOf(content, contentThreshold);
   };
 
   const findCulprit = ({ content, parts, granted }: CrashReport): string | null => {
@@ -195,24 +205,25 @@
   return {
     recordCrash: (report, now) => {
       const { content, parts, agent } = report;
-      const sound = parts.filter((part) => soundTraits.has(part));
       const traits = [...parts, content];
+      const sound = traits.filter(isSound);
       const explanation = explainedCrashes.get(agent);
       const blamed =
         explanation === undefined ? traits : traits.filter((trait) => trait === explanation);
-      if (blamed.length === 0) return { quarantined: null, soundParts: sound };
+      if (blamed.length === 0) return { quarantined: null, soundTraits: sound };
       for (const trait of blamed) addCrash(trait, report, now);
       const culprit = findCulprit(report);
-      if (culprit === null) return { quarantined: null, soundParts: sound };
+      if (culprit === null) return { quarantined: null, soundTraits: sound };
       const wasQuarantined = now < quarantineEnd(culprit);
       quarantine(culprit, now);
       explainCrashes(culprit, culprit === content);
-      return { quarantined: wasQuarantined ? null : culprit, soundParts: sound };
+      return { quarantined: wasQuarantined ? null : culprit, soundTraits: sound };
     },
     recordQuarantine: quarantine,
     recordCompletion: ({ content, parts }, now) => {
       const suspected = [...parts, content].filter((trait) => records.delete(trait));
       for (const part of parts) soundTraits.set(part, now);
+      soundContents.set(content, now);
       return suspected;
     },
     recordSound: (traits, now) => {
@@ -221,7 +232,7 @@
         soundTraits.set(trait, now);
       }
     },
-    isSound: (trait) => soundTraits.has(trait),
+    isSound,
     statusOf: ({ content, parts }, now) => {
       const partsEnd = Math.max(...parts.map(quarantineEnd), Number.NEGATIVE_INFINITY);
       if (now < partsEnd) return { kind: 'quarantined', until: partsEnd, isContent: false };
@@ -231,7 +242,7 @@
     },
     crashesUnder: ({ content, parts }) =>
       [...parts, content]
-        .filter((trait) => !soundTraits.has(trait))
+        .filter((trait) => !isSound(trait))
         .reduce((most, trait) => Math.max(most, records.get(trait)?.crashes.size ?? 0), 0),
     quarantinedTraits: (now) =>
       [...records]
