fix(gateway): an entry that has stopped listening takes no further requests

Cause: connections in use when the entry stops listening were kept open after their answer if its head had been sent before SIGTERM, and whatever came on them was run, however little of the grace period was left. Change: from the stop on each connection is closed once its answers are written, and a request that is complete only then gets 503 with Retry-After 0.

--- a/packages/gateway/__tests__/entryServer.spec.ts
+++ b/packages/gateway/__tests__/entryServer.spec.ts
@@ -97,4 +97,17 @@
     assert.match(draining.received(), /^HTTP\/1\.1 503 /u);
     assert.match(draining.received(), /connection: close/iu);
   });
+
+  it('completes the answers to requests that were sent without waiting for each other', async () => {
+    await using disposables = createDisposalStack();
+    const draining = await startDraining(disposables);
+    draining.caller.write(requestText('one') + requestText('one'));
+    await pause(ARRIVAL_MILLISECONDS);
+    draining.server.announceShutdown();
+    draining.server.stopListening();
+    for (const stream of draining.streams) stream.end();
+    await pause(CLOSED_WITHIN_MILLISECONDS);
+    assert.equal(draining.received().match(/0\r\n\r\n/gu)?.length, 2);
+    assert.equal(draining.isClosed(), true);
+  });
 });
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -1,9 +1,11 @@
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
 import type { RequestTraits } from '@burdockrail/limits/quarantineState.js';
 import { createChangeSignal } from './changeSignal.js';
 import { createCallerAnswer, type CallerAnswer } from './callerAnswer.js';
+import { createCallerConnections } from './callerConnections.js';
 import { admitRequest, isRefusal, type Refusal } from './entryAdmission.js';
 import { BodyTooLarge, digestRequest, readBody } from './entryBody.js';
 import type { EntryContext } from './entryContext.js';
@@ -34,6 +36,9 @@
   idleTimeoutMilliseconds: 15_000,
 };
 
+/** Retry delay for requests to an entry that is shutting down, in milliseconds; others serve. */
+const DRAINING_RETRY_AFTER_MILLISECONDS = 0;
+
 /** HTTP server for callers' requests. */
 export interface EntryServer extends AsyncDisposable {
   /** Sends `Connection: close` with every answer from now on. */
@@ -44,7 +49,10 @@
   notifyClusterChange(): void;
   /** Number of requests without a final answer. */
   readonly inProgress: number;
-  /** Stops accepting connections and closes idle ones. */
+  /**
+   * Stops accepting connections, closes each one once it is idle, and refuses new requests, which
+   * might not end within the grace period.
+   */
   stopListening(): void;
 }
 
@@ -78,7 +86,9 @@
   const firstEventDelays = metrics.histogram('burdockrail_first_event_seconds');
   const startedAt = time.now();
   const clusterSignal = createChangeSignal();
+  const connections = createCallerConnections();
   let isClosing = false;
+  let hasStopped = false;
   let inProgress = 0;
   const maximumKeyAgeMilliseconds = entry.settings.bounds.revocationMilliseconds * KEY_AGE_FRACTION;
 
@@ -163,6 +173,14 @@
       answer.refuse(refusal);
     };
     try {
+      if (hasStopped) {
+        refuse({
+          code: ResultCode.Draining,
+          detail: 'the entry has stopped listening',
+          retryAfterMilliseconds: DRAINING_RETRY_AFTER_MILLISECONDS,
+        });
+        return;
+      }
       if (!isConfirmed() && arrivedAt - startedAt < STARTUP_MILLISECONDS)
         await waitForConfirmation(cancellation.signal);
       const decision = admitRequest(
@@ -265,6 +283,11 @@
     { maxHeaderSize: DEFAULT_LIMITS.headerBytes, keepAlive: true, noDelay: true },
     (request, response) => {
       inProgress += 1;
+      const { socket } = request;
+      connections.requestStarted(socket);
+      response.once('finish', () => {
+        connections.requestFinished(socket);
+      });
       void handle(request, response).finally(() => {
         inProgress -= 1;
       });
@@ -277,6 +300,9 @@
     server.requestTimeout = 0;
   };
   applyLimits();
+  server.on('connection', (socket: Socket) => {
+    connections.add(socket);
+  });
   server.listen(settings.listen.port, settings.listen.host, 1_024);
   await once(server, 'listening');
   return {
@@ -291,8 +317,9 @@
       return inProgress;
     },
     stopListening: () => {
+      hasStopped = true;
       server.close();
-      server.closeIdleConnections();
+      connections.closeWhenIdle();
     },
     [Symbol.asyncDispose]: async () => {
       const closed = once(server, 'close');
