fix(gateway): draining waits until answers are written to slow callers

Callers saw: nothing yet; a caller that reads slowly got the first part of its answer when the entry stopped listening 2.5 s after SIGTERM, or ended. Cause: Node 20 closes connections whose answer has ended, written or not, when a server is closed; and a request was in progress only until its answer had ended.

--- a/packages/gateway/__tests__/entryServer.spec.ts
+++ b/packages/gateway/__tests__/entryServer.spec.ts
@@ -130,9 +130,11 @@
     await pause(CLOSED_WITHIN_MILLISECONDS);
     draining.server.announceShutdown();
     draining.server.stopListening();
+    assert.equal(draining.server.inProgress, 1);
     draining.caller.resume();
     await pause(CLOSED_WITHIN_MILLISECONDS);
     assert.equal(draining.received().split('\r\n\r\n')[1]?.length, LARGE_ANSWER_BYTES);
+    assert.equal(draining.server.inProgress, 0);
     assert.equal(draining.isClosed(), true);
   });
 });
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -128,7 +128,7 @@
       await startStatusServer();
       metrics.gauge(
         'burdockrail_requests_in_progress',
-        'Requests without a final answer.',
+        'Requests whose answer has not been written completely.',
         () => entryServer.inProgress,
       );
       metrics.gauge(
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -47,7 +47,7 @@
   applyLimits(): void;
   /** Lets requests that wait for a confirmed configuration look again. */
   notifyClusterChange(): void;
-  /** Number of requests without a final answer. */
+  /** Number of requests whose answer has not been written completely. */
   readonly inProgress: number;
   /**
    * Stops accepting connections, closes each one once it is idle, and refuses new requests, which
@@ -288,7 +288,10 @@
       response.once('finish', () => {
         connections.requestFinished(socket);
       });
-      void handle(request, response).finally(() => {
+      const closed = new Promise<void>((resolve) => {
+        response.once('close', resolve);
+      });
+      void Promise.all([handle(request, response), closed]).finally(() => {
         inProgress -= 1;
       });
     },
@@ -300,6 +303,8 @@
     server.requestTimeout = 0;
   };
   applyLimits();
+  // When it closes, Node 20 would cut off answers that have ended but are not yet written.
+  server.closeIdleConnections = () => undefined;
   server.on('connection', (socket: Socket) => {
     connections.add(socket);
   });
