fix(gateway): a late request is read before it is refused while draining

Cause: the refusal of a request that came after the stop was sent before its body had been read; the connection is closed after it, and a close with unread bytes is a reset that can overtake the 503. Evidence: the new case failed: the 503 came before the last byte of the body. Change: refused after the body like all other refusals.

--- a/packages/gateway/__tests__/entryServer.spec.ts
+++ b/packages/gateway/__tests__/entryServer.spec.ts
@@ -15,6 +15,9 @@
 /** Time for bytes to arrive at a server on this machine, in milliseconds. */
 const ARRIVAL_MILLISECONDS = 50;
 
+/** Size of a body that does not arrive together with its head, in bytes. */
+const LARGE_BODY_BYTES = 60_000;
+
 /** Size of an answer that the kernel does not buffer for a caller that does not read, in bytes. */
 const LARGE_ANSWER_BYTES = 7 * 1024 * 1024;
 
@@ -109,6 +112,23 @@
     assert.match(draining.received(), /connection: close/iu);
   });
 
+  it('reads the body of a request that it refuses, so that the refusal is not lost by a reset', async () => {
+    await using disposables = createDisposalStack();
+    const draining = await startDraining(disposables);
+    const body = 'x'.repeat(LARGE_BODY_BYTES);
+    const text = `POST / HTTP/1.1\r\nhost: a.example\r\nx-request: one\r\ncontent-length: ${body.length}\r\n\r\n`;
+    draining.caller.write(text.slice(0, 20));
+    await pause(ARRIVAL_MILLISECONDS);
+    draining.server.announceShutdown();
+    draining.server.stopListening();
+    draining.caller.write(text.slice(20) + body.slice(1));
+    await pause(CLOSED_WITHIN_MILLISECONDS);
+    assert.equal(draining.received(), '');
+    draining.caller.write('x');
+    await pause(CLOSED_WITHIN_MILLISECONDS);
+    assert.match(draining.received(), /^HTTP\/1\.1 503 /u);
+  });
+
   it('completes the answers to requests that were sent without waiting for each other', async () => {
     await using disposables = createDisposalStack();
     const draining = await startDraining(disposables);
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -36,8 +36,12 @@
   idleTimeoutMilliseconds: 15_000,
 };
 
-/** Retry delay for requests to an entry that is shutting down, in milliseconds; others serve. */
-const DRAINING_RETRY_AFTER_MILLISECONDS = 0;
+/** Refusal of requests to an entry that has stopped listening; others serve them at once. */
+const drainingRefusal: Refusal = {
+  code: ResultCode.Draining,
+  detail: 'the entry has stopped listening',
+  retryAfterMilliseconds: 0,
+};
 
 /** HTTP server for callers' requests. */
 export interface EntryServer extends AsyncDisposable {
@@ -145,6 +149,7 @@
 
   const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const arrivedAt = time.now();
+    const arrivedTooLate = hasStopped;
     const answer = createCallerAnswer(response, dialect, () => isClosing);
     const caller = dialect.readCaller(request.headers);
     const trace: RequestTrace = {
@@ -173,14 +178,6 @@
       answer.refuse(refusal);
     };
     try {
-      if (hasStopped) {
-        refuse({
-          code: ResultCode.Draining,
-          detail: 'the entry has stopped listening',
-          retryAfterMilliseconds: DRAINING_RETRY_AFTER_MILLISECONDS,
-        });
-        return;
-      }
       if (!isConfirmed() && arrivedAt - startedAt < STARTUP_MILLISECONDS)
         await waitForConfirmation(cancellation.signal);
       const decision = admitRequest(
@@ -199,6 +196,10 @@
         time.now(),
       );
       const body = await readBody(request, limits().bodyBytes);
+      if (arrivedTooLate) {
+        refuse(drainingRefusal);
+        return;
+      }
       if (isRefusal(decision)) {
         refuse(decision);
         return;
