--- a/packages/gateway/src/entryAdmission.ts
+++ b/packages/gateway/src/entryAdmission.ts
@@ -11,6 +11,13 @@
   readonly retryAfterMilliseconds: number | null;
 }
 
+/** Refusal of requests to an entry that has stopped listening; others serve them at once. */
+export const drainingRefusal: Refusal = {
+  code: ResultCode.Draining,
+  detail: 'the entry has stopped listening',
+  retryAfterMilliseconds: 0,
+};
+
 /** A request that passed admission, with its route and deadline. */
 export interface AdmittedRequest {
   readonly route: Route;
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -6,7 +6,7 @@
 import { createChangeSignal } from './changeSignal.js';
 import { createCallerAnswer, type CallerAnswer } from './callerAnswer.js';
 import { createCallerConnections } from './callerConnections.js';
-import { admitRequest, isRefusal, type Refusal } from './entryAdmission.js';
+import { admitRequest, drainingRefusal, isRefusal, type Refusal } from './entryAdmission.js';
 import { BodyTooLarge, digestRequest, readBody } from './entryBody.js';
 import type { EntryContext } from './entryContext.js';
 import type { EntrySlots } from './entrySlots.js';
@@ -36,13 +36,6 @@
   idleTimeoutMilliseconds: 15_000,
 };
 
-/** Refusal of requests to an entry that has stopped listening; others serve them at once. */
-const drainingRefusal: Refusal = {
-  code: ResultCode.Draining,
-  detail: 'the entry has stopped listening',
-  retryAfterMilliseconds: 0,
-};
-
 /** HTTP server for callers' requests. */
 export interface EntryServer extends AsyncDisposable {
   /** Sends `Connection: close` with every answer from now on. */
