--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -4,11 +4,12 @@
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
 import type { RequestTraits } from '@burdockrail/limits/quarantineState.js';
 import { createChangeSignal } from './changeSignal.js';
-import { createCallerAnswer, type CallerAnswer } from './callerAnswer.js';
+import { createCallerAnswer } from './callerAnswer.js';
 import { createCallerConnections } from './callerConnections.js';
 import { admitRequest, drainingRefusal, isRefusal, type Refusal } from './entryAdmission.js';
 import { BodyTooLarge, digestRequest, readBody } from './entryBody.js';
 import type { EntryContext } from './entryContext.js';
+import { createEntryRequestLog, type RequestMetadata } from './entryRequestLog.js';
 import type { EntrySlots } from './entrySlots.js';
 import { runBuffered } from './entryBuffered.js';
 import { forwardedHeaders, type EntryRequest, type RequestTrace } from './entryRequest.js';
@@ -53,16 +54,6 @@
   stopListening(): void;
 }
 
-/** What is logged of a request besides its answer and trace. */
-interface RequestMetadata {
-  readonly arrivedAt: number;
-  route: string;
-  team: string;
-  /** Latency objective of the route, in milliseconds; `null` without a route. */
-  objective: number | null;
-  callerLeft: boolean;
-}
-
 async function countConnections(server: Server): Promise<number> {
   return new Promise((resolve, reject) => {
     server.getConnections((error, count) => {
@@ -78,9 +69,8 @@
   settings: EntrySettings,
   slots: EntrySlots,
 ): Promise<EntryServer> {
-  const { dialect, time, clusterView, log, metrics, random, quarantine, retryBudget } = entry;
-  const requestDurations = metrics.histogram('burdockrail_request_seconds');
-  const firstEventDelays = metrics.histogram('burdockrail_first_event_seconds');
+  const { dialect, time, clusterView, log, random, quarantine, retryBudget } = entry;
+  const requestLog = createEntryRequestLog(entry);
   const startedAt = time.now();
   const clusterSignal = createChangeSignal();
   const connections = createCallerConnections();
@@ -102,44 +92,6 @@
       await clusterSignal.wait(deadline - time.now(), signal);
   };
 
-  const recordRequest = (
-    request: IncomingMessage,
-    id: string | null,
-    answer: CallerAnswer,
-    trace: RequestTrace,
-    metadata: RequestMetadata,
-  ): void => {
-    const now = time.now();
-    const durationMilliseconds = now - metadata.arrivedAt;
-    const labels = { team: metadata.team, class: metadata.route };
-    requestDurations.record(labels, durationMilliseconds);
-    if (trace.firstByteMilliseconds !== null)
-      firstEventDelays.record(labels, trace.firstByteMilliseconds);
-    const outcome = metadata.callerLeft ? 'callerLeft' : answer.state;
-    metrics.count('burdockrail_requests_total', {
-      route: metadata.route,
-      status: String(answer.status),
-      outcome,
-    });
-    log.write('requestEnded', {
-      request: id,
-      route: metadata.route,
-      team: metadata.team,
-      status: answer.status,
-      outcome,
-      cause: trace.cause,
-      attempts: trace.attempts,
-      upstreams: trace.upstreams.join(','),
-      first: trace.firstByteMilliseconds === null ? null : Math.round(trace.firstByteMilliseconds),
-      pause: Math.round(trace.longestPauseMilliseconds),
-      milliseconds: Math.round(durationMilliseconds),
-      objective: metadata.objective,
-      configuration: clusterView.table?.configuration.version ?? 0,
-      confirmedAge: Math.round(Math.min(now - clusterView.confirmedAt, 1e9)),
-      ...(metadata.route === '' ? { target: request.url ?? '' } : {}),
-    });
-  };
-
   const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const arrivedAt = time.now();
     const arrivedTooLate = hasStopped;
@@ -269,7 +221,7 @@
           });
       }
     } finally {
-      recordRequest(request, caller.requestId, answer, trace, metadata);
+      requestLog.record(caller.requestId, request.url ?? '', answer, trace, metadata);
     }
   };
 
