refactor(gateway tests): one copy of the entry and slot that attempts use

Cause: troubledUpstreams.spec kept its own copy of what entryContextFixture holds. Change: it uses the fixture, with its own memory for answers; no case or check changes.

--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -116,6 +116,21 @@
   } as unknown as EntryContext;
 }
 
+/** A granted slot of an engine at a port of this machine. */
+export function createSlot(
+  engine: string,
+  port: number,
+  release: () => void = () => undefined,
+): GrantedSlot {
+  return {
+    engine,
+    address: `127.0.0.1:${port}`,
+    version: 1,
+    reportLimit: () => undefined,
+    release,
+  };
+}
+
 /** Slots of an engine at a port of this machine, granted at once; counts claims and releases. */
 export function createOpenSlots(port: number): EntrySlots & {
   readonly claimed: number;
@@ -132,15 +147,9 @@
     },
     claim: async () => {
       claimed += 1;
-      const slot: GrantedSlot = {
-        engine: `engine-${claimed}`,
-        address: `127.0.0.1:${port}`,
-        version: 1,
-        reportLimit: () => undefined,
-        release: () => {
-          released += 1;
-        },
-      };
+      const slot = createSlot(`engine-${claimed}`, port, () => {
+        released += 1;
+      });
       return Promise.resolve({ kind: 'granted', slot });
     },
   };
--- a/packages/gateway/__tests__/troubledUpstreams.spec.ts
+++ b/packages/gateway/__tests__/troubledUpstreams.spec.ts
@@ -7,10 +7,10 @@
 import { attemptBuffered } from '../src/bufferedAttempt.js';
 import type { EntryContext } from '../src/entryContext.js';
 import type { EntryRequest } from '../src/entryRequest.js';
-import type { GrantedSlot } from '../src/entrySlots.js';
 import { createHttpClient } from '../src/httpClient.js';
 import { attemptStream, type StreamAttemptOutcome } from '../src/streamAttempt.js';
 import { createUpstreamConnections } from '../src/upstreamConnections.js';
+import { createEntryContext, createSlot } from './entryContextFixture.js';
 
 /** Time within which an attempt at a server that sends without end must be over, in milliseconds. */
 const ENDED_WITHIN_MILLISECONDS = 5_000;
@@ -81,30 +81,9 @@
 
 /** The parts of an entry and a request that an attempt uses. */
 function createAttempt(port: number, connections: EntryContext['connections'], resumable: boolean) {
-  const entry = {
-    connections,
+  const entry = createEntryContext(connections, '', {
     answerMemory: createByteBudget(48 * MEBIBYTE),
-    time: { now: () => performance.now() },
-    settings: { bounds: { versionMilliseconds: 8_000 } },
-    clusterView: {
-      weightsOf: () => [],
-      table: { service: () => ({ maximumConnections: 100 }) },
-      entries: 1,
-    },
-    upstreams: { recordLoad: () => undefined },
-    limits: { recordAnswer: () => undefined },
-    dialect: {
-      attemptHeaders: () => [],
-      lastEventIdHeader: 'last-event-id',
-      readAnswer: (headers: Readonly<Record<string, unknown>>) => ({
-        requestId: headers['x-request'] ?? null,
-        signed: headers['x-signed'] === 'yes',
-        notRun: false,
-        load: null,
-        requestsPerSecond: null,
-      }),
-    },
-  } as unknown as EntryContext;
+  });
   const request = {
     id: REQUEST_ID,
     method: 'GET',
@@ -120,13 +99,7 @@
       route: { pauseMilliseconds: 100, resumable },
     },
   } as unknown as EntryRequest;
-  const slot: GrantedSlot = {
-    engine: 'engine-1',
-    address: `127.0.0.1:${port}`,
-    version: 1,
-    reportLimit: () => undefined,
-    release: () => undefined,
-  };
+  const slot = createSlot('engine-1', port);
   return { entry, request, slot };
 }
 
