--- a/packages/proofs/__tests__/fairness.spec.ts
+++ b/packages/proofs/__tests__/fairness.spec.ts
@@ -62,6 +62,13 @@
   return [...new Set(answers.map((answer) => answer.code))];
 }
 
+/** Numbers of answers by code, for the message of a failed check. */
+function countCodes(answers: readonly CallerAnswer[]): string {
+  return distinctCodes(answers)
+    .map((code) => `${answers.filter((answer) => answer.code === code).length} x ${code}`)
+    .join(', ');
+}
+
 describe('fair sharing between teams', () => {
   it('at most doubles the p95 of small teams while another sends ten times its share', async () => {
     await withServingSystem(fairnessLayout(3, 8), async (system) => {
@@ -103,7 +110,8 @@
       const attempts = counts.reduce((sum, { requests }) => sum + requests, 0);
       const succeeded = answers.filter((answer) => answer.code === ResultCode.Ok).length;
       assert.ok(attempts <= 1.2 * answers.length, `${attempts} attempts of ${answers.length}`);
-      assert.ok(succeeded >= 0.95 * answers.length, `${succeeded} of ${answers.length} answered`);
+      const figures = `${succeeded} of ${answers.length} answered; ${countCodes(answers)}`;
+      assert.ok(succeeded >= 0.95 * answers.length, figures);
     });
   });
 });
