fix(gateway): a silent engine keeps its stream until another has taken it over

Callers saw a stream that had begun end with its connection, neither answered nor refused, although its engine had only paused. Cause: the entry closed the engine's connection after 0.9 s or three pauses without an event and looked for another engine only then; without a free slot, an attempt or retry budget, or when the second engine refused or failed, it destroyed the caller's connection.

Silence now only makes the entry claim a slot elsewhere and resume the stream there as well; the first event decides which of the two goes on, and only then the other connection is closed. A first event is waited for in the same way. Entries learn of a silent engine when another has replaced it or when the caller leaves.

--- a/packages/gateway/__tests__/silentUpstream.spec.ts
+++ b/packages/gateway/__tests__/silentUpstream.spec.ts
@@ -291,6 +291,25 @@
     assert.equal(unreleased, 0);
   });
 
+  it('is resumed at another engine although a byte arrives now and then', async () => {
+    await using engine = await startEngine(async (socket) => {
+      socket.write(signedHead + event(1));
+      const timer = setInterval(() => socket.write('x'), 100);
+      socket.once('close', () => {
+        clearInterval(timer);
+      });
+      await once(socket, 'close');
+    });
+    await using other = await startEngine(async (socket) => {
+      socket.end(signedHead + event(2));
+      return Promise.resolve();
+    });
+    const { received, end } = await playStream({ grants: [engine.port, other.port] });
+    assert.equal(end, 'finished');
+    assert.equal(received, event(1) + event(2));
+    assert.equal(engine.closedByEntry, true);
+  });
+
   it('is resumed once a slot becomes free', async () => {
     await using engine = await startEngine(stayWithinStream);
     await using other = await startEngine(async (socket) => {
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -1,11 +1,14 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { refusalRetryAfterMilliseconds } from '@burdockrail/limits/refusalRetryAfter.js';
 import { streamSlackMilliseconds } from '@burdockrail/limits/streamSlack.js';
+import type { AttemptVerdict } from '@burdockrail/routing/upstreamHealthTracker.js';
 import type { EntryContext } from './entryContext.js';
 import { refusalOfQuarantined } from './entryQuarantine.js';
 import type { EntrySlots, GrantedSlot } from './entrySlots.js';
 import type { EntryRequest } from './entryRequest.js';
-import { attemptStream, type StreamAttemptOutcome } from './streamAttempt.js';
+import { startStream, type RunningStream, type StreamObserver } from './streamAttempt.js';
+import { runWithHandover, type EndedStream, type IncompleteStream } from './streamHandover.js';
 
 /** Minimum remaining time for starting a stream, in milliseconds. */
 const MINIMUM_ATTEMPT_MILLISECONDS = 50;
@@ -19,6 +22,16 @@
 /** Events after which an engine is unlikely to crash because of the request's prompt. */
 const SOUND_RUN_EVENTS = 3;
 
+const SERVER_ERROR_STATUS = 500;
+
+/** What the log says of the end of an attempt. */
+interface AttemptEnd {
+  readonly outcome: 'broken' | 'notRun';
+  readonly verdict: AttemptVerdict;
+  readonly sent: boolean;
+  readonly reason: string;
+}
+
 /** Events forwarded so far; prevents duplicates and gaps when a stream is resumed. */
 interface Progress {
   lastEventId: number | null;
@@ -26,6 +39,15 @@
   lastEventAt: number | null;
 }
 
+/** Attempts that have ended. */
+interface AttemptTally {
+  sent: number;
+  /** Engines that were lost. */
+  losses: number;
+  mayHaveRun: boolean;
+  lastReason: string;
+}
+
 /** Executes a request whose answer is an event stream; resumes it at another engine if possible. */
 export async function runStream(
   entry: EntryContext,
@@ -33,74 +55,138 @@
   request: EntryRequest,
 ): Promise<void> {
   const { time, clusterView, retryBudget, upstreams, quarantine, log } = entry;
-  const { admitted, answer, signal, trace, caller } = request;
+  const { admitted, answer, signal, trace } = request;
   const { route, service } = admitted;
   const triedEngines = new Set<string>();
+  const sentAt = new Map<string, Milliseconds>();
   const progress: Progress = { lastEventId: null, events: 0, lastEventAt: null };
   const engine = clusterView.table?.service(service)?.engine ?? null;
-  let sentCount = 0;
-  let lossCount = 0;
-  let mayHaveRun = false;
-  let lastReason = '';
+  const attempts: AttemptTally = { sent: 0, losses: 0, mayHaveRun: false, lastReason: '' };
 
   const isAborted = (): boolean => signal.aborted;
 
-  const canAttempt = (): boolean => {
+  /** True if another attempt may be made besides those that ended and the given number in progress. */
+  const canAttempt = (inProgress: number): boolean => {
     if (signal.aborted || answer.state !== 'open') return false;
-    if (mayHaveRun && !route.resumable) return false;
+    if (attempts.mayHaveRun && !route.resumable) return false;
     if (progress.events > 0 && progress.lastEventId === null) return false;
-    if (sentCount > 0 && !quarantine.mayRetry(request.traits, time.now())) return false;
-    const limit = route.attempts + Math.min(lossCount, EXTRA_ATTEMPTS_AFTER_LOSS);
-    return sentCount < limit && admitted.deadline - time.now() > MINIMUM_ATTEMPT_MILLISECONDS;
+    const attempted = attempts.sent + inProgress;
+    if (attempted > 0 && !quarantine.mayRetry(request.traits, time.now())) return false;
+    const limit = route.attempts + Math.min(attempts.losses, EXTRA_ATTEMPTS_AFTER_LOSS);
+    return attempted < limit && admitted.deadline - time.now() > MINIMUM_ATTEMPT_MILLISECONDS;
   };
 
-  const slack = (): number =>
-    progress.events > 0 || sentCount > 0
+  const slack = (inProgress: number): number =>
+    progress.events > 0 || attempts.sent + inProgress > 0
       ? RESUME_SLACK_MILLISECONDS
       : streamSlackMilliseconds({
           objectiveMilliseconds: route.objectiveMilliseconds,
           elapsedMilliseconds: request.elapsedMilliseconds + time.now() - request.arrivedAt,
-          promptTokens: caller.promptTokens,
+          promptTokens: request.caller.promptTokens,
           readTokensPerSecond: engine?.readTokensPerSecond ?? 0,
         });
 
-  const attemptAt = async (slot: GrantedSlot): Promise<StreamAttemptOutcome> => {
-    upstreams.requestStarted(slot.engine);
-    try {
-      return await attemptStream(entry, request, slot, progress.lastEventId, {
-        head: (status, rawHeaders) => {
-          trace.firstByteMilliseconds ??= time.now() - request.arrivedAt;
-          answer.sendHeaders(status, rawHeaders);
-        },
-        event: (bytes, id) => {
-          // A resuming engine repeats no events; a wrong id must still not reach the caller.
-          if (id !== null && progress.lastEventId !== null && id <= progress.lastEventId)
-            return true;
-          if (id !== null) progress.lastEventId = id;
-          progress.events += 1;
-          const eventAt = time.now();
-          const pause = eventAt - (progress.lastEventAt ?? eventAt);
-          trace.longestPauseMilliseconds = Math.max(trace.longestPauseMilliseconds, pause);
-          progress.lastEventAt = eventAt;
-          return answer.write(bytes);
-        },
-        onDrain: (resume) => {
-          answer.onDrain(resume);
-        },
+  const caller: Omit<StreamObserver, 'silent'> = {
+    head: (status, rawHeaders) => {
+      trace.firstByteMilliseconds ??= time.now() - request.arrivedAt;
+      answer.sendHeaders(status, rawHeaders);
+    },
+    event: (bytes, id) => {
+      if (id !== null) progress.lastEventId = id;
+      progress.events += 1;
+      const eventAt = time.now();
+      const pause = eventAt - (progress.lastEventAt ?? eventAt);
+      trace.longestPauseMilliseconds = Math.max(trace.longestPauseMilliseconds, pause);
+      progress.lastEventAt = eventAt;
+      return answer.write(bytes);
+    },
+    onDrain: (resume) => {
+      answer.onDrain(resume);
+    },
+  };
+
+  const start = (slot: GrantedSlot, observer: StreamObserver): RunningStream => {
+    triedEngines.add(slot.engine);
+    sentAt.set(slot.engine, time.now());
+    trace.attempts += 1;
+    trace.upstreams.push(slot.engine);
+    if (progress.events > 0) {
+      log.write('streamContinued', {
+        request: request.id,
+        upstream: slot.engine,
+        lastEventId: progress.lastEventId,
       });
-    } finally {
+    }
+    upstreams.requestStarted(slot.engine);
+    const running = startStream(entry, request, slot, progress.lastEventId, observer);
+    void running.outcome.finally(() => {
       slot.release();
       upstreams.requestEnded(slot.engine);
+    });
+    return running;
+  };
+
+  const logEnd = (engine: string, end: AttemptEnd): void => {
+    const now = time.now();
+    attempts.lastReason = end.reason;
+    log.write('attemptEnded', {
+      request: request.id,
+      upstream: engine,
+      ...end,
+      events: progress.events,
+      content: request.traits.content,
+      parts: request.caller.sharedParts.join(','),
+      sentMilliseconds: Math.round(now - (sentAt.get(engine) ?? now)),
+    });
+  };
+
+  /** Records a stream that ended without a complete answer. */
+  const recordEnd = ({ slot: { engine }, outcome, events }: IncompleteStream): void => {
+    if (outcome.kind === 'whole') {
+      const verdict = outcome.status >= SERVER_ERROR_STATUS ? 'failed' : 'answered';
+      upstreams.recordVerdict(engine, verdict, time.now());
+      attempts.lastReason = `engine answered with status ${outcome.status}`;
+      attempts.sent += 1;
+      attempts.mayHaveRun = true;
+      return;
     }
+    const { kind, verdict, reason } = outcome;
+    const sent = kind === 'broken' || outcome.sent;
+    upstreams.recordVerdict(engine, verdict, time.now());
+    logEnd(engine, { outcome: kind, verdict, sent, reason });
+    if (sent) attempts.sent += 1;
+    if (kind !== 'broken') return;
+    attempts.mayHaveRun = true;
+    if (verdict !== 'broken') return;
+    attempts.losses += 1;
+    const { content, parts } = request.traits;
+    const hasWritten = events >= SOUND_RUN_EVENTS;
+    quarantine.recordConnectionLoss({ content, parts: hasWritten ? [] : parts }, engine);
+  };
+
+  /** Records a stream that was given up because another engine goes on with it. */
+  const recordGivenUp = ({ slot: { engine }, wasSilent }: Omit<EndedStream, 'outcome'>): void => {
+    attempts.sent += 1;
+    attempts.mayHaveRun = true;
+    if (!wasSilent) return;
+    upstreams.recordVerdict(engine, 'silent', time.now());
+    const reason = 'no event in time, another engine goes on';
+    logEnd(engine, { outcome: 'broken', verdict: 'silent', sent: true, reason });
   };
 
-  while (canAttempt()) {
+  const claimSuccessor = async (): Promise<GrantedSlot | null> => {
+    if (!canAttempt(1)) return null;
+    const outcome = await slots.claim(request, triedEngines, slack(1));
+    return outcome.kind === 'granted' ? outcome.slot : null;
+  };
+
+  while (canAttempt(0)) {
     const now = time.now();
-    if (sentCount > 0 && !retryBudget.trySpend(service, clusterView.entries, now)) break;
-    const outcome = await slots.claim(request, triedEngines, slack());
+    if (attempts.sent > 0 && !retryBudget.trySpend(service, clusterView.entries, now)) break;
+    const outcome = await slots.claim(request, triedEngines, slack(0));
     if (outcome.kind !== 'granted') {
       if (signal.aborted) return;
-      if (sentCount > 0) break;
+      if (attempts.sent > 0) break;
       const isFull = outcome.kind === 'full';
       trace.cause = isFull ? `full, ${outcome.asked} engines asked` : 'no engine';
       answer.refuse({
@@ -108,7 +194,7 @@
         detail: trace.cause,
         retryAfterMilliseconds: refusalRetryAfterMilliseconds({
           freeInMilliseconds: isFull ? outcome.freeInMilliseconds : null,
-          slackMilliseconds: slack(),
+          slackMilliseconds: slack(0),
         }),
       });
       return;
@@ -120,90 +206,70 @@
     }
     // Engines may have crashed under such requests since the claim was sent.
     const quarantineRefusal = refusalOfQuarantined(quarantine, request.traits, time.now());
-    if (quarantineRefusal !== null && !mayHaveRun) {
+    if (quarantineRefusal !== null && !attempts.mayHaveRun) {
       slot.release();
       trace.cause = quarantineRefusal.detail;
       answer.refuse(quarantineRefusal);
       return;
     }
-    if (sentCount > 0 && !quarantine.mayRetry(request.traits, time.now())) {
+    if (attempts.sent > 0 && !quarantine.mayRetry(request.traits, time.now())) {
       slot.release();
       break;
     }
-    triedEngines.add(slot.engine);
-    trace.attempts += 1;
-    trace.upstreams.push(slot.engine);
-    if (progress.events > 0) {
-      log.write('streamContinued', {
-        request: request.id,
-        upstream: slot.engine,
-        lastEventId: progress.lastEventId,
-      });
-    }
-    const eventsBefore = progress.events;
-    const result = await attemptAt(slot);
+    const ended = await runWithHandover(slot, {
+      start,
+      claimSuccessor,
+      maySendAgain: () =>
+        canAttempt(1) && retryBudget.trySpend(service, clusterView.entries, time.now()),
+      // A resuming engine repeats no events; a wrong id must still not reach the caller.
+      isNew: (id) => id === null || progress.lastEventId === null || id > progress.lastEventId,
+      caller,
+      ended: recordEnd,
+      givenUp: recordGivenUp,
+    });
+    const { outcome: result } = ended;
+    const { engine: endedEngine } = ended.slot;
     if (result.kind === 'complete') {
-      upstreams.recordVerdict(slot.engine, 'answered', time.now());
+      upstreams.recordVerdict(endedEngine, 'answered', time.now());
       quarantine.recordCompletion(request.traits, time.now());
       answer.finish();
       return;
     }
-    if (result.kind === 'whole') {
-      upstreams.recordVerdict(
-        slot.engine,
-        result.status >= 500 ? 'failed' : 'answered',
-        time.now(),
-      );
-      if (answer.headersSent) break;
-      if (result.status < 500 || !route.resumable || sentCount + 1 >= route.attempts) {
-        answer.sendBuffered(result.status, result.rawHeaders, result.body);
-        return;
-      }
-      sentCount += 1;
-      mayHaveRun = true;
-      continue;
+    if (signal.aborted) {
+      if (ended.wasSilent) upstreams.recordVerdict(endedEngine, 'silent', time.now());
+      return;
+    }
+    recordEnd({ ...ended, outcome: result });
+    if (result.kind !== 'whole') continue;
+    if (answer.headersSent) break;
+    if (
+      result.status < SERVER_ERROR_STATUS ||
+      !route.resumable ||
+      attempts.sent >= route.attempts
+    ) {
+      answer.sendBuffered(result.status, result.rawHeaders, result.body);
+      return;
     }
-    if (signal.aborted) return;
-    upstreams.recordVerdict(slot.engine, result.verdict, time.now());
-    lastReason = result.reason;
-    log.write('attemptEnded', {
-      request: request.id,
-      upstream: slot.engine,
-      outcome: result.kind,
-      verdict: result.verdict,
-      sent: result.kind === 'broken' || result.sent,
-      reason: result.reason,
-      events: progress.events,
-      content: request.traits.content,
-      parts: caller.sharedParts.join(','),
-      sentMilliseconds: Math.round(time.now() - now),
-    });
-    if (result.kind === 'broken') {
-      mayHaveRun = true;
-      sentCount += 1;
-      if (result.verdict === 'broken') {
-        lossCount += 1;
-        const hasWritten = progress.events - eventsBefore >= SOUND_RUN_EVENTS;
-        const { content, parts } = request.traits;
-        quarantine.recordConnectionLoss({ content, parts: hasWritten ? [] : parts }, slot.engine);
-      }
-    } else if (result.sent) sentCount += 1;
   }
   if (signal.aborted || answer.state !== 'open') return;
-  trace.cause = lastReason;
+  trace.cause = attempts.lastReason;
   if (answer.headersSent) {
     answer.destroyConnection();
     return;
   }
   answer.refuse(
-    mayHaveRun
-      ? { code: ResultCode.UpstreamFailed, detail: lastReason, retryAfterMilliseconds: null }
+    attempts.mayHaveRun
+      ? {
+          code: ResultCode.UpstreamFailed,
+          detail: attempts.lastReason,
+          retryAfterMilliseconds: null,
+        }
       : {
           code: ResultCode.Overloaded,
-          detail: lastReason,
+          detail: attempts.lastReason,
           retryAfterMilliseconds: refusalRetryAfterMilliseconds({
             freeInMilliseconds: 0,
-            slackMilliseconds: slack(),
+            slackMilliseconds: slack(0),
           }),
         },
   );
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -7,13 +7,13 @@
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 import { mayServeVersion, mustBeginBy } from './versionRule.js';
 
-/** Timeout for the first event, in milliseconds: even a late first event is useful. */
+/** Time without a first event after which an engine counts as silent, in milliseconds. */
 const FIRST_EVENT_TIMEOUT_MILLISECONDS = 1_700;
 
-/** Timeout between events, in multiples of the route's usual pause. */
+/** The same between events, in multiples of the route's usual pause. */
 const SILENCE_TIMEOUT_PAUSES = 3;
 
-/** Minimum timeout between events, in milliseconds. */
+/** Minimum time between events after which an engine counts as silent, in milliseconds. */
 const MINIMUM_SILENCE_TIMEOUT_MILLISECONDS = 900;
 
 /** Maximum size of one event, in bytes. */
@@ -44,16 +44,32 @@
   /** Receives a complete event; returns false when the caller applies backpressure. */
   event(bytes: Buffer, id: number | null): boolean;
   onDrain(resume: () => void): void;
+  /** No event has arrived for a while; called again after each further such time. */
+  silent(): void;
 }
 
-/** Runs a stream at one engine and forwards each event as soon as it is complete. */
-export async function attemptStream(
+/** A stream in progress at one engine. */
+export interface RunningStream {
+  readonly outcome: Promise<StreamAttemptOutcome>;
+  /** True from a call of `silent` until the next event. */
+  readonly isSilent: boolean;
+  /** Closes the connection to the engine. */
+  abort(): void;
+}
+
+/**
+ * Runs a stream at one engine and forwards each event as soon as it is complete.
+ *
+ * @remarks
+ * Silence alone ends no stream: a sound engine may pause and go on.
+ */
+export function startStream(
   entry: EntryContext,
   request: EntryRequest,
   slot: GrantedSlot,
   lastEventId: number | null,
   observer: StreamObserver,
-): Promise<StreamAttemptOutcome> {
+): RunningStream {
   const { connections, dialect, time, clusterView, limits, settings } = entry;
   const { admitted, signal, caller } = request;
   const { route } = admitted;
@@ -68,7 +84,7 @@
     },
     dialect,
   );
-  // A stream that cannot continue at another engine is only ended by the caller or its deadline.
+  // A stream that cannot continue at another engine has no use for silence.
   const silenceTimeoutMilliseconds = route.resumable
     ? Math.max(
         MINIMUM_SILENCE_TIMEOUT_MILLISECONDS,
@@ -78,23 +94,27 @@
   const { resolve, promise } = createDeferred<StreamAttemptOutcome>();
   const splitter = createEventSplitter();
   let sent = false;
-  let isTimedOut = false;
+  let isTooLateToBegin = false;
+  let isSilent = false;
   let isVersionSuperseded = false;
   let hasReceivedEvent = false;
   let head: { status: number; headers: AnswerHeaders; raw: readonly string[] } | null = null;
   let bufferedParts: Buffer[] | null = null;
   let bufferedBytes = 0;
-  let timer: NodeJS.Timeout | undefined;
+  let silenceTimer: NodeJS.Timeout | undefined;
+  let beginTimer: NodeJS.Timeout | undefined;
 
   const settle = (outcome: StreamAttemptOutcome): void => {
-    clearTimeout(timer);
+    clearTimeout(silenceTimer);
+    clearTimeout(beginTimer);
     resolve(outcome);
   };
-  const restartTimer = (milliseconds: number): void => {
-    clearTimeout(timer);
-    timer = setTimeout(() => {
-      isTimedOut = true;
-      attempt.abort();
+  const restartSilenceTimer = (milliseconds: number): void => {
+    clearTimeout(silenceTimer);
+    silenceTimer = setTimeout(() => {
+      isSilent = true;
+      restartSilenceTimer(silenceTimeoutMilliseconds ?? milliseconds);
+      observer.silent();
     }, milliseconds);
   };
   const fail = (reason: string): void => {
@@ -106,6 +126,8 @@
     const events = splitter.push(bytes);
     for (const { bytes: event, id } of events) {
       if (head === null) return;
+      isSilent = false;
+      clearTimeout(beginTimer);
       if (!hasReceivedEvent) observer.head(head.status, head.raw);
       hasReceivedEvent = true;
       if (!observer.event(event, id)) {
@@ -118,16 +140,20 @@
     if (splitter.pendingBytes > MAXIMUM_EVENT_BYTES) fail('an event exceeds the size limit');
     // A stalled upstream may send a byte now and then, so only whole events count as progress.
     else if (events.length > 0 && silenceTimeoutMilliseconds !== null)
-      restartTimer(silenceTimeoutMilliseconds);
-    else if (events.length > 0) clearTimeout(timer);
+      restartSilenceTimer(silenceTimeoutMilliseconds);
   };
 
   const beginBy = mustBeginBy(slot.version, clusterView.weightsOf(caller.model), settings.bounds);
-  const firstEventTimeout = route.resumable
-    ? FIRST_EVENT_TIMEOUT_MILLISECONDS
-    : Number.POSITIVE_INFINITY;
-  const firstEventWait = Math.max(0, Math.min(firstEventTimeout, beginBy - time.now()));
-  if (Number.isFinite(firstEventWait)) restartTimer(firstEventWait);
+  if (route.resumable) restartSilenceTimer(FIRST_EVENT_TIMEOUT_MILLISECONDS);
+  if (Number.isFinite(beginBy)) {
+    beginTimer = setTimeout(
+      () => {
+        isTooLateToBegin = true;
+        attempt.abort();
+      },
+      Math.max(0, beginBy - time.now()),
+    );
+  }
   const attempt = connections.run(
     slot.address,
     connectionLimit(entry, admitted.service),
@@ -202,18 +228,26 @@
           });
           return;
         }
-        const isTooLateToBegin = isTimedOut && !hasReceivedEvent && time.now() >= beginBy;
         // An engine is not to blame for a version that ends.
-        const silentVerdict = isTooLateToBegin ? 'full' : 'silent';
-        const verdict = isTimedOut ? silentVerdict : 'broken';
-        const reason = isTimedOut ? 'no event in time' : error.message;
+        const verdict = isTooLateToBegin ? 'full' : 'broken';
+        const reason = isTooLateToBegin
+          ? 'no event before the weights of the engine were superseded'
+          : error.message;
         if (sent) settle({ kind: 'broken', verdict, reason });
         else settle({ kind: 'notRun', verdict, reason, sent });
       },
     },
     signal,
   );
-  return promise;
+  return {
+    outcome: promise,
+    get isSilent() {
+      return isSilent;
+    },
+    abort: () => {
+      attempt.abort();
+    },
+  };
 }
 
 function createDeferred<Value>(): {
