fix(gateway): a caller that reads slowly does not make its engine look silent

While a caller does not read, the entry stops reading from the engine, and no event can arrive. Evidence: 'is not sent to another engine' failed with one request at the other engine. The timer now stands still while the entry waits for the caller and starts again when it reads on.

--- a/packages/gateway/__tests__/silentUpstream.spec.ts
+++ b/packages/gateway/__tests__/silentUpstream.spec.ts
@@ -32,18 +32,22 @@
 interface Engine extends AsyncDisposable {
   readonly port: number;
   readonly requests: readonly string[];
-  readonly closedByEntry: boolean;
+  /** Resolves when the entry closes a connection before its answer has ended. */
+  readonly closedByEntry: Promise<void>;
 }
 
 /** An engine whose every request is answered by `play`. */
 async function startEngine(play: (socket: Socket) => Promise<void>): Promise<Engine> {
   const requests: string[] = [];
   const sockets = new Set<Socket>();
-  let closedByEntry = false;
+  let resolveClosed: () => void = () => undefined;
+  const closedByEntry = new Promise<void>((resolve) => {
+    resolveClosed = resolve;
+  });
   const server: Server = createServer({ allowHalfOpen: true }, (socket) => {
     sockets.add(socket);
     const noteClose = (): void => {
-      closedByEntry ||= !socket.writableEnded;
+      if (!socket.writableEnded) resolveClosed();
       socket.end();
     };
     socket.on('error', noteClose);
@@ -58,9 +62,7 @@
   return {
     port: (server.address() as AddressInfo).port,
     requests,
-    get closedByEntry() {
-      return closedByEntry;
-    },
+    closedByEntry,
     [Symbol.asyncDispose]: async () => {
       for (const socket of sockets) socket.destroy();
       server.close();
@@ -69,6 +71,15 @@
   };
 }
 
+/** Resolves when a connection is closed, also by a reset, for which `once` would reject. */
+async function closed(socket: Socket): Promise<void> {
+  return new Promise((resolve) => {
+    socket.once('close', () => {
+      resolve();
+    });
+  });
+}
+
 /** Sends two events, falls silent, and goes on to the end. */
 async function pauseWithinStream(socket: Socket): Promise<void> {
   socket.write(signedHead + event(1) + event(2));
@@ -95,10 +106,17 @@
   readonly grants: readonly (number | null)[];
   readonly changes?: Partial<EntryContext>;
   readonly attempts?: number;
+  /** Time for which the caller reads nothing after the first event, in milliseconds. */
+  readonly callerPauseMilliseconds?: number;
 }
 
 /** Plays one resumable stream. */
-async function playStream({ grants, changes = {}, attempts = 2 }: Play): Promise<Played> {
+async function playStream({
+  grants,
+  changes = {},
+  attempts = 2,
+  callerPauseMilliseconds = 0,
+}: Play): Promise<Played> {
   await using connections = createUpstreamConnections('127.0.0.1');
   let claimed = 0;
   let unreleased = 0;
@@ -159,10 +177,13 @@
         headersSent = true;
       },
       write: (bytes: Buffer) => {
+        const isFirst = received === '';
         received += bytes.toString();
-        return true;
+        return !isFirst || callerPauseMilliseconds === 0;
+      },
+      onDrain: (resume: () => void) => {
+        setTimeout(resume, callerPauseMilliseconds);
       },
-      onDrain: () => undefined,
       finish: () => {
         state = 'whole';
         end = 'finished';
@@ -191,7 +212,7 @@
   return { received, end, verdicts, unreleased };
 }
 
-describe('a stream whose engine falls silent for a while', () => {
+describe('a stream whose engine falls silent for a while', { timeout: 60_000 }, () => {
   it('is not cut when no other engine has a free slot', async () => {
     await using engine = await startEngine(pauseWithinStream);
     const { received, end, unreleased } = await playStream({ grants: [engine.port] });
@@ -248,12 +269,12 @@
   it('is not cut when the next engine falls silent too', async () => {
     await using engine = await startEngine(pauseWithinStream);
     await using other = await startEngine(async (socket) => {
-      await once(socket, 'close');
+      await closed(socket);
     });
     const { received, end, unreleased } = await playStream({ grants: [engine.port, other.port] });
     assert.equal(end, 'finished');
     assert.equal(received, event(1) + event(2) + event(3) + event(4));
-    assert.equal(other.closedByEntry, true);
+    await other.closedByEntry;
     assert.equal(unreleased, 0);
   });
 
@@ -265,10 +286,10 @@
   });
 });
 
-describe('a stream whose engine stays silent', () => {
+describe('a stream whose engine stays silent', { timeout: 60_000 }, () => {
   const stayWithinStream = async (socket: Socket): Promise<void> => {
     socket.write(signedHead + event(1) + event(2));
-    await once(socket, 'close');
+    await closed(socket);
   };
 
   it('is resumed at another engine, whose first event ends the silent run', async () => {
@@ -283,7 +304,7 @@
     assert.equal(end, 'finished');
     assert.equal(received, event(1) + event(2) + event(3) + event(4));
     assert.match(other.requests[0] ?? '', /last-event-id: 2\r\n/iu);
-    assert.equal(engine.closedByEntry, true);
+    await engine.closedByEntry;
     assert.deepEqual(verdicts, [
       ['engine-1', 'silent'],
       ['engine-2', 'answered'],
@@ -298,7 +319,7 @@
       socket.once('close', () => {
         clearInterval(timer);
       });
-      await once(socket, 'close');
+      await closed(socket);
     });
     await using other = await startEngine(async (socket) => {
       socket.end(signedHead + event(2));
@@ -307,7 +328,7 @@
     const { received, end } = await playStream({ grants: [engine.port, other.port] });
     assert.equal(end, 'finished');
     assert.equal(received, event(1) + event(2));
-    assert.equal(engine.closedByEntry, true);
+    await engine.closedByEntry;
   });
 
   it('is resumed once a slot becomes free', async () => {
@@ -321,3 +342,40 @@
     assert.equal(received, event(1) + event(2) + event(3));
   });
 });
+
+describe('a stream whose caller reads slowly', { timeout: 60_000 }, () => {
+  it('is not sent to another engine', async () => {
+    await using engine = await startEngine(async (socket) => {
+      for (const id of [1, 2, 3]) {
+        socket.write(id === 1 ? signedHead + event(id) : event(id));
+        await delay(100);
+      }
+      socket.end(event(4));
+    });
+    await using other = await startEngine(pauseWithinStream);
+    const { received, end } = await playStream({
+      grants: [engine.port, other.port],
+      callerPauseMilliseconds: SILENCE_MILLISECONDS,
+    });
+    assert.equal(other.requests.length, 0);
+    assert.equal(end, 'finished');
+    assert.equal(received, event(1) + event(2) + event(3) + event(4));
+  });
+
+  it('is sent to another engine if its own falls silent once it reads again', async () => {
+    await using engine = await startEngine(async (socket) => {
+      socket.write(signedHead + event(1));
+      await closed(socket);
+    });
+    await using other = await startEngine(async (socket) => {
+      socket.end(signedHead + event(2));
+      return Promise.resolve();
+    });
+    const { received, end } = await playStream({
+      grants: [engine.port, other.port],
+      callerPauseMilliseconds: 200,
+    });
+    assert.equal(end, 'finished');
+    assert.equal(received, event(1) + event(2));
+  });
+});
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -96,6 +96,8 @@
   let sent = false;
   let isTooLateToBegin = false;
   let isSilent = false;
+  let isPaused = false;
+  let isSettled = false;
   let isVersionSuperseded = false;
   let hasReceivedEvent = false;
   let head: { status: number; headers: AnswerHeaders; raw: readonly string[] } | null = null;
@@ -107,6 +109,7 @@
   const settle = (outcome: StreamAttemptOutcome): void => {
     clearTimeout(silenceTimer);
     clearTimeout(beginTimer);
+    isSettled = true;
     resolve(outcome);
   };
   const restartSilenceTimer = (milliseconds: number): void => {
@@ -117,6 +120,22 @@
       observer.silent();
     }, milliseconds);
   };
+  /** Stops reading until the caller has read what was sent; the engine is not silent meanwhile. */
+  const pauseForCaller = (): void => {
+    if (isPaused) return;
+    isPaused = true;
+    attempt.pause();
+    observer.onDrain(() => {
+      isPaused = false;
+      attempt.resume();
+      expectNextEvent();
+    });
+  };
+  const expectNextEvent = (): void => {
+    clearTimeout(silenceTimer);
+    if (isPaused || isSettled || silenceTimeoutMilliseconds === null) return;
+    restartSilenceTimer(silenceTimeoutMilliseconds);
+  };
   const fail = (reason: string): void => {
     attempt.abort();
     settle({ kind: 'broken', verdict: 'failed', reason });
@@ -130,17 +149,11 @@
       clearTimeout(beginTimer);
       if (!hasReceivedEvent) observer.head(head.status, head.raw);
       hasReceivedEvent = true;
-      if (!observer.event(event, id)) {
-        attempt.pause();
-        observer.onDrain(() => {
-          attempt.resume();
-        });
-      }
+      if (!observer.event(event, id)) pauseForCaller();
     }
     if (splitter.pendingBytes > MAXIMUM_EVENT_BYTES) fail('an event exceeds the size limit');
     // A stalled upstream may send a byte now and then, so only whole events count as progress.
-    else if (events.length > 0 && silenceTimeoutMilliseconds !== null)
-      restartSilenceTimer(silenceTimeoutMilliseconds);
+    else if (events.length > 0) expectNextEvent();
   };
 
   const beginBy = mustBeginBy(slot.version, clusterView.weightsOf(caller.model), settings.bounds);
