fix(gateway): a silent upstream is not given up for a retry that the budget forbids

The retry is now taken from the budget before the upstream is given up; without one the attempt goes on to its deadline.

--- a/packages/gateway/src/bufferedAttempt.ts
+++ b/packages/gateway/src/bufferedAttempt.ts
@@ -14,12 +14,18 @@
   size: number;
 }
 
-/** Sends a request to one upstream and buffers its complete answer. */
+/**
+ * Sends a request to one upstream and buffers its complete answer.
+ *
+ * @param mayGiveUp - called after each `timeoutMilliseconds` without a complete answer; `false` lets
+ * the attempt go on.
+ */
 export async function attemptBuffered(
   entry: EntryContext,
   request: EntryRequest,
   upstream: { readonly id: string; readonly address: string },
   timeoutMilliseconds: number,
+  mayGiveUp: () => boolean = () => true,
 ): Promise<BufferedAttemptOutcome> {
   const { connections, dialect, time, upstreams, limits, answerMemory } = entry;
   const { admitted, signal } = request;
@@ -39,12 +45,13 @@
     let buffered: BufferedAnswer | null = null;
     let isTimedOut = false;
     let isOverLimit = false;
-    const timer = setTimeout(() => {
+    const timer = setInterval(() => {
+      if (!mayGiveUp()) return;
       isTimedOut = true;
       attempt.abort();
     }, timeoutMilliseconds);
     const settle = (outcome: BufferedAttemptOutcome): void => {
-      clearTimeout(timer);
+      clearInterval(timer);
       answerMemory.release(buffered?.size ?? 0);
       resolve(outcome);
     };
--- a/packages/gateway/src/entryBuffered.ts
+++ b/packages/gateway/src/entryBuffered.ts
@@ -97,6 +97,7 @@
   const tried = new Set<string>();
   let sentCount = 0;
   let mayHaveRun = false;
+  let hasRetryAllowance = false;
   let lastOutcome: BufferedAttemptOutcome | null = null;
   let limitedMilliseconds: number | null = null;
   let failureAnswer: Extract<BufferedAttemptOutcome, { readonly kind: 'answered' }> | null = null;
@@ -108,6 +109,12 @@
     (sentCount === 0 || quarantine.mayRetry(request.traits, time.now())) &&
     admitted.deadline - time.now() > MINIMUM_ATTEMPT_MILLISECONDS;
 
+  /** Takes a retry from the shared budget, unless one is in hand. */
+  const takeRetryAllowance = (): boolean => {
+    hasRetryAllowance ||= retryBudget.trySpend(service, clusterView.entries, time.now());
+    return hasRetryAllowance;
+  };
+
   while (canAttempt()) {
     const now = time.now();
     const candidates = upstreams.candidates(service, now);
@@ -122,7 +129,8 @@
       limitedMilliseconds = Math.min(limitedMilliseconds ?? untilAllowed, untilAllowed);
       continue;
     }
-    if (sentCount > 0 && !retryBudget.trySpend(service, clusterView.entries, now)) break;
+    if (sentCount > 0 && !takeRetryAllowance()) break;
+    hasRetryAllowance = false;
     const remainingMilliseconds = admitted.deadline - now;
     const canFailOver = isRepeatable && sentCount + 1 < route.attempts && candidates.length > 1;
     const attemptTimeoutMilliseconds = route.objectiveMilliseconds * ATTEMPT_TIMEOUT_OBJECTIVES;
@@ -132,7 +140,13 @@
     const timeoutMilliseconds = canFailOver
       ? Math.min(remainingMilliseconds, attemptTimeoutMilliseconds)
       : remainingMilliseconds;
-    const outcome = await attemptBuffered(entry, request, { id, address }, timeoutMilliseconds);
+    const outcome = await attemptBuffered(
+      entry,
+      request,
+      { id, address },
+      timeoutMilliseconds,
+      () => !canFailOver || takeRetryAllowance(),
+    );
     upstreams.requestEnded(id);
     recordVerdict(entry, request, id, outcome, now);
     lastOutcome = outcome;
