fix(gateway): send nothing more to an upstream that said in an answer that it leaves

What callers saw: an upstream that says in its answers that it leaves went on getting requests from the entry that had passed on such an answer, until the directory told the entry so; behind a cut that could last as long as the cut (DRAIN).

Cause: no entry read the header; whether an upstream leaves was known only from the directory. Class of fault: what an upstream says itself in its answer arrives at the entry before, and also without, what the control processes relay, and has to take precedence for that incarnation.

Change: each answer that belongs to the request, whatever its status, is read when its head arrives. The upstream's incarnation (id and start time) is then neither claimed nor chosen, and a request that waited for a slot or a connection is checked right before its first byte and goes elsewhere as not run, nothing sent, which counts against nobody. Running requests end normally. Another incarnation under the same id and address is served again. Marks aren't dropped when the directory lacks the upstream, because a control process may list it as ready again; they are bounded in number instead. A request that finds all upstreams leaving is refused at once as without an upstream.

Not run with real processes.

--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -71,7 +71,7 @@
       table: createRouteTable(configuration),
       entries: 1,
       confirmedAt: performance.now(),
-      directory: { get: () => ({ record: { id: 'u', address: plainAddress } }) },
+      directory: { get: () => ({ record: { id: 'u', address: plainAddress, startedAt: 1 } }) },
     },
     retryBudget: { trySpend: () => true, recordRequest: ignore },
     callerElapsed: { estimateElapsedMilliseconds: () => 0 },
@@ -83,6 +83,7 @@
       candidates: () => [plainCandidate],
     },
     limits: { recordAnswer: ignore, take: () => 0 },
+    departures: { recordAnswer: ignore, isLeaving: () => false },
     quarantine: {
       statusOf: () => ({ kind: 'clear' }),
       mayRetry: () => true,
@@ -107,9 +108,10 @@
       readAnswer: (headers: Readonly<Record<string, unknown>>) => ({
         requestId: headers['x-request'] ?? null,
         signed: headers['x-signed'] === 'yes',
-        notRun: false,
+        notRun: headers['x-not-run'] === 'yes',
         load: null,
         requestsPerSecond: null,
+        leaving: headers['x-leaving'] === '1',
       }),
     },
     ...changes,
@@ -125,6 +127,7 @@
   return {
     engine,
     address: `127.0.0.1:${port}`,
+    startedAt: 1,
     version: 1,
     reportLimit: () => undefined,
     release,
--- a/packages/gateway/__tests__/entryDecisions.spec.ts
+++ b/packages/gateway/__tests__/entryDecisions.spec.ts
@@ -87,6 +87,7 @@
     signed: true,
     load: null,
     requestsPerSecond: null,
+    leaving: false,
   };
   const body = Buffer.from('x');
 
--- a/packages/gateway/__tests__/troubledUpstreams.spec.ts
+++ b/packages/gateway/__tests__/troubledUpstreams.spec.ts
@@ -135,7 +135,7 @@
       await using server = await startFlood(flood);
       await using connections = createUpstreamConnections('127.0.0.1');
       const { entry, request } = createAttempt(server.port, connections, true);
-      const upstream = { id: 'upstream-1', address: `127.0.0.1:${server.port}` };
+      const upstream = { id: 'upstream-1', startedAt: 1, address: `127.0.0.1:${server.port}` };
       const outcome = await attemptBuffered(entry, request, upstream, ENDED_WITHIN_MILLISECONDS);
       assert.equal(outcome.kind, 'unknown');
       await server.closedByClient();
@@ -152,7 +152,7 @@
     await using connections = createUpstreamConnections('127.0.0.1');
     const { entry, request } = createAttempt(server.port, connections, true);
     assert.ok(entry.answerMemory.tryReserve(47 * MEBIBYTE));
-    const upstream = { id: 'upstream-1', address: `127.0.0.1:${server.port}` };
+    const upstream = { id: 'upstream-1', startedAt: 1, address: `127.0.0.1:${server.port}` };
     await attemptBuffered(entry, request, upstream, ENDED_WITHIN_MILLISECONDS);
     assert.ok(server.bytesSent < 4 * MEBIBYTE, `${server.bytesSent} bytes`);
     assert.ok(entry.answerMemory.tryReserve(MEBIBYTE), 'the reserved bytes are released');
@@ -207,7 +207,7 @@
       try {
         await using connections = createUpstreamConnections('127.0.0.1');
         const { entry, request } = createAttempt(port, connections, true);
-        const upstream = { id: 'upstream-1', address: `127.0.0.1:${port}` };
+        const upstream = { id: 'upstream-1', startedAt: 1, address: `127.0.0.1:${port}` };
         const first = await attemptBuffered(entry, request, upstream, ENDED_WITHIN_MILLISECONDS);
         assert.equal(first.kind, 'answered');
         if (secondCopyAfter === 'idle') await pause(200);
--- a/packages/gateway/src/attemptOutcome.ts
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -24,6 +24,11 @@
 
 const MISDIRECTED_STATUS = 421;
 
+/** False if an answer belongs to another request, and so says nothing of its upstream now. */
+export function isOwnAnswer(requestId: string, headers: Pick<AnswerHeaders, 'requestId'>): boolean {
+  return headers.requestId === null || headers.requestId === requestId;
+}
+
 /** Classifies a complete answer; an answer to another request is never forwarded. */
 export function classifyAnswer(
   requestId: string,
@@ -36,7 +41,7 @@
     const reason = 'another upstream is using the address';
     return { kind: 'notRun', verdict: 'replaced', reason, sent: true };
   }
-  if (headers.requestId !== null && headers.requestId !== requestId) {
+  if (!isOwnAnswer(requestId, headers)) {
     return { kind: 'unknown', verdict: 'failed', reason: 'the answer belongs to another request' };
   }
   if (headers.notRun) {
--- a/packages/gateway/src/bufferedAttempt.ts
+++ b/packages/gateway/src/bufferedAttempt.ts
@@ -1,7 +1,9 @@
-import { classifyAnswer, type BufferedAttemptOutcome } from './attemptOutcome.js';
+import type { UpstreamIncarnation } from '@burdockrail/membership/leavingUpstreams.js';
+import { classifyAnswer, isOwnAnswer, type BufferedAttemptOutcome } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 import { connectionLimit, type EntryContext } from './entryContext.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
+import { leavingOutcome } from './upstreamDepartures.js';
 
 /** Maximum size of a buffered answer, in bytes. */
 const MAXIMUM_BUFFERED_BYTES = 8 * 1024 * 1024;
@@ -18,10 +20,10 @@
 export async function attemptBuffered(
   entry: EntryContext,
   request: EntryRequest,
-  upstream: { readonly id: string; readonly address: string },
+  upstream: UpstreamIncarnation & { readonly address: string },
   timeoutMilliseconds: number,
 ): Promise<BufferedAttemptOutcome> {
-  const { connections, dialect, time, upstreams, limits, answerMemory } = entry;
+  const { connections, dialect, time, upstreams, limits, departures, answerMemory } = entry;
   const { admitted, signal } = request;
   const outgoing = outgoingRequest(
     request,
@@ -39,6 +41,7 @@
     let buffered: BufferedAnswer | null = null;
     let isTimedOut = false;
     let isOverLimit = false;
+    let isLeaving = false;
     const timer = setTimeout(() => {
       isTimedOut = true;
       attempt.abort();
@@ -53,7 +56,11 @@
       connectionLimit(entry, admitted.service),
       outgoing,
       {
-        mayStart: () => true,
+        mayStart: () => {
+          // An answer may have arrived while the request waited for a connection.
+          isLeaving = departures.isLeaving(upstream);
+          return !isLeaving;
+        },
         sent: () => {
           sent = true;
         },
@@ -64,6 +71,8 @@
             upstreams.recordLoad(upstream.id, running + waiting, time.now());
           }
           limits.recordAnswer(upstream.id, answerHeaders);
+          if (isOwnAnswer(request.id, answerHeaders))
+            departures.recordAnswer(upstream, answerHeaders);
           buffered = { status, headers: answerHeaders, rawHeaders, parts: [], size: 0 };
         },
         data: (bytes) => {
@@ -87,6 +96,10 @@
           settle(classifyAnswer(request.id, status, headers, rawHeaders, body));
         },
         failed: (error) => {
+          if (isLeaving) {
+            settle(leavingOutcome);
+            return;
+          }
           const verdict = isOverLimit ? 'failed' : isTimedOut ? 'silent' : 'broken';
           const message = isOverLimit ? 'the answer exceeds the size limit' : error.message;
           if (sent) settle({ kind: 'unknown', verdict, reason: message });
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -52,6 +52,8 @@
    * no limit; `null` if this one names none.
    */
   readonly requestsPerSecond: number | null;
+  /** True when the upstream states that it leaves and wants no further requests. */
+  readonly leaving: boolean;
 }
 
 /** A request of an upstream or operator to a control process. */
--- a/packages/gateway/src/entryBuffered.ts
+++ b/packages/gateway/src/entryBuffered.ts
@@ -68,7 +68,11 @@
       retryAfterMilliseconds: Math.min(limitedMilliseconds, LIMITED_RETRY_AFTER_MILLISECONDS),
     };
   }
-  if (lastOutcome === null || lastOutcome.kind === 'answered') {
+  if (
+    lastOutcome === null ||
+    lastOutcome.kind === 'answered' ||
+    lastOutcome.verdict === 'leaving'
+  ) {
     return {
       code: ResultCode.NoUpstream,
       detail: 'no upstream is ready',
@@ -115,7 +119,7 @@
     const chosen = chooseUpstream(candidates, criteria);
     const directoryEntry = chosen === undefined ? undefined : clusterView.directory.get(chosen.id);
     if (directoryEntry === undefined) break;
-    const { id, address } = directoryEntry.record;
+    const { id, address, startedAt } = directoryEntry.record;
     tried.add(id);
     const untilAllowed = limits.take(id, clusterView, Date.now());
     if (untilAllowed > 0) {
@@ -132,7 +136,12 @@
     const timeoutMilliseconds = canFailOver
       ? Math.min(remainingMilliseconds, attemptTimeoutMilliseconds)
       : remainingMilliseconds;
-    const outcome = await attemptBuffered(entry, request, { id, address }, timeoutMilliseconds);
+    const outcome = await attemptBuffered(
+      entry,
+      request,
+      { id, address, startedAt },
+      timeoutMilliseconds,
+    );
     upstreams.requestEnded(id);
     recordVerdict(entry, request, id, outcome, now);
     lastOutcome = outcome;
--- a/packages/gateway/src/entryContext.ts
+++ b/packages/gateway/src/entryContext.ts
@@ -5,6 +5,7 @@
 import type { EntryQuarantine } from './entryQuarantine.js';
 import type { EntryUpstreams } from './entryUpstreams.js';
 import type { GatewayContext } from './gatewayContext.js';
+import type { UpstreamDepartures } from './upstreamDepartures.js';
 import type { UpstreamConnections } from './upstreamConnections.js';
 import type { UpstreamLimits } from './upstreamLimits.js';
 
@@ -14,6 +15,7 @@
   readonly upstreams: EntryUpstreams;
   readonly connections: UpstreamConnections;
   readonly limits: UpstreamLimits;
+  readonly departures: UpstreamDepartures;
   readonly retryBudget: SharedRetryBudget;
   readonly callerElapsed: CallerElapsedEstimator;
   readonly quarantine: EntryQuarantine;
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -15,6 +15,7 @@
 import type { GatewayContext, GatewayRole } from './gatewayContext.js';
 import type { EntrySettings } from './gatewaySettings.js';
 import { createUpstreamConnections } from './upstreamConnections.js';
+import { createUpstreamDepartures } from './upstreamDepartures.js';
 import { createUpstreamLimits } from './upstreamLimits.js';
 
 /** Fraction of the revocation time after which an unconfirmed entry reports not ready. */
@@ -59,7 +60,8 @@
     onConfiguration: () => server?.applyLimits(),
   });
   const connections = disposables.use(createUpstreamConnections(context.settings.localAddress));
-  const upstreams = createEntryUpstreams(clusterView);
+  const departures = createUpstreamDepartures(context);
+  const upstreams = createEntryUpstreams(clusterView, departures);
   const limits = createUpstreamLimits(context);
   const entry: EntryContext = {
     ...context,
@@ -67,6 +69,7 @@
     upstreams,
     connections,
     limits,
+    departures,
     retryBudget: createSharedRetryBudget(bounds.retries),
     quarantine,
     answerMemory: createByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES),
--- a/packages/gateway/src/entrySlots.ts
+++ b/packages/gateway/src/entrySlots.ts
@@ -25,6 +25,8 @@
 export interface GrantedSlot {
   readonly engine: string;
   readonly address: string;
+  /** Start of the engine's incarnation in Unix milliseconds. */
+  readonly startedAt: number;
   /** Version of the weights that the engine has loaded. */
   readonly version: number;
   /** Tells the engine's agent what an answer of the engine says about the engine's limit. */
@@ -56,7 +58,7 @@
 
 /** Creates the slot claims of an entry. */
 export function createEntrySlots(entry: EntryContext, agentPort: number): EntrySlots {
-  const { client, time, clusterView, upstreams, limits, random } = entry;
+  const { client, time, clusterView, upstreams, limits, departures, random } = entry;
   const latestReplies = new Map<string, AgentReply>();
   const claimClient = createSlotClaimClient(entry);
 
@@ -99,6 +101,7 @@
     return {
       engine: record.id,
       address: record.address,
+      startedAt: record.startedAt,
       version: reply.version,
       reportLimit: ({ requestsPerSecond, signed }) => {
         if (requestsPerSecond === reply.requestsPerSecond) return;
@@ -134,6 +137,7 @@
     return {
       engine: record.id,
       address: record.address,
+      startedAt: record.startedAt,
       version: heldModel.version,
       reportLimit: () => undefined,
       release: () => undefined,
@@ -148,7 +152,7 @@
     const now = time.now();
     const ready = clusterView.directory
       .ready(request.admitted.service)
-      .filter(({ record }) => !triedEngines.has(record.id));
+      .filter(({ record }) => !triedEngines.has(record.id) && !departures.isLeaving(record));
     const order = orderEngines(
       ready.map((engine) => engineView(engine, now)),
       entry.settings.dataCentre,
@@ -167,7 +171,8 @@
     { engine, terms }: SlotSearchClaim,
   ): Promise<{ readonly answer: SlotClaimResult; readonly slot: GrantedSlot | null }> => {
     const record = clusterView.directory.get(engine)?.record;
-    if (record === undefined) return { answer: { kind: 'silent' }, slot: null };
+    if (record === undefined || departures.isLeaving(record))
+      return { answer: { kind: 'silent' }, slot: null };
     const agent = agentAddress(record.address);
     const isSilent = claimClient.isSilent(agent, time.now());
     const reply = isSilent
--- a/packages/gateway/src/entryUpstreams.ts
+++ b/packages/gateway/src/entryUpstreams.ts
@@ -6,6 +6,7 @@
   type AttemptVerdict,
 } from '@burdockrail/routing/upstreamHealthTracker.js';
 import type { ClusterView } from './clusterView.js';
+import type { UpstreamDepartures } from './upstreamDepartures.js';
 
 interface LoadSample {
   readonly requests: number;
@@ -14,6 +15,7 @@
 
 /** Request counts, reported loads and failure history of upstreams, from this entry's requests. */
 export interface EntryUpstreams {
+  /** Upstreams of a service that are ready and did not say in an answer that they leave. */
   candidates(service: string, now: Milliseconds): readonly UpstreamCandidate[];
   requestStarted(id: string): void;
   requestEnded(id: string): void;
@@ -26,7 +28,10 @@
 }
 
 /** Creates the state of an entry that has sent no request yet. */
-export function createEntryUpstreams(clusterView: ClusterView): EntryUpstreams {
+export function createEntryUpstreams(
+  clusterView: ClusterView,
+  departures: UpstreamDepartures,
+): EntryUpstreams {
   const healthTracker = createUpstreamHealthTracker();
   const ownRequestCounts = new Map<string, number>();
   const reportedLoads = new Map<string, LoadSample>();
@@ -48,7 +53,10 @@
 
   return {
     candidates: (service, now) =>
-      clusterView.directory.ready(service).map((entry) => candidate(entry, now)),
+      clusterView.directory
+        .ready(service)
+        .filter(({ record }) => !departures.isLeaving(record))
+        .map((entry) => candidate(entry, now)),
     requestStarted: (id) => {
       ownRequestCounts.set(id, (ownRequestCounts.get(id) ?? 0) + 1);
     },
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -5,6 +5,7 @@
 import { createEventSplitter } from './eventSplitter.js';
 import { classifyAnswer, type NotRun } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
+import { leavingOutcome } from './upstreamDepartures.js';
 import { mayServeVersion, mustBeginBy } from './versionRule.js';
 
 /** Timeout for the first event, in milliseconds: even a late first event is useful. */
@@ -54,7 +55,8 @@
   lastEventId: number | null,
   observer: StreamObserver,
 ): Promise<StreamAttemptOutcome> {
-  const { connections, dialect, time, clusterView, limits, settings } = entry;
+  const { connections, dialect, time, clusterView, limits, departures, settings } = entry;
+  const incarnation = { id: slot.engine, startedAt: slot.startedAt };
   const { admitted, signal, caller } = request;
   const { route } = admitted;
   const outgoing = outgoingRequest(
@@ -80,6 +82,7 @@
   let sent = false;
   let isTimedOut = false;
   let isVersionSuperseded = false;
+  let isLeaving = false;
   let hasReceivedEvent = false;
   let head: { status: number; headers: AnswerHeaders; raw: readonly string[] } | null = null;
   let bufferedParts: Buffer[] | null = null;
@@ -141,7 +144,8 @@
           settings.bounds,
           time.now(),
         );
-        return !isVersionSuperseded;
+        isLeaving = departures.isLeaving(incarnation);
+        return !isVersionSuperseded && !isLeaving;
       },
       sent: () => {
         sent = true;
@@ -154,6 +158,7 @@
         }
         limits.recordAnswer(slot.engine, answerHeaders);
         slot.reportLimit(answerHeaders);
+        departures.recordAnswer(incarnation, answerHeaders);
         head = { status, headers: answerHeaders, raw: rawHeaders };
         if (status !== SUCCESS_STATUS) bufferedParts = [];
         else if (!answerHeaders.signed || answerHeaders.requestId === null)
@@ -193,6 +198,10 @@
         settle({ kind: 'complete' });
       },
       failed: (error) => {
+        if (isLeaving) {
+          settle(leavingOutcome);
+          return;
+        }
         if (isVersionSuperseded) {
           settle({
             kind: 'notRun',
--- a/packages/routing/src/upstreamHealthTracker.ts
+++ b/packages/routing/src/upstreamHealthTracker.ts
@@ -13,7 +13,9 @@
   /** No data arrived for longer than the request could wait. */
   | 'silent'
   /** The address now belongs to another upstream. */
-  | 'replaced';
+  | 'replaced'
+  /** It leaves, so nothing was sent. */
+  | 'leaving';
 
 /** Health of upstreams derived from the results of requests (passive health checks). */
 export interface UpstreamHealthTracker {
@@ -90,6 +92,7 @@
     ...health,
     suspendedUntil: now + LONGEST_SUSPENSION_MILLISECONDS,
   }),
+  leaving: (health) => health,
 };
 
 /** Creates the health records of upstreams that have not been tried. */
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -163,6 +163,11 @@
     level: 'info',
     text: 'The number of requests per second that an upstream names has changed; null is no limit.',
   },
+  upstreamLeaving: {
+    number: 2207,
+    level: 'info',
+    text: 'An upstream said in an answer that it leaves, and gets no further requests.',
+  },
   controlLost: {
     number: 4100,
     level: 'warn',
