fix(daemon): refuse attempts at an upstream that said in an answer that it leaves

What callers saw: where agents run everything, an upstream that says in its answers that it leaves went on getting attempts until it no longer accepted connections.

Cause: the agent beside the upstream didn't read the header. The same class of fault as in the gateway: what an upstream says itself in its answer was not heard, only its announcement.

Change: the agent reads `x-leaving: 1` in each answer to an attempt, also in a refusal without the attempt's id and in the answer to a resumption, but not in the answer to another attempt. It then announces that its upstream isn't ready, so that entries choose another, and refuses new attempts and those that waited at the gate with run state `not-run`. Attempts in progress end normally. The upstream keeps its address when it starts again, so this ends once that address accepts connections after it had ceased to; a late answer to an attempt that was sent before doesn't mark the new process. Events `upstreamLeaving` and `upstreamReturned`.

Open: a process that hands its listening socket to the next one without a gap isn't recognised as another one; an attempt that is connecting (1 s at most, on the same machine) isn't checked again before its first byte.

--- a/packages/daemon/__tests__/attemptService.spec.ts
+++ b/packages/daemon/__tests__/attemptService.spec.ts
@@ -8,12 +8,16 @@
 import { createDisposalStack, type DisposalStack } from '@burdockrail/common/disposalStack.js';
 import { monotonicClock } from '@burdockrail/common/timeSource.js';
 import type { AttemptItem, AttemptStart } from '@burdockrail/protocol/protocolAttempt.js';
-import { createAttemptGate } from '../src/attemptGate.js';
+import { createAttemptGate, type AttemptGate } from '../src/attemptGate.js';
 import { createAttemptService, type AttemptService } from '../src/attemptService.js';
 import { createAttemptUpstream } from '../src/attemptUpstream.js';
+import { createUpstreamDeparture } from '../src/upstreamDeparture.js';
 
 const HOST = '127.0.0.1';
 const DIGEST = 'd'.repeat(64);
+/** Time in which an agent notices that its upstream has ended or started, in milliseconds. */
+const RESTART_MILLISECONDS = 400;
+
 const silentLog = { write: () => undefined };
 const peer = { name: 'entry', incarnation: 'e', dataCentre: 'x', roles: [] };
 
@@ -21,6 +25,11 @@
   readonly service: AttemptService;
   /** Closes the upstream's server and connections, as a crash of its process does. */
   readonly crash: () => void;
+  /** Lets another process take the upstream's place after a while. */
+  readonly restart: () => Promise<void>;
+  /** Whether the upstream was leaving, at each change. */
+  readonly announced: readonly boolean[];
+  readonly gate: AttemptGate;
   readonly run: (
     overrides?: Partial<AttemptStart>,
     signal?: AbortSignal,
@@ -30,6 +39,7 @@
 async function createFixture(
   disposables: DisposalStack,
   listener: RequestListener,
+  { closesConnections = true } = {},
 ): Promise<Fixture> {
   const server = createServer(listener);
   server.listen(0, HOST);
@@ -41,16 +51,28 @@
   disposables.defer(crash);
   const { port } = server.address() as AddressInfo;
   const upstream = disposables.use(createAttemptUpstream(`http://${HOST}:${port}`, HOST));
+  const departure = disposables.use(
+    createUpstreamDeparture({
+      upstream,
+      log: silentLog,
+      onChanged: () => {
+        announced.push(departure.isLeaving);
+      },
+    }),
+  );
+  const announced: boolean[] = [];
+  const gate = createAttemptGate();
   const service = createAttemptService({
     upstream,
     allowsDigest: (digest) => digest === DIGEST,
-    gate: createAttemptGate(),
+    gate,
     incarnation: 'one',
     service: 'model',
     time: monotonicClock,
     log: silentLog,
     servedDigest: () => DIGEST,
-    isReady: () => true,
+    isReady: () => !departure.isLeaving,
+    departure,
   });
   const start: AttemptStart = {
     attemptId: 'attempt',
@@ -66,6 +88,20 @@
   return {
     service,
     crash,
+    announced,
+    gate,
+    restart: async () => {
+      if (closesConnections) crash();
+      else server.close();
+      await pause(RESTART_MILLISECONDS);
+      const next = createServer(listener).listen(port, HOST);
+      await once(next, 'listening');
+      disposables.defer(() => {
+        next.close();
+        next.closeAllConnections();
+      });
+      await pause(RESTART_MILLISECONDS);
+    },
     run: async (overrides = {}, signal = new AbortController().signal) => {
       const items: AttemptItem[] = [];
       const sink = {
@@ -96,6 +132,131 @@
   'x-weights-digest': DIGEST,
 };
 
+describe('an upstream that says in an answer that it leaves', () => {
+  const leaving = { 'x-leaving': '1' };
+  const leavingAnswers: Readonly<Record<string, (response: ServerResponse) => void>> = {
+    'a whole answer': (response) => {
+      response.writeHead(200, { 'x-request-id': 'attempt', 'content-length': '5', ...leaving });
+      response.end('whole');
+    },
+    'a refusal without the id of the attempt': (response) => {
+      response.writeHead(503, leaving);
+      response.end();
+    },
+    'a stream': (response) => {
+      response.writeHead(200, { ...streamHeaders, ...leaving });
+      response.end(`${encodeEvent(0, 'a')}${encodeEvent(1, '[DONE]')}`);
+    },
+  };
+
+  for (const [name, answer] of Object.entries(leavingAnswers)) {
+    it(`gets no later attempt after ${name}; entries are told, and it has not run`, async () => {
+      await using disposables = createDisposalStack();
+      let requests = 0;
+      const { run, announced } = await createFixture(disposables, (_request, response) => {
+        requests += 1;
+        answer(response);
+      });
+      await run();
+      assert.deepEqual(announced, [true]);
+      for (let index = 0; index < 3; index += 1) {
+        const item = (await run()).at(-1);
+        assert.equal(item?.kind === 'failed' && item.run, 'not-run');
+      }
+      assert.equal(requests, 1);
+      assert.deepEqual(announced, [true]);
+    });
+  }
+
+  it('completes the stream that it runs', async () => {
+    await using disposables = createDisposalStack();
+    const { run } = await createFixture(disposables, (_request, response) => {
+      response.writeHead(200, { ...streamHeaders, ...leaving });
+      response.write(encodeEvent(0, 'a'));
+      setTimeout(() => response.end(encodeEvent(1, '[DONE]')), 50);
+    });
+    const running = run();
+    await pause(20);
+    assert.equal((await running).at(-1)?.kind, 'end');
+  });
+
+  it('gets no attempt that was waiting while its weights were switched', async () => {
+    await using disposables = createDisposalStack();
+    let requests = 0;
+    const { run, gate } = await createFixture(disposables, (_request, response) => {
+      requests += 1;
+      response.writeHead(200, { 'x-request-id': 'attempt', 'content-length': '5', ...leaving });
+      response.end('whole');
+    });
+    const running = run();
+    await pause(0);
+    const closed = gate.close();
+    const waiting = run();
+    await Promise.all([running, closed]);
+    gate.open();
+    const item = (await waiting).at(-1);
+    assert.equal(item?.kind === 'failed' && item.run, 'not-run');
+    assert.equal(requests, 1);
+  });
+
+  it('gets attempts again once another process has taken its place', async () => {
+    await using disposables = createDisposalStack();
+    let requests = 0;
+    const { run, restart, announced } = await createFixture(disposables, (_request, response) => {
+      requests += 1;
+      const headers = requests === 1 ? leaving : {};
+      response.writeHead(200, { 'x-request-id': 'attempt', 'content-length': '5', ...headers });
+      response.end('whole');
+    });
+    await run();
+    await run();
+    assert.equal(requests, 1);
+    await restart();
+    assert.deepEqual(announced, [true, false]);
+    assert.equal((await run()).at(-1)?.kind, 'end');
+    assert.equal(requests, 2);
+  });
+
+  it('gets attempts again although an answer of the former process arrives later', async () => {
+    await using disposables = createDisposalStack();
+    let requests = 0;
+    let answerLate: () => void = () => undefined;
+    const head = { 'x-request-id': 'attempt', 'content-length': '5' };
+    const { run, restart } = await createFixture(
+      disposables,
+      (_request, response) => {
+        requests += 1;
+        const headers = requests <= 2 ? { ...head, ...leaving } : head;
+        const answer = (): void => {
+          response.writeHead(200, headers);
+          response.end('whole');
+        };
+        if (requests === 1) answerLate = answer;
+        else answer();
+      },
+      { closesConnections: false },
+    );
+    const late = run();
+    await pause(RESTART_MILLISECONDS);
+    await run();
+    await restart();
+    answerLate();
+    await late;
+    assert.equal((await run()).at(-1)?.kind, 'end');
+    assert.equal(requests, 3);
+  });
+
+  it('is not recognised by the answer to another attempt', async () => {
+    await using disposables = createDisposalStack();
+    const { run, announced } = await createFixture(disposables, (_request, response) => {
+      response.writeHead(200, { 'x-request-id': 'other', 'content-length': '5', ...leaving });
+      response.end('whole');
+    });
+    await run();
+    assert.deepEqual(announced, []);
+  });
+});
+
 describe('an upstream that names a limit', () => {
   it('gets no more attempts than it allows until it names none; the others have not run', async () => {
     await using disposables = createDisposalStack();
--- a/packages/daemon/src/agentRole.ts
+++ b/packages/daemon/src/agentRole.ts
@@ -12,6 +12,7 @@
 import { createAttemptUpstream } from './attemptUpstream.js';
 import type { DaemonContext, DaemonRoleFactory } from './daemonRole.js';
 import { createMembershipAnnouncer } from './membershipAnnouncer.js';
+import { createUpstreamDeparture } from './upstreamDeparture.js';
 
 const upstreamFactories: Readonly<Record<AgentSettings['upstream']['kind'], AgentUpstreamFactory>> =
   { model: createModelUpstream, plain: createPlainUpstream };
@@ -38,6 +39,7 @@
     service: settings.service,
     state,
     ...upstream.announcement,
+    ready: isReady(),
   });
   const gate = createAttemptGate();
   const announcer = disposables.use(createMembershipAnnouncer(context, createAnnouncementBody));
@@ -53,6 +55,14 @@
       gate,
     }),
   );
+  const departure = disposables.use(
+    createUpstreamDeparture({
+      upstream: attemptUpstream,
+      log: context.log,
+      onChanged: () => void announcer.announceNow(),
+    }),
+  );
+  const isReady = (): boolean => upstream.announcement.ready && !departure.isLeaving;
   const attempts: AttemptService = createAttemptService({
     upstream: attemptUpstream,
     gate,
@@ -62,7 +72,8 @@
     time: context.time,
     log: context.log,
     servedDigest: () => upstream.servedDigest,
-    isReady: () => upstream.announcement.ready,
+    isReady,
+    departure,
   });
 
   return {
--- a/packages/daemon/src/attemptAnswer.ts
+++ b/packages/daemon/src/attemptAnswer.ts
@@ -4,12 +4,14 @@
 import { AttemptError, connectionLostError, sendError } from './attemptFailure.js';
 import { createEventSplitter, chooseEventAction } from './attemptEvents.js';
 import {
+  LEAVING_HEADER,
   REQUESTS_PER_SECOND_HEADER,
   WEIGHTS_DIGEST_HEADER,
   REQUEST_ID_HEADER,
   endToEndHeaders,
   type AttemptUpstream,
 } from './attemptUpstream.js';
+import type { UpstreamDeparture } from './upstreamDeparture.js';
 
 /** Maximum number of resumptions of a stream before its attempt fails. */
 const MAXIMUM_RESUMES = 3;
@@ -58,6 +60,18 @@
   return requestsPerSecond >= 0 && Number.isFinite(requestsPerSecond) ? requestsPerSecond : null;
 }
 
+/** Reports an answer that says that the upstream leaves, unless it belongs to another attempt. */
+function reportLeaving(
+  { departure }: UpstreamAnswerOptions,
+  incarnation: number,
+  start: AttemptStart,
+  response: Response,
+): void {
+  const requestId = firstHeaderValue(response, REQUEST_ID_HEADER);
+  if (requestId !== undefined && requestId !== start.attemptId) return;
+  if (firstHeaderValue(response, LEAVING_HEADER) === '1') departure.record(incarnation);
+}
+
 function checkAttemptId(start: AttemptStart, response: Response): void {
   const requestId = firstHeaderValue(response, REQUEST_ID_HEADER);
   if (requestId === start.attemptId) return;
@@ -95,6 +109,7 @@
   readonly allowsDigest: DigestCheck;
   /** Receives the limit that each answer names, in requests per second; `null` without one. */
   readonly onLimit: (requestsPerSecond: number | null) => void;
+  readonly departure: Pick<UpstreamDeparture, 'incarnation' | 'record'>;
 }
 
 async function* readBody(
@@ -193,6 +208,7 @@
       options.upstream.isReachable(),
     );
   }
+  const { incarnation } = options.departure;
   let response: Response;
   try {
     response = await options.upstream.resume(start.attemptId, position.lastEventId, signal);
@@ -201,6 +217,7 @@
     const hasCrashed = !(await options.upstream.isReachable());
     throw new AttemptError(ResultCode.AnswerIncomplete, 'unknown', detail, hasCrashed);
   }
+  reportLeaving(options, incarnation, start, response);
   if (response.statusCode !== 200) {
     await response.body.dump();
     // An upstream that no longer knows a stream it was sending has restarted.
@@ -256,6 +273,7 @@
   start: AttemptStart,
   signal: AbortSignal,
 ): AsyncGenerator<AttemptItem, void> {
+  const { incarnation } = options.departure;
   let response: Response;
   try {
     response = await options.upstream.send(start, signal);
@@ -266,6 +284,8 @@
   // Destroying the body of a rejected answer emits an error, which would otherwise be unhandled.
   response.body.on('error', () => undefined);
   try {
+    // An upstream may refuse an attempt without its id.
+    reportLeaving(options, incarnation, start, response);
     checkAttemptId(start, response);
     options.onLimit(namedLimit(response));
     checkDigest(start, response, options.allowsDigest);
--- a/packages/daemon/src/attemptService.ts
+++ b/packages/daemon/src/attemptService.ts
@@ -38,7 +38,7 @@
   readonly log: EventLog;
   /** Digest of the live weights; undefined if there are none and for plain services. */
   readonly servedDigest: () => string | undefined;
-  /** Whether the upstream may be used. */
+  /** Whether the upstream may be used; it may change while an attempt waits. */
   readonly isReady: () => boolean;
 }
 
--- a/packages/daemon/src/attemptUpstream.ts
+++ b/packages/daemon/src/attemptUpstream.ts
@@ -20,6 +20,9 @@
  */
 export const REQUESTS_PER_SECOND_HEADER = 'x-requests-per-second';
 
+/** Header with the value `1` in all answers of an upstream that leaves. */
+export const LEAVING_HEADER = 'x-leaving';
+
 /** Headers that apply to a single connection and are not forwarded. */
 const hopByHopHeaders: ReadonlySet<string> = new Set([
   'connection',
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -168,6 +168,11 @@
     level: 'info',
     text: 'An upstream said in an answer that it leaves, and gets no further requests.',
   },
+  upstreamReturned: {
+    number: 2208,
+    level: 'info',
+    text: 'Another process has taken the place of an upstream that left, and gets requests again.',
+  },
   controlLost: {
     number: 4100,
     level: 'warn',
