test(gateway): a refusal with status 421 says too that its upstream leaves

An upstream with other weights than the request expects refuses with 421, and another upstream at the address does so too; in both cases the incarnation that was chosen gets nothing more there. The answer is now read for this before anything else decides about it, so that a check which ends the attempt at its head can't hide it.

--- a/packages/gateway/__tests__/leavingUpstreams.spec.ts
+++ b/packages/gateway/__tests__/leavingUpstreams.spec.ts
@@ -49,23 +49,24 @@
       assert.equal(events.filter((event) => event === 'upstreamLeaving').length, 1);
     });
 
-    it(`gets no later request after it has refused ${name}`, async () => {
-      await using disposables = createDisposalStack();
-      const { near, far, send } = await startTwoUpstreamEntry(disposables);
-      near.respond = (request) => {
-        request.answer(503, { ...leaving, 'x-not-run': 'yes' });
-      };
-      for (const id of ['one', 'two', 'three']) {
-        assert.equal((await send(id, path)).status, 200);
-        // An upstream that refuses a request is avoided for a moment in any case.
-        await pause(FULL_MILLISECONDS);
-      }
-      assert.deepEqual(
-        near.received.map(({ id }) => id),
-        ['one'],
-      );
-      assert.equal(far.received.length, 3);
-    });
+    for (const status of [421, 503])
+      it(`gets no later request after it has refused ${name} with status ${status}`, async () => {
+        await using disposables = createDisposalStack();
+        const { near, far, send } = await startTwoUpstreamEntry(disposables);
+        near.respond = (request) => {
+          request.answer(status, { ...leaving, 'x-not-run': 'yes' });
+        };
+        for (const id of ['one', 'two', 'three']) {
+          assert.equal((await send(id, path)).status, 200);
+          // An upstream that refuses a request is avoided for a moment in any case.
+          await pause(FULL_MILLISECONDS);
+        }
+        assert.deepEqual(
+          near.received.map(({ id }) => id),
+          ['one'],
+        );
+        assert.equal(far.received.length, 3);
+      });
 
     it(`is served again as another incarnation, after ${name}`, async () => {
       await using disposables = createDisposalStack();
--- a/packages/gateway/src/bufferedAttempt.ts
+++ b/packages/gateway/src/bufferedAttempt.ts
@@ -66,13 +66,13 @@
         },
         head: (status, headers: HeaderMap, rawHeaders) => {
           const answerHeaders = dialect.readAnswer(headers);
+          if (isOwnAnswer(request.id, answerHeaders))
+            departures.recordAnswer(upstream, answerHeaders);
           if (answerHeaders.load !== null) {
             const { running, waiting } = answerHeaders.load;
             upstreams.recordLoad(upstream.id, running + waiting, time.now());
           }
           limits.recordAnswer(upstream.id, answerHeaders);
-          if (isOwnAnswer(request.id, answerHeaders))
-            departures.recordAnswer(upstream, answerHeaders);
           buffered = { status, headers: answerHeaders, rawHeaders, parts: [], size: 0 };
         },
         data: (bytes) => {
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -3,7 +3,7 @@
 import type { GrantedSlot } from './entrySlots.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
 import { createEventSplitter } from './eventSplitter.js';
-import { classifyAnswer, type NotRun } from './attemptOutcome.js';
+import { classifyAnswer, isOwnAnswer, type NotRun } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 import { leavingOutcome } from './upstreamDepartures.js';
 import { mayServeVersion, mustBeginBy } from './versionRule.js';
@@ -152,13 +152,14 @@
       },
       head: (status, headers: HeaderMap, rawHeaders) => {
         const answerHeaders = dialect.readAnswer(headers);
+        if (isOwnAnswer(request.id, answerHeaders))
+          departures.recordAnswer(incarnation, answerHeaders);
         if (answerHeaders.requestId !== null && answerHeaders.requestId !== request.id) {
           fail('the answer belongs to another request');
           return;
         }
         limits.recordAnswer(slot.engine, answerHeaders);
         slot.reportLimit(answerHeaders);
-        departures.recordAnswer(incarnation, answerHeaders);
         head = { status, headers: answerHeaders, raw: rawHeaders };
         if (status !== SUCCESS_STATUS) bufferedParts = [];
         else if (!answerHeaders.signed || answerHeaders.requestId === null)
