--- a/packages/gateway/src/bufferedAttempt.ts
+++ b/packages/gateway/src/bufferedAttempt.ts
@@ -1,7 +1,9 @@
-import { classifyAnswer, type BufferedAttemptOutcome } from './attemptOutcome.js';
+import type { UpstreamIncarnation } from '@burdockrail/membership/leavingUpstreams.js';
+import { classifyAnswer, isOwnAnswer, type BufferedAttemptOutcome } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 import { connectionLimit, type EntryContext } from './entryContext.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
+import { leavingOutcome } from './upstreamDepartures.js';
 
 /** Maximum size of a buffered answer, in bytes. */
 const MAXIMUM_BUFFERED_BYTES = 8 * 1024 * 1024;
@@ -23,11 +25,11 @@
 export async function attemptBuffered(
   entry: EntryContext,
   request: EntryRequest,
-  upstream: { readonly id: string; readonly address: string },
+  upstream: UpstreamIncarnation & { readonly address: string },
   timeoutMilliseconds: number,
   mayGiveUp: () => boolean = () => true,
 ): Promise<BufferedAttemptOutcome> {
-  const { connections, dialect, time, upstreams, limits, answerMemory } = entry;
+  const { connections, dialect, time, upstreams, limits, departures, answerMemory } = entry;
   const { admitted, signal } = request;
   const outgoing = outgoingRequest(
     request,
@@ -45,6 +47,7 @@
     let buffered: BufferedAnswer | null = null;
     let isTimedOut = false;
     let isOverLimit = false;
+    let isLeaving = false;
     const timer = setInterval(() => {
       if (!mayGiveUp()) return;
       isTimedOut = true;
@@ -60,12 +63,18 @@
       connectionLimit(entry, admitted.service),
       outgoing,
       {
-        mayStart: () => true,
+        mayStart: () => {
+          // An answer may have arrived while the request waited for a connection.
+          isLeaving = departures.isLeaving(upstream);
+          return !isLeaving;
+        },
         sent: () => {
           sent = true;
         },
         head: (status, headers: HeaderMap, rawHeaders) => {
           const answerHeaders = dialect.readAnswer(headers);
+          if (isOwnAnswer(request.id, answerHeaders))
+            departures.recordAnswer(upstream, answerHeaders);
           if (answerHeaders.load !== null) {
             const { running, waiting } = answerHeaders.load;
             upstreams.recordLoad(upstream.id, running + waiting, time.now());
@@ -94,6 +103,10 @@
           settle(classifyAnswer(request.id, status, headers, rawHeaders, body));
         },
         failed: (error) => {
+          if (isLeaving) {
+            settle(leavingOutcome);
+            return;
+          }
           const verdict = isOverLimit ? 'failed' : isTimedOut ? 'silent' : 'broken';
           const message = isOverLimit ? 'the answer exceeds the size limit' : error.message;
           if (sent) settle({ kind: 'unknown', verdict, reason: message });
--- a/packages/gateway/src/entryBuffered.ts
+++ b/packages/gateway/src/entryBuffered.ts
@@ -68,7 +68,11 @@
       retryAfterMilliseconds: Math.min(limitedMilliseconds, LIMITED_RETRY_AFTER_MILLISECONDS),
     };
   }
-  if (lastOutcome === null || lastOutcome.kind === 'answered') {
+  if (
+    lastOutcome === null ||
+    lastOutcome.kind === 'answered' ||
+    lastOutcome.verdict === 'leaving'
+  ) {
     return {
       code: ResultCode.NoUpstream,
       detail: 'no upstream is ready',
@@ -122,7 +126,7 @@
     const chosen = chooseUpstream(candidates, criteria);
     const directoryEntry = chosen === undefined ? undefined : clusterView.directory.get(chosen.id);
     if (directoryEntry === undefined) break;
-    const { id, address } = directoryEntry.record;
+    const { id, address, startedAt } = directoryEntry.record;
     tried.add(id);
     const untilAllowed = limits.take(id, clusterView, Date.now());
     if (untilAllowed > 0) {
@@ -143,7 +147,7 @@
     const outcome = await attemptBuffered(
       entry,
       request,
-      { id, address },
+      { id, address, startedAt },
       timeoutMilliseconds,
       () => !canFailOver || takeRetryAllowance(),
     );
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -3,8 +3,9 @@
 import type { GrantedSlot } from './entrySlots.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
 import { createEventSplitter } from './eventSplitter.js';
-import { classifyAnswer, type NotRun } from './attemptOutcome.js';
+import { classifyAnswer, isOwnAnswer, type NotRun } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
+import { leavingOutcome } from './upstreamDepartures.js';
 import { mayServeVersion, mustBeginBy } from './versionRule.js';
 
 /** Time without a first event after which an engine counts as silent, in milliseconds. */
@@ -70,7 +71,8 @@
   lastEventId: number | null,
   observer: StreamObserver,
 ): RunningStream {
-  const { connections, dialect, time, clusterView, limits, settings } = entry;
+  const { connections, dialect, time, clusterView, limits, departures, settings } = entry;
+  const incarnation = { id: slot.engine, startedAt: slot.startedAt };
   const { admitted, signal, caller } = request;
   const { route } = admitted;
   const outgoing = outgoingRequest(
@@ -99,6 +101,7 @@
   let isPaused = false;
   let isSettled = false;
   let isVersionSuperseded = false;
+  let isLeaving = false;
   let hasReceivedEvent = false;
   let head: { status: number; headers: AnswerHeaders; raw: readonly string[] } | null = null;
   let bufferedParts: Buffer[] | null = null;
@@ -180,13 +183,16 @@
           settings.bounds,
           time.now(),
         );
-        return !isVersionSuperseded;
+        isLeaving = departures.isLeaving(incarnation);
+        return !isVersionSuperseded && !isLeaving;
       },
       sent: () => {
         sent = true;
       },
       head: (status, headers: HeaderMap, rawHeaders) => {
         const answerHeaders = dialect.readAnswer(headers);
+        if (isOwnAnswer(request.id, answerHeaders))
+          departures.recordAnswer(incarnation, answerHeaders);
         if (answerHeaders.requestId !== null && answerHeaders.requestId !== request.id) {
           fail('the answer belongs to another request');
           return;
@@ -232,6 +238,10 @@
         settle({ kind: 'complete' });
       },
       failed: (error) => {
+        if (isLeaving) {
+          settle(leavingOutcome);
+          return;
+        }
         if (isVersionSuperseded) {
           settle({
             kind: 'notRun',
