--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -5,6 +5,8 @@
 import type { EntryContext } from '../src/entryContext.js';
 import type { EntrySlots, GrantedSlot } from '../src/entrySlots.js';
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 const MAXIMUM_ANSWER_MEMORY_BYTES = 16 * 1024 * 1024;
 
 /** Two open routes: plain requests below `/plain/`, resumable streams elsewhere. */
@@ -107,9 +109,13 @@
       readAnswer: (headers: Readonly<Record<string, unknown>>) => ({
         requestId: headers['x-request'] ?? null,
         signed: headers['x-signed'] === 'yes',
-        notRun: false,
+        notRun: headers['x-not-run'] === 'yes',
         load: null,
         requestsPerSecond: null,
+        retryAfterMilliseconds:
+          headers['retry-after'] === undefined
+            ? null
+            : Number(headers['retry-after']) * MILLISECONDS_PER_SECOND,
       }),
     },
     ...changes,
