fix(gateway, limits): send nothing to upstreams that rest

Cause: nothing read the header. An upstream at capacity was spared for 30 ms; as it served nothing it looked empty and was preferred, and each refusal took one of the few shared retries. Class of fault: what an upstream asks of its callers is dropped, because only the status of its answer has a place in the decisions.

Change: limits/upstreamRest keeps the longest time that any answer of an incarnation asked for; only time or a restart ends it. Entries leave resting upstreams out when they choose or look for a slot, and look again before an attempt and right before the first byte. An attempt that ends there has sent nothing, uses no attempt and leaves its retry to the next; the slot is released. While all upstreams of a service rest, requests are refused with the time until the first has rested. Event upstreamRests (2207).

--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -4,6 +4,7 @@
 import type { UpstreamCandidate } from '@burdockrail/routing/upstreamChoice.js';
 import type { EntryContext } from '../src/entryContext.js';
 import type { EntrySlots, GrantedSlot } from '../src/entrySlots.js';
+import { createUpstreamRests } from '../src/upstreamRests.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -60,21 +61,24 @@
   changes: Partial<EntryContext> = {},
 ): EntryContext {
   const ignore = (): void => undefined;
+  const clusterView = {
+    weightsOf: () => [],
+    table: createRouteTable(configuration),
+    entries: 1,
+    confirmedAt: performance.now(),
+    directory: { get: () => ({ record: { id: 'u', address: plainAddress, startedAt: 1 } }) },
+    ...changes.clusterView,
+  };
+  const log = { write: ignore };
   return {
     connections,
     answerMemory: createByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES),
     time: { now: () => performance.now() },
     random: { next: () => 0 },
-    log: { write: ignore },
+    log,
     metrics: { count: ignore, histogram: () => ({ record: ignore }) },
     settings: { bounds: { versionMilliseconds: 8_000, revocationMilliseconds: 60_000 } },
-    clusterView: {
-      weightsOf: () => [],
-      table: createRouteTable(configuration),
-      entries: 1,
-      confirmedAt: performance.now(),
-      directory: { get: () => ({ record: { id: 'u', address: plainAddress } }) },
-    },
+    clusterView,
     retryBudget: { trySpend: () => true, recordRequest: ignore },
     callerElapsed: { estimateElapsedMilliseconds: () => 0 },
     upstreams: {
@@ -85,6 +89,7 @@
       candidates: () => [plainCandidate],
     },
     limits: { recordAnswer: ignore, take: () => 0 },
+    rests: createUpstreamRests({ log }, clusterView as unknown as EntryContext['clusterView']),
     quarantine: {
       statusOf: () => ({ kind: 'clear' }),
       mayRetry: () => true,
--- a/packages/gateway/__tests__/entryDecisions.spec.ts
+++ b/packages/gateway/__tests__/entryDecisions.spec.ts
@@ -87,6 +87,7 @@
     signed: true,
     load: null,
     requestsPerSecond: null,
+    retryAfterMilliseconds: null,
   };
   const body = Buffer.from('x');
 
--- a/packages/gateway/__tests__/entrySlots.spec.ts
+++ b/packages/gateway/__tests__/entrySlots.spec.ts
@@ -28,6 +28,7 @@
     log: { write: () => undefined },
     settings: { dataCentre: 'north', bounds: { versionMilliseconds: 8_000 } },
     limits: { take: () => untilAllowed },
+    rests: { restMilliseconds: () => 0, shortestRestMilliseconds: () => null },
     upstreams: { ownRequests: () => 0, isSuspended: () => false },
     clusterView: {
       table: null,
--- a/packages/gateway/src/attemptOutcome.ts
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -24,6 +24,14 @@
 
 const MISDIRECTED_STATUS = 421;
 
+/** Outcome of an attempt whose upstream began to rest before anything was sent. */
+export const restingOutcome: NotRun = {
+  kind: 'notRun',
+  verdict: 'full',
+  reason: 'the upstream rests',
+  sent: false,
+};
+
 /** Classifies a complete answer; an answer to another request is never forwarded. */
 export function classifyAnswer(
   requestId: string,
--- a/packages/gateway/src/bufferedAttempt.ts
+++ b/packages/gateway/src/bufferedAttempt.ts
@@ -1,4 +1,4 @@
-import { classifyAnswer, type BufferedAttemptOutcome } from './attemptOutcome.js';
+import { classifyAnswer, restingOutcome, type BufferedAttemptOutcome } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 import { connectionLimit, type EntryContext } from './entryContext.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
@@ -21,7 +21,7 @@
   upstream: { readonly id: string; readonly address: string },
   timeoutMilliseconds: number,
 ): Promise<BufferedAttemptOutcome> {
-  const { connections, dialect, time, upstreams, limits, answerMemory } = entry;
+  const { connections, dialect, time, upstreams, limits, rests, answerMemory } = entry;
   const { admitted, signal } = request;
   const outgoing = outgoingRequest(
     request,
@@ -34,11 +34,13 @@
     },
     dialect,
   );
+  const incarnation = rests.incarnationOf(upstream.id);
   return new Promise((resolve) => {
     let sent = false;
     let buffered: BufferedAnswer | null = null;
     let isTimedOut = false;
     let isOverLimit = false;
+    let isResting = false;
     const timer = setTimeout(() => {
       isTimedOut = true;
       attempt.abort();
@@ -53,7 +55,11 @@
       connectionLimit(entry, admitted.service),
       outgoing,
       {
-        mayStart: () => true,
+        mayStart: () => {
+          // Another request may have been turned away while this one waited for a connection.
+          isResting = rests.restMilliseconds(incarnation, time.now()) > 0;
+          return !isResting;
+        },
         sent: () => {
           sent = true;
         },
@@ -64,6 +70,8 @@
             upstreams.recordLoad(upstream.id, running + waiting, time.now());
           }
           limits.recordAnswer(upstream.id, answerHeaders);
+          if (answerHeaders.requestId === null || answerHeaders.requestId === request.id)
+            rests.recordAnswer(incarnation, status, answerHeaders, time.now());
           buffered = { status, headers: answerHeaders, rawHeaders, parts: [], size: 0 };
         },
         data: (bytes) => {
@@ -87,6 +95,10 @@
           settle(classifyAnswer(request.id, status, headers, rawHeaders, body));
         },
         failed: (error) => {
+          if (isResting) {
+            settle(restingOutcome);
+            return;
+          }
           const verdict = isOverLimit ? 'failed' : isTimedOut ? 'silent' : 'broken';
           const message = isOverLimit ? 'the answer exceeds the size limit' : error.message;
           if (sent) settle({ kind: 'unknown', verdict, reason: message });
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -52,6 +52,11 @@
    * no limit; `null` if this one names none.
    */
   readonly requestsPerSecond: number | null;
+  /**
+   * Time for which the upstream wants no requests from this entry if it turned the request away, in
+   * milliseconds; `null` if the answer states none.
+   */
+  readonly retryAfterMilliseconds: number | null;
 }
 
 /** A request of an upstream or operator to a control process. */
--- a/packages/gateway/src/entryBuffered.ts
+++ b/packages/gateway/src/entryBuffered.ts
@@ -1,10 +1,12 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { chooseUpstream } from '@burdockrail/routing/upstreamChoice.js';
 import type { BufferedAttemptOutcome } from './attemptOutcome.js';
 import type { EntryContext } from './entryContext.js';
 import type { Refusal } from './entryAdmission.js';
 import type { EntryRequest } from './entryRequest.js';
 import { attemptBuffered } from './bufferedAttempt.js';
+import { restingRefusal } from './upstreamRests.js';
 
 /** Minimum remaining time for starting an attempt, in milliseconds: a local round trip. */
 const MINIMUM_ATTEMPT_MILLISECONDS = 8;
@@ -50,11 +52,17 @@
     );
 }
 
+/** Times for which upstreams that were not asked hold requests off, in milliseconds; `null` if none. */
+interface HoldTimes {
+  readonly limitedMilliseconds: number | null;
+  readonly restMilliseconds: number | null;
+}
+
 /** Selects the refusal for a caller whose attempts all ended without an answer. */
 function refusalAfter(
   lastOutcome: BufferedAttemptOutcome | null,
   mayHaveRun: boolean,
-  limitedMilliseconds: number | null,
+  { limitedMilliseconds, restMilliseconds }: HoldTimes,
 ): Refusal {
   if (mayHaveRun) {
     const detail =
@@ -68,6 +76,7 @@
       retryAfterMilliseconds: Math.min(limitedMilliseconds, LIMITED_RETRY_AFTER_MILLISECONDS),
     };
   }
+  if (restMilliseconds !== null) return restingRefusal(restMilliseconds);
   if (lastOutcome === null || lastOutcome.kind === 'answered') {
     return {
       code: ResultCode.NoUpstream,
@@ -90,15 +99,18 @@
  * shows, that it was not executed.
  */
 export async function runBuffered(entry: EntryContext, request: EntryRequest): Promise<void> {
-  const { time, random, upstreams, clusterView, retryBudget, quarantine, limits, log } = entry;
+  const { time, random, upstreams, clusterView, retryBudget, quarantine, limits, rests, log } =
+    entry;
   const { admitted, answer, signal, trace } = request;
   const { route, service } = admitted;
   const isRepeatable = route.kind === 'repeatable';
   const tried = new Set<string>();
   let sentCount = 0;
+  let paidRetries = 0;
   let mayHaveRun = false;
   let lastOutcome: BufferedAttemptOutcome | null = null;
   let limitedMilliseconds: number | null = null;
+  let restMilliseconds: number | null = null;
   let failureAnswer: Extract<BufferedAttemptOutcome, { readonly kind: 'answered' }> | null = null;
 
   const canAttempt = (): boolean =>
@@ -108,13 +120,24 @@
     (sentCount === 0 || quarantine.mayRetry(request.traits, time.now())) &&
     admitted.deadline - time.now() > MINIMUM_ATTEMPT_MILLISECONDS;
 
+  const shortestRestMilliseconds = (now: Milliseconds): Milliseconds | null =>
+    rests.shortestRestMilliseconds(
+      clusterView.directory.ready(service).map(({ record }) => record),
+      now,
+    );
+
   while (canAttempt()) {
     const now = time.now();
-    const candidates = upstreams.candidates(service, now);
+    const candidates = upstreams
+      .candidates(service, now)
+      .filter(({ id }) => rests.restMilliseconds(rests.incarnationOf(id), now) === 0);
     const criteria = { dataCentre: entry.settings.dataCentre, tried, draw: random.next() };
     const chosen = chooseUpstream(candidates, criteria);
     const directoryEntry = chosen === undefined ? undefined : clusterView.directory.get(chosen.id);
-    if (directoryEntry === undefined) break;
+    if (directoryEntry === undefined) {
+      if (candidates.length === 0) restMilliseconds = shortestRestMilliseconds(now);
+      break;
+    }
     const { id, address } = directoryEntry.record;
     tried.add(id);
     const untilAllowed = limits.take(id, clusterView, Date.now());
@@ -122,7 +145,11 @@
       limitedMilliseconds = Math.min(limitedMilliseconds ?? untilAllowed, untilAllowed);
       continue;
     }
-    if (sentCount > 0 && !retryBudget.trySpend(service, clusterView.entries, now)) break;
+    // What turns out not to be sent leaves its retry to the next attempt.
+    if (sentCount > paidRetries) {
+      if (!retryBudget.trySpend(service, clusterView.entries, now)) break;
+      paidRetries = sentCount;
+    }
     const remainingMilliseconds = admitted.deadline - now;
     const canFailOver = isRepeatable && sentCount + 1 < route.attempts && candidates.length > 1;
     const attemptTimeoutMilliseconds = route.objectiveMilliseconds * ATTEMPT_TIMEOUT_OBJECTIVES;
@@ -167,7 +194,7 @@
     answer.sendBuffered(failureAnswer.status, failureAnswer.rawHeaders, failureAnswer.body);
     return;
   }
-  const refusal = refusalAfter(lastOutcome, mayHaveRun, limitedMilliseconds);
+  const refusal = refusalAfter(lastOutcome, mayHaveRun, { limitedMilliseconds, restMilliseconds });
   trace.cause = refusal.detail;
   answer.refuse(refusal);
 }
--- a/packages/gateway/src/entryContext.ts
+++ b/packages/gateway/src/entryContext.ts
@@ -7,6 +7,7 @@
 import type { GatewayContext } from './gatewayContext.js';
 import type { UpstreamConnections } from './upstreamConnections.js';
 import type { UpstreamLimits } from './upstreamLimits.js';
+import type { UpstreamRests } from './upstreamRests.js';
 
 /** Dependencies shared by the modules of an entry. */
 export interface EntryContext extends GatewayContext {
@@ -14,6 +15,7 @@
   readonly upstreams: EntryUpstreams;
   readonly connections: UpstreamConnections;
   readonly limits: UpstreamLimits;
+  readonly rests: UpstreamRests;
   readonly retryBudget: SharedRetryBudget;
   readonly callerElapsed: CallerElapsedEstimator;
   readonly quarantine: EntryQuarantine;
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -16,6 +16,7 @@
 import type { EntrySettings } from './gatewaySettings.js';
 import { createUpstreamConnections } from './upstreamConnections.js';
 import { createUpstreamLimits } from './upstreamLimits.js';
+import { createUpstreamRests } from './upstreamRests.js';
 
 /** Fraction of the revocation time after which an unconfirmed entry reports not ready. */
 const UNREADY_AGE_FRACTION = 0.5;
@@ -61,12 +62,14 @@
   const connections = disposables.use(createUpstreamConnections(context.settings.localAddress));
   const upstreams = createEntryUpstreams(clusterView);
   const limits = createUpstreamLimits(context);
+  const rests = createUpstreamRests(context, clusterView);
   const entry: EntryContext = {
     ...context,
     clusterView,
     upstreams,
     connections,
     limits,
+    rests,
     retryBudget: createSharedRetryBudget(bounds.retries),
     quarantine,
     answerMemory: createByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES),
@@ -144,6 +147,7 @@
       const cleanupTimer = setInterval(() => {
         upstreams.retain();
         limits.retain(new Set(clusterView.directory.entries.map(({ record }) => record.id)));
+        rests.discardEnded(time.now());
         connections.retain(
           new Set(clusterView.directory.entries.map(({ record }) => record.address)),
         );
--- a/packages/gateway/src/entrySlots.ts
+++ b/packages/gateway/src/entrySlots.ts
@@ -36,6 +36,8 @@
 export type SlotOutcome =
   | { readonly kind: 'granted'; readonly slot: GrantedSlot }
   | { readonly kind: 'full'; readonly freeInMilliseconds: number; readonly asked: number }
+  /** No engine is available until the first of those that rest has rested. */
+  | { readonly kind: 'resting'; readonly restMilliseconds: number }
   /** No engine is available. */
   | { readonly kind: 'absent' };
 
@@ -56,7 +58,7 @@
 
 /** Creates the slot claims of an entry. */
 export function createEntrySlots(entry: EntryContext, agentPort: number): EntrySlots {
-  const { client, time, clusterView, upstreams, limits, random } = entry;
+  const { client, time, clusterView, upstreams, limits, rests, random } = entry;
   const latestReplies = new Map<string, AgentReply>();
   const claimClient = createSlotClaimClient(entry);
 
@@ -113,6 +115,9 @@
     };
   };
 
+  const isResting = (record: DirectoryEntry['record'], now: Milliseconds): boolean =>
+    rests.restMilliseconds(record, now) > 0;
+
   /** Takes a slot without a grant, within this entry's share of the engine. */
   const takeWithoutGrant = (
     record: DirectoryEntry['record'],
@@ -148,7 +153,7 @@
     const now = time.now();
     const ready = clusterView.directory
       .ready(request.admitted.service)
-      .filter(({ record }) => !triedEngines.has(record.id));
+      .filter(({ record }) => !triedEngines.has(record.id) && !isResting(record, now));
     const order = orderEngines(
       ready.map((engine) => engineView(engine, now)),
       entry.settings.dataCentre,
@@ -167,7 +172,8 @@
     { engine, terms }: SlotSearchClaim,
   ): Promise<{ readonly answer: SlotClaimResult; readonly slot: GrantedSlot | null }> => {
     const record = clusterView.directory.get(engine)?.record;
-    if (record === undefined) return { answer: { kind: 'silent' }, slot: null };
+    if (record === undefined || isResting(record, time.now()))
+      return { answer: { kind: 'silent' }, slot: null };
     const agent = agentAddress(record.address);
     const isSilent = claimClient.isSilent(agent, time.now());
     const reply = isSilent
@@ -201,7 +207,13 @@
         step = search.next(answer);
       }
       if (slotWithoutGrant !== null) return { kind: 'granted', slot: slotWithoutGrant };
-      return step.value.kind === 'full' ? step.value : { kind: 'absent' };
+      if (step.value.kind === 'full') return step.value;
+      const engines = clusterView.directory.ready(request.admitted.service);
+      const restMilliseconds = rests.shortestRestMilliseconds(
+        engines.map(({ record }) => record),
+        time.now(),
+      );
+      return restMilliseconds === null ? { kind: 'absent' } : { kind: 'resting', restMilliseconds };
     },
   };
 }
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -6,6 +6,7 @@
 import type { EntrySlots, GrantedSlot } from './entrySlots.js';
 import type { EntryRequest } from './entryRequest.js';
 import { attemptStream, type StreamAttemptOutcome } from './streamAttempt.js';
+import { restingRefusal } from './upstreamRests.js';
 
 /** Minimum remaining time for starting a stream, in milliseconds. */
 const MINIMUM_ATTEMPT_MILLISECONDS = 50;
@@ -39,6 +40,8 @@
   const progress: Progress = { lastEventId: null, events: 0, lastEventAt: null };
   const engine = clusterView.table?.service(service)?.engine ?? null;
   let sentCount = 0;
+  let paidRetries = 0;
+  let restMilliseconds: number | null = null;
   let lossCount = 0;
   let mayHaveRun = false;
   let lastReason = '';
@@ -96,11 +99,16 @@
 
   while (canAttempt()) {
     const now = time.now();
-    if (sentCount > 0 && !retryBudget.trySpend(service, clusterView.entries, now)) break;
+    // What turns out not to be sent leaves its retry to the next attempt.
+    if (sentCount > paidRetries) {
+      if (!retryBudget.trySpend(service, clusterView.entries, now)) break;
+      paidRetries = sentCount;
+    }
     const outcome = await slots.claim(request, triedEngines, slack());
     if (outcome.kind !== 'granted') {
       if (signal.aborted) return;
-      if (sentCount > 0) break;
+      if (outcome.kind === 'resting') restMilliseconds = outcome.restMilliseconds;
+      if (sentCount > 0 || outcome.kind === 'resting') break;
       const isFull = outcome.kind === 'full';
       trace.cause = isFull ? `full, ${outcome.asked} engines asked` : 'no engine';
       answer.refuse({
@@ -195,6 +203,12 @@
     answer.destroyConnection();
     return;
   }
+  if (restMilliseconds !== null && !mayHaveRun) {
+    const refusal = restingRefusal(restMilliseconds);
+    trace.cause = refusal.detail;
+    answer.refuse(refusal);
+    return;
+  }
   answer.refuse(
     mayHaveRun
       ? { code: ResultCode.UpstreamFailed, detail: lastReason, retryAfterMilliseconds: null }
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -3,7 +3,7 @@
 import type { GrantedSlot } from './entrySlots.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
 import { createEventSplitter } from './eventSplitter.js';
-import { classifyAnswer, type NotRun } from './attemptOutcome.js';
+import { classifyAnswer, restingOutcome, type NotRun } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 import { mayServeVersion, mustBeginBy } from './versionRule.js';
 
@@ -54,8 +54,11 @@
   lastEventId: number | null,
   observer: StreamObserver,
 ): Promise<StreamAttemptOutcome> {
-  const { connections, dialect, time, clusterView, limits, settings } = entry;
+  const { connections, dialect, time, clusterView, limits, rests, settings } = entry;
   const { admitted, signal, caller } = request;
+  const incarnation = rests.incarnationOf(slot.engine);
+  const isResting = (): boolean => rests.restMilliseconds(incarnation, time.now()) > 0;
+  if (isResting()) return restingOutcome;
   const { route } = admitted;
   const outgoing = outgoingRequest(
     request,
@@ -80,6 +83,7 @@
   let sent = false;
   let isTimedOut = false;
   let isVersionSuperseded = false;
+  let hasBegunToRest = false;
   let hasReceivedEvent = false;
   let head: { status: number; headers: AnswerHeaders; raw: readonly string[] } | null = null;
   let bufferedParts: Buffer[] | null = null;
@@ -141,7 +145,8 @@
           settings.bounds,
           time.now(),
         );
-        return !isVersionSuperseded;
+        hasBegunToRest = isResting();
+        return !isVersionSuperseded && !hasBegunToRest;
       },
       sent: () => {
         sent = true;
@@ -154,6 +159,7 @@
         }
         limits.recordAnswer(slot.engine, answerHeaders);
         slot.reportLimit(answerHeaders);
+        rests.recordAnswer(incarnation, status, answerHeaders, time.now());
         head = { status, headers: answerHeaders, raw: rawHeaders };
         if (status !== SUCCESS_STATUS) bufferedParts = [];
         else if (!answerHeaders.signed || answerHeaders.requestId === null)
@@ -193,6 +199,10 @@
         settle({ kind: 'complete' });
       },
       failed: (error) => {
+        if (hasBegunToRest) {
+          settle(restingOutcome);
+          return;
+        }
         if (isVersionSuperseded) {
           settle({
             kind: 'notRun',
--- a/packages/limits/src/refusalRetryAfter.ts
+++ b/packages/limits/src/refusalRetryAfter.ts
@@ -28,6 +28,14 @@
  */
 const MINIMUM_SLACK_MILLISECONDS = 150;
 
+/** Time after which a caller should retry when all upstreams rest, in milliseconds. */
+export function restRetryAfterMilliseconds(restMilliseconds: Milliseconds): Milliseconds {
+  return Math.min(
+    LONGEST_RETRY_AFTER_MILLISECONDS,
+    Math.max(SHORTEST_RETRY_AFTER_MILLISECONDS, Math.ceil(restMilliseconds)),
+  );
+}
+
 /**
  * Time after which a refused caller should retry, in milliseconds.
  *
--- /dev/null
+++ b/packages/limits/src/upstreamRest.ts
@@ -0,0 +1,71 @@
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+
+/** One life of an upstream, from a start to its end. */
+export interface UpstreamIncarnation {
+  readonly id: string;
+  /** Start of the upstream, which distinguishes its incarnations. */
+  readonly startedAt: number;
+}
+
+/** Times for which upstreams want no requests from this process. */
+export interface UpstreamRest {
+  /**
+   * Records the rest that an answer asks for; returns the rest in force, in milliseconds, or `null`
+   * if nothing changed.
+   *
+   * @param restMilliseconds - duration of the rest; one that is no positive number is ignored.
+   */
+  record(
+    upstream: UpstreamIncarnation,
+    restMilliseconds: Milliseconds,
+    now: Milliseconds,
+  ): Milliseconds | null;
+  /** Returns the time until an upstream may get requests, in milliseconds; 0 if it may now. */
+  restMilliseconds(upstream: UpstreamIncarnation, now: Milliseconds): Milliseconds;
+  /** Discards rests that have ended; the directory may lack an upstream that still rests. */
+  discardEnded(now: Milliseconds): void;
+}
+
+/**
+ * Longest rest, in milliseconds: a faulty upstream must not be lost to the service until its
+ * restart.
+ */
+const LONGEST_REST_MILLISECONDS = 3_600_000;
+
+interface KnownRest {
+  readonly startedAt: number;
+  readonly until: Milliseconds;
+}
+
+/**
+ * Creates an empty table.
+ *
+ * @remarks
+ * Answers overtake each other, so only time or a restart ends a rest: neither a later answer that
+ * asks for a shorter rest nor one that serves a request does.
+ */
+export function createUpstreamRest(): UpstreamRest {
+  const rests = new Map<string, KnownRest>();
+  const endOf = ({ id, startedAt }: UpstreamIncarnation): Milliseconds => {
+    const known = rests.get(id);
+    // What was prepared for an earlier incarnation would reach the present one.
+    const isResting = known !== undefined && known.startedAt >= startedAt;
+    return isResting ? known.until : Number.NEGATIVE_INFINITY;
+  };
+  return {
+    record: (upstream, restMilliseconds, now) => {
+      if (!(restMilliseconds > 0)) return null;
+      const known = rests.get(upstream.id);
+      // The answer of an incarnation that has ended says nothing about the next one.
+      if (known !== undefined && known.startedAt > upstream.startedAt) return null;
+      const rest = Math.min(restMilliseconds, LONGEST_REST_MILLISECONDS);
+      if (now + rest <= endOf(upstream)) return null;
+      rests.set(upstream.id, { startedAt: upstream.startedAt, until: now + rest });
+      return rest;
+    },
+    restMilliseconds: (upstream, now) => Math.max(0, endOf(upstream) - now),
+    discardEnded: (now) => {
+      for (const [id, { until }] of rests) if (until <= now) rests.delete(id);
+    },
+  };
+}
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -163,6 +163,11 @@
     level: 'info',
     text: 'The number of requests per second that an upstream names has changed; null is no limit.',
   },
+  upstreamRests: {
+    number: 2207,
+    level: 'info',
+    text: 'An upstream turned a request away and wants no others from this process for a time.',
+  },
   controlLost: {
     number: 4100,
     level: 'warn',
