fix(daemon): agents send nothing to an upstream that rests

What callers saw: an upstream beside an agent that turned attempts away with 503 and Retry-After got the next ones at once.

Change: the agent, through which all attempts pass, keeps the rest (limits/upstreamRest), refuses attempts meanwhile as not run, does not resume a stream, and announces that it is not ready, so that entries choose others. A restart that the agent notices ends it: a plain service that accepted no connection for a while, an engine whose event numbers began again.

No test plays the announcement with processes.

--- a/packages/daemon/__tests__/attemptService.spec.ts
+++ b/packages/daemon/__tests__/attemptService.spec.ts
@@ -21,6 +21,8 @@
   readonly service: AttemptService;
   /** Closes the upstream's server and connections, as a crash of its process does. */
   readonly crash: () => void;
+  /** Lets the agent notice that the upstream has started again. */
+  readonly restart: () => void;
   readonly run: (
     overrides?: Partial<AttemptStart>,
     signal?: AbortSignal,
@@ -41,6 +43,7 @@
   disposables.defer(crash);
   const { port } = server.address() as AddressInfo;
   const upstream = disposables.use(createAttemptUpstream(`http://${HOST}:${port}`, HOST));
+  let restarts = 0;
   const service = createAttemptService({
     upstream,
     allowsDigest: (digest) => digest === DIGEST,
@@ -51,6 +54,8 @@
     log: silentLog,
     servedDigest: () => DIGEST,
     isReady: () => true,
+    upstreamRestarts: () => restarts,
+    onRestBegun: () => undefined,
   });
   const start: AttemptStart = {
     attemptId: 'attempt',
@@ -66,6 +71,9 @@
   return {
     service,
     crash,
+    restart: () => {
+      restarts += 1;
+    },
     run: async (overrides = {}, signal = new AbortController().signal) => {
       const items: AttemptItem[] = [];
       const sink = {
@@ -141,6 +149,88 @@
   });
 });
 
+describe('an upstream that rests', () => {
+  it('gets no attempt until the rest is over; the others have not run and entries go elsewhere', async () => {
+    await using disposables = createDisposalStack();
+    let requests = 0;
+    const { run, service } = await createFixture(disposables, (_request, response) => {
+      requests += 1;
+      response.writeHead(503, { 'x-request-id': 'attempt', 'retry-after': '0.4' }).end();
+    });
+    assert.equal(service.isResting, false);
+    await run();
+    assert.equal(service.isResting, true);
+    for (let index = 0; index < 5; index += 1) {
+      const last = (await run()).at(-1);
+      assert.ok(last?.kind === 'failed');
+      assert.equal(last.code, ResultCode.Overloaded);
+      assert.equal(last.run, 'not-run');
+    }
+    assert.equal(requests, 1);
+    await pause(450);
+    assert.equal(service.isResting, false);
+    await run();
+    assert.equal(requests, 2);
+  });
+
+  it('gets attempts again after a restart', async () => {
+    await using disposables = createDisposalStack();
+    let requests = 0;
+    const { run, restart } = await createFixture(disposables, (_request, response) => {
+      requests += 1;
+      response.writeHead(503, { 'x-request-id': 'attempt', 'retry-after': '30' }).end();
+    });
+    await run();
+    await run();
+    assert.equal(requests, 1);
+    restart();
+    await run();
+    assert.equal(requests, 2);
+  });
+
+  it('is asked for nothing more of a stream that broke off meanwhile', async () => {
+    await using disposables = createDisposalStack();
+    let breakOff: () => void = () => undefined;
+    let requests = 0;
+    const { run } = await createFixture(disposables, (request, response) => {
+      requests += 1;
+      if (request.headers['x-request-id'] === 'refused') {
+        response.writeHead(503, { 'x-request-id': 'refused', 'retry-after': '30' }).end();
+        return;
+      }
+      response.writeHead(200, streamHeaders);
+      response.write(encodeEvent(0, 'a'));
+      breakOff = () => response.destroy();
+    });
+    const stream = run();
+    await pause(100);
+    await run({ attemptId: 'refused' });
+    breakOff();
+    const last = (await stream).at(-1);
+    assert.equal(last?.kind === 'failed' && last.code, ResultCode.AnswerIncomplete);
+    assert.equal(requests, 2);
+  });
+
+  for (const [what, status, headers] of [
+    ['another status', 429, { 'retry-after': '30' }],
+    ['a date', 503, { 'retry-after': 'Fri, 04 Dec 2026 20:36:06 GMT' }],
+    ['a negative time', 503, { 'retry-after': '-30' }],
+    ['the id of another attempt', 503, { 'retry-after': '30', 'x-request-id': 'other' }],
+  ] as const) {
+    it(`is not known from an answer with ${what}`, async () => {
+      await using disposables = createDisposalStack();
+      let requests = 0;
+      const { run } = await createFixture(disposables, (_request, response) => {
+        requests += 1;
+        response.writeHead(status, { 'x-request-id': 'attempt', ...headers }).end();
+      });
+      await run();
+      await run();
+      assert.equal(requests, 2);
+    });
+  }
+});
+
 describe('an answer with neither a length nor chunks', () => {
   /** Sends a body that ends with its connection. */
   const sendUnframed = (
--- a/packages/daemon/src/agentModelUpstream.ts
+++ b/packages/daemon/src/agentModelUpstream.ts
@@ -95,6 +95,9 @@
         ...(rollout === null ? {} : { rollout }),
       };
     },
+    get restarts() {
+      return monitor.restarts;
+    },
     get servedDigest() {
       return serving.served?.digest;
     },
--- a/packages/daemon/src/agentPlainUpstream.ts
+++ b/packages/daemon/src/agentPlainUpstream.ts
@@ -10,12 +10,14 @@
 }) => {
   let isReachable = false;
   let isStopped = false;
+  let restarts = 0;
   let timer: NodeJS.Timeout | undefined;
 
   const poll = async (): Promise<void> => {
     const wasReachable = isReachable;
     isReachable = await attempts.isReachable();
     if (isStopped) return;
+    if (wasReachable && !isReachable) restarts += 1;
     if (wasReachable !== isReachable) changed();
     timer = setTimeout(() => void poll(), POLL_INTERVAL_MILLISECONDS);
   };
@@ -25,6 +27,9 @@
     get announcement() {
       return { ready: isReachable, prefixes: [] };
     },
+    get restarts() {
+      return restarts;
+    },
     servedDigest: undefined,
     allowsDigest: () => true,
     start: poll,
--- a/packages/daemon/src/agentRole.ts
+++ b/packages/daemon/src/agentRole.ts
@@ -38,6 +38,7 @@
     service: settings.service,
     state,
     ...upstream.announcement,
+    ready: upstream.announcement.ready && !attempts.isResting,
   });
   const gate = createAttemptGate();
   const announcer = disposables.use(createMembershipAnnouncer(context, createAnnouncementBody));
@@ -63,6 +64,9 @@
     log: context.log,
     servedDigest: () => upstream.servedDigest,
     isReady: () => upstream.announcement.ready,
+    upstreamRestarts: () => upstream.restarts,
+    // The periodic announcement tells that the rest is over.
+    onRestBegun: () => void announcer.announceNow(),
   });
 
   return {
--- a/packages/daemon/src/agentUpstream.ts
+++ b/packages/daemon/src/agentUpstream.ts
@@ -19,6 +19,8 @@
   readonly servedDigest: string | undefined;
   /** Returns whether an answer from these weights may be sent to a caller. */
   readonly allowsDigest: (digest: string) => boolean;
+  /** Number of restarts of the upstream that were noticed. */
+  readonly restarts: number;
   start(): Promise<void>;
 }
 
--- a/packages/daemon/src/attemptAnswer.ts
+++ b/packages/daemon/src/attemptAnswer.ts
@@ -5,6 +5,7 @@
 import { createEventSplitter, chooseEventAction } from './attemptEvents.js';
 import {
   REQUESTS_PER_SECOND_HEADER,
+  RETRY_AFTER_HEADER,
   WEIGHTS_DIGEST_HEADER,
   REQUEST_ID_HEADER,
   endToEndHeaders,
@@ -17,6 +18,11 @@
 /** Largest answer that is buffered completely before its head is forwarded, in bytes. */
 const MAXIMUM_BUFFERED_BYTES = 256 * 1024;
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** HTTP status of a refusal that may ask for a rest. */
+const UNAVAILABLE_STATUS = 503;
+
 /** Lowest HTTP status of a server error. */
 const SERVER_ERROR_STATUS = 500;
 
@@ -58,6 +64,15 @@
   return requestsPerSecond >= 0 && Number.isFinite(requestsPerSecond) ? requestsPerSecond : null;
 }
 
+/** Returns the rest that a refusal asks for, in milliseconds; `null` for any other answer. */
+function requestedRest(start: AttemptStart, response: Response): number | null {
+  const requestId = firstHeaderValue(response, REQUEST_ID_HEADER);
+  const isAnotherRequest = requestId !== undefined && requestId !== start.attemptId;
+  if (response.statusCode !== UNAVAILABLE_STATUS || isAnotherRequest) return null;
+  const seconds = Number(firstHeaderValue(response, RETRY_AFTER_HEADER) ?? Number.NaN);
+  return seconds > 0 ? seconds * MILLISECONDS_PER_SECOND : null;
+}
+
 function checkAttemptId(start: AttemptStart, response: Response): void {
   const requestId = firstHeaderValue(response, REQUEST_ID_HEADER);
   if (requestId === start.attemptId) return;
@@ -95,6 +110,10 @@
   readonly allowsDigest: DigestCheck;
   /** Receives the limit that each answer names, in requests per second; `null` without one. */
   readonly onLimit: (requestsPerSecond: number | null) => void;
+  /** Receives the time for which the upstream wants no attempts, in milliseconds. */
+  readonly onRest: (restMilliseconds: number) => void;
+  /** Whether the upstream wants no attempts at present. */
+  readonly isResting: () => boolean;
 }
 
 async function* readBody(
@@ -193,6 +212,10 @@
       options.upstream.isReachable(),
     );
   }
+  if (options.isResting()) {
+    const detail = 'the stream was interrupted and the upstream rests';
+    throw new AttemptError(ResultCode.AnswerIncomplete, 'unknown', detail);
+  }
   let response: Response;
   try {
     response = await options.upstream.resume(start.attemptId, position.lastEventId, signal);
@@ -201,6 +224,8 @@
     const hasCrashed = !(await options.upstream.isReachable());
     throw new AttemptError(ResultCode.AnswerIncomplete, 'unknown', detail, hasCrashed);
   }
+  const restMilliseconds = requestedRest(start, response);
+  if (restMilliseconds !== null) options.onRest(restMilliseconds);
   if (response.statusCode !== 200) {
     await response.body.dump();
     // An upstream that no longer knows a stream it was sending has restarted.
@@ -265,6 +290,8 @@
   }
   // Destroying the body of a rejected answer emits an error, which would otherwise be unhandled.
   response.body.on('error', () => undefined);
+  const restMilliseconds = requestedRest(start, response);
+  if (restMilliseconds !== null) options.onRest(restMilliseconds);
   try {
     checkAttemptId(start, response);
     options.onLimit(namedLimit(response));
--- a/packages/daemon/src/attemptService.ts
+++ b/packages/daemon/src/attemptService.ts
@@ -1,6 +1,7 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { TimeSource } from '@burdockrail/common/timeSource.js';
 import { createNamedLimit } from '@burdockrail/limits/namedLimit.js';
+import { createUpstreamRest, type UpstreamIncarnation } from '@burdockrail/limits/upstreamRest.js';
 import type {
   AttemptItem,
   AttemptStart,
@@ -25,12 +26,17 @@
 /** Runs the attempts of one agent. */
 export interface AttemptService {
   readonly handlers: Partial<PeerHandlers>;
+  /** True while the upstream wants no attempts. */
+  readonly isResting: boolean;
   /** Refuses new attempts and resolves when those in progress have ended. */
   drain(): Promise<void>;
 }
 
 /** Options of {@link createAttemptService}. */
-export interface AttemptServiceOptions extends Omit<UpstreamAnswerOptions, 'onLimit'> {
+export interface AttemptServiceOptions extends Omit<
+  UpstreamAnswerOptions,
+  'onLimit' | 'onRest' | 'isResting'
+> {
   readonly gate: AttemptGate;
   readonly incarnation: string;
   readonly service: string;
@@ -40,6 +46,10 @@
   readonly servedDigest: () => string | undefined;
   /** Whether the upstream may be used. */
   readonly isReady: () => boolean;
+  /** Number of restarts of the upstream that the agent has noticed; each ends a rest. */
+  readonly upstreamRestarts: () => number;
+  /** Called when the upstream begins to rest. */
+  readonly onRestBegun: () => void;
 }
 
 type ItemSink = StreamSink<AttemptItem>;
@@ -101,6 +111,11 @@
   return new AttemptError(ResultCode.Overloaded, 'not-run', detail);
 }
 
+function restingError(): AttemptError {
+  const detail = 'the upstream rests';
+  return new AttemptError(ResultCode.Overloaded, 'not-run', detail);
+}
+
 function timeoutError(start: AttemptStart): AttemptError {
   const detail = `no complete answer within ${start.timeoutMilliseconds} ms`;
   return new AttemptError(ResultCode.DeadlineExceeded, 'unknown', detail);
@@ -117,6 +132,13 @@
   const table: AttemptTable = createAttemptTable(options.incarnation);
   const running = new Set<Promise<void>>();
   const limit = createNamedLimit();
+  const rest = createUpstreamRest();
+  const upstreamIncarnation = (): UpstreamIncarnation => ({
+    id: options.service,
+    startedAt: options.upstreamRestarts(),
+  });
+  const isResting = (): boolean =>
+    rest.restMilliseconds(upstreamIncarnation(), options.time.now()) > 0;
   const answerOptions: UpstreamAnswerOptions = {
     ...options,
     onLimit: (requestsPerSecond) => {
@@ -125,6 +147,14 @@
       options.log.write('upstreamLimited', { requestsPerSecond, former });
       limit.set(requestsPerSecond, options.time.now());
     },
+    onRest: (requestedMilliseconds) => {
+      const now = options.time.now();
+      const restMilliseconds = rest.record(upstreamIncarnation(), requestedMilliseconds, now);
+      if (restMilliseconds === null) return;
+      options.log.write('upstreamRests', { restMilliseconds });
+      options.onRestBegun();
+    },
+    isResting,
   };
   let isDraining = false;
 
@@ -212,6 +242,7 @@
   ): Promise<void> => {
     const refusal = isDraining ? shuttingDownError() : findRefusal(options, start);
     if (refusal !== null) return refuse(start, sink, refusal);
+    if (isResting()) return refuse(start, sink, restingError());
     if (limit.take(options.time.now()) > 0) return refuse(start, sink, limitedError());
     const decision = table.start(start, options.time.now());
     if (decision.kind === 'refuse') {
@@ -239,6 +270,9 @@
   };
 
   return {
+    get isResting() {
+      return isResting();
+    },
     handlers: {
       streams: { 'attempt.run': async (start, sink, context) => run(start, sink, context.signal) },
       calls: {
--- a/packages/daemon/src/attemptUpstream.ts
+++ b/packages/daemon/src/attemptUpstream.ts
@@ -20,6 +20,9 @@
  */
 export const REQUESTS_PER_SECOND_HEADER = 'x-requests-per-second';
 
+/** Header of a refusal with the seconds for which the upstream wants no attempts. */
+export const RETRY_AFTER_HEADER = 'retry-after';
+
 /** Headers that apply to a single connection and are not forwarded. */
 const hopByHopHeaders: ReadonlySet<string> = new Set([
   'connection',
--- a/packages/daemon/src/engineMonitor.ts
+++ b/packages/daemon/src/engineMonitor.ts
@@ -15,6 +15,8 @@
 /** Polls the load and the cache events of one engine. */
 export interface EngineMonitor extends AsyncDisposable {
   readonly latest: EngineReport;
+  /** Number of restarts of the engine that its event numbers have shown. */
+  readonly restarts: number;
   /** Starts polling; resolves after the first poll. */
   start(): Promise<void>;
 }
@@ -33,6 +35,8 @@
   const prefixes = createCachedPrefixes();
   let latest: EngineReport = { load: null, prefixes: [] };
   let nextEventNumber = 0;
+  let highestEventNumber = 0;
+  let restarts = 0;
   let timer: NodeJS.Timeout | undefined;
   let isStopped = false;
 
@@ -42,7 +46,9 @@
       const events = await engine.getEvents(nextEventNumber);
       // Event numbers that start again mean that the engine restarted with an empty cache.
       if (events.next < nextEventNumber) prefixes.clear();
+      if (events.next < highestEventNumber) restarts += 1;
       nextEventNumber = events.next;
+      highestEventNumber = events.next;
       prefixes.apply(events.events);
       latest = { load, prefixes: prefixes.listNewest() };
     } catch {
@@ -63,6 +69,9 @@
     get latest() {
       return latest;
     },
+    get restarts() {
+      return restarts;
+    },
     start: pollRepeatedly,
     [Symbol.asyncDispose]: async () => {
       isStopped = true;
