fix(gateway, limits): ask an upstream that goes on resting less and less often

What callers saw: while an upstream turned everything away and asked for a rest each time, an entry sent it a request as soon as each rest was over; each took one of the retries that all entries share.

Cause: an upstream that serves nothing looks empty and is chosen first.

Evidence: 'is asked half as often each time that it turns the first request after a rest away' failed before with '12 requests', on streams and on plain requests; 4 are allowed by the doubled times.

Change: after a rest that follows another without a served request in between, others are preferred for as long as the rest, then three times, seven times, at most 4 s. The upstream is still used when there is no other, and a served request ends it.

--- a/packages/gateway/__tests__/restingUpstreams.spec.ts
+++ b/packages/gateway/__tests__/restingUpstreams.spec.ts
@@ -131,6 +131,18 @@
       assert.equal((await entry.ask(path)).status, 200);
     });
 
+    it('is asked half as often each time that it turns the first request after a rest away', async () => {
+      await using disposables = createDisposalStack();
+      const entry = await playEntry(disposables, [refusing('0.1'), sound]);
+      const beganAt = performance.now();
+      while (performance.now() - beganAt < 1_400) {
+        assert.equal((await entry.ask(path)).status, 200);
+        await pause(PAUSE_MILLISECONDS / 2);
+      }
+      // After 0, 100, 300 and 700 ms at the earliest; the next one would be after 1500 ms.
+      assert.ok(arrivalsOf(entry, 0) <= 4, `${arrivalsOf(entry, 0)} requests`);
+    });
+
     for (const [what, answer] of [
       ['a refusal with another status', refusing('30', 429)],
       ['a refusal of another request', refusing('30', 503, 'other')],
--- a/packages/gateway/src/entryBuffered.ts
+++ b/packages/gateway/src/entryBuffered.ts
@@ -130,7 +130,11 @@
     const now = time.now();
     const candidates = upstreams
       .candidates(service, now)
-      .filter(({ id }) => rests.restMilliseconds(rests.incarnationOf(id), now) === 0);
+      .filter(({ id }) => rests.restMilliseconds(rests.incarnationOf(id), now) === 0)
+      .map((candidate) => {
+        const isAvoided = rests.isAvoided(rests.incarnationOf(candidate.id), now);
+        return { ...candidate, suspended: candidate.suspended || isAvoided };
+      });
     const criteria = { dataCentre: entry.settings.dataCentre, tried, draw: random.next() };
     const chosen = chooseUpstream(candidates, criteria);
     const directoryEntry = chosen === undefined ? undefined : clusterView.directory.get(chosen.id);
--- a/packages/gateway/src/entrySlots.ts
+++ b/packages/gateway/src/entrySlots.ts
@@ -77,7 +77,7 @@
       viewAgeMilliseconds: latest === undefined ? 0 : now - latest.receivedAt,
       ownRequests: upstreams.ownRequests(record.id),
       loaded: record.models.length > 0,
-      suspended: silent || upstreams.isSuspended(record.id, now),
+      suspended: silent || upstreams.isSuspended(record.id, now) || rests.isAvoided(record, now),
       agentUnresponsive: claimClient.isSilent(agentAddress(record.address), now),
     };
   };
--- a/packages/gateway/src/upstreamRests.ts
+++ b/packages/gateway/src/upstreamRests.ts
@@ -7,6 +7,9 @@
 import type { Refusal } from './entryAdmission.js';
 import type { GatewayContext } from './gatewayContext.js';
 
+/** Lowest status that is no success. */
+const REDIRECTION_STATUS = 300;
+
 /** Status of a refusal that may ask for a rest. */
 const UNAVAILABLE_STATUS = 503;
 
@@ -26,12 +29,14 @@
   ): void;
   /** Returns the time until an upstream may get requests, in milliseconds; 0 if it may now. */
   restMilliseconds(upstream: UpstreamIncarnation, now: Milliseconds): Milliseconds;
+  /** True after a rest while others should be preferred. */
+  isAvoided(upstream: UpstreamIncarnation, now: Milliseconds): boolean;
   /** Returns the time until the first of the resting upstreams has rested; `null` if none rests. */
   shortestRestMilliseconds(
     upstreams: readonly UpstreamIncarnation[],
     now: Milliseconds,
   ): Milliseconds | null;
-  /** Discards rests that have ended. */
+  /** Discards what no longer counts. */
   discardEnded(now: Milliseconds): void;
 }
 
@@ -56,12 +61,14 @@
       return { id: upstream, startedAt: record?.startedAt ?? UNKNOWN_START_TIME };
     },
     recordAnswer: (upstream, status, { retryAfterMilliseconds }, now) => {
+      if (status < REDIRECTION_STATUS) rests.recordServed(upstream, now);
       if (status !== UNAVAILABLE_STATUS || retryAfterMilliseconds === null) return;
       const restMilliseconds = rests.record(upstream, retryAfterMilliseconds, now);
       if (restMilliseconds === null) return;
       log.write('upstreamRests', { upstream: upstream.id, restMilliseconds });
     },
     restMilliseconds: (upstream, now) => rests.restMilliseconds(upstream, now),
+    isAvoided: (upstream, now) => rests.isAvoided(upstream, now),
     shortestRestMilliseconds: (upstreams, now) => {
       const restTimes = upstreams
         .map((upstream) => rests.restMilliseconds(upstream, now))
