--- a/packages/daemon/src/agentRole.ts
+++ b/packages/daemon/src/agentRole.ts
@@ -39,7 +39,7 @@
     service: settings.service,
     state,
     ...upstream.announcement,
-    ready: isReady(),
+    ready: isReady() && !attempts.isResting,
   });
   const gate = createAttemptGate();
   const announcer = disposables.use(createMembershipAnnouncer(context, createAnnouncementBody));
@@ -74,6 +74,9 @@
     servedDigest: () => upstream.servedDigest,
     isReady,
     departure,
+    upstreamRestarts: () => upstream.restarts,
+    // The periodic announcement tells that the rest is over.
+    onRestBegun: () => void announcer.announceNow(),
   });
 
   return {
--- a/packages/daemon/src/attemptUpstream.ts
+++ b/packages/daemon/src/attemptUpstream.ts
@@ -23,6 +23,9 @@
 /** Header with the value `1` in all answers of an upstream that leaves. */
 export const LEAVING_HEADER = 'x-leaving';
 
+/** Header of a refusal with the seconds for which the upstream wants no attempts. */
+export const RETRY_AFTER_HEADER = 'retry-after';
+
 /** Headers that apply to a single connection and are not forwarded. */
 const hopByHopHeaders: ReadonlySet<string> = new Set([
   'connection',
--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -4,6 +4,9 @@
 import type { UpstreamCandidate } from '@burdockrail/routing/upstreamChoice.js';
 import type { EntryContext } from '../src/entryContext.js';
 import type { EntrySlots, GrantedSlot } from '../src/entrySlots.js';
+import { createUpstreamRests } from '../src/upstreamRests.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
 
 const MAXIMUM_ANSWER_MEMORY_BYTES = 16 * 1024 * 1024;
 
@@ -58,21 +61,24 @@
   changes: Partial<EntryContext> = {},
 ): EntryContext {
   const ignore = (): void => undefined;
+  const clusterView = {
+    weightsOf: () => [],
+    table: createRouteTable(configuration),
+    entries: 1,
+    confirmedAt: performance.now(),
+    directory: { get: () => ({ record: { id: 'u', address: plainAddress, startedAt: 1 } }) },
+    ...changes.clusterView,
+  };
+  const log = { write: ignore };
   return {
     connections,
     answerMemory: createByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES),
     time: { now: () => performance.now() },
     random: { next: () => 0 },
-    log: { write: ignore },
+    log,
     metrics: { count: ignore, histogram: () => ({ record: ignore }) },
     settings: { bounds: { versionMilliseconds: 8_000, revocationMilliseconds: 60_000 } },
-    clusterView: {
-      weightsOf: () => [],
-      table: createRouteTable(configuration),
-      entries: 1,
-      confirmedAt: performance.now(),
-      directory: { get: () => ({ record: { id: 'u', address: plainAddress, startedAt: 1 } }) },
-    },
+    clusterView,
     retryBudget: { trySpend: () => true, recordRequest: ignore },
     callerElapsed: { estimateElapsedMilliseconds: () => 0 },
     upstreams: {
@@ -84,6 +90,7 @@
     },
     limits: { recordAnswer: ignore, take: () => 0 },
     departures: { recordAnswer: ignore, isLeaving: () => false },
+    rests: createUpstreamRests({ log }, clusterView as unknown as EntryContext['clusterView']),
     quarantine: {
       statusOf: () => ({ kind: 'clear' }),
       mayRetry: () => true,
@@ -112,6 +119,10 @@
         load: null,
         requestsPerSecond: null,
         leaving: headers['x-leaving'] === '1',
+        retryAfterMilliseconds:
+          headers['retry-after'] === undefined
+            ? null
+            : Number(headers['retry-after']) * MILLISECONDS_PER_SECOND,
       }),
     },
     ...changes,
--- a/packages/gateway/__tests__/entryDecisions.spec.ts
+++ b/packages/gateway/__tests__/entryDecisions.spec.ts
@@ -88,6 +88,7 @@
     load: null,
     requestsPerSecond: null,
     leaving: false,
+    retryAfterMilliseconds: null,
   };
   const body = Buffer.from('x');
 
--- a/packages/gateway/__tests__/entrySlots.spec.ts
+++ b/packages/gateway/__tests__/entrySlots.spec.ts
@@ -29,6 +29,11 @@
     settings: { dataCentre: 'north', bounds: { versionMilliseconds: 8_000 } },
     limits: { take: () => untilAllowed },
     departures: { isLeaving: () => false },
+    rests: {
+      restMilliseconds: () => 0,
+      shortestRestMilliseconds: () => null,
+      isAvoided: () => false,
+    },
     upstreams: { ownRequests: () => 0, isSuspended: () => false },
     clusterView: {
       table: null,
--- a/packages/gateway/__tests__/silentPlainUpstream.spec.ts
+++ b/packages/gateway/__tests__/silentPlainUpstream.spec.ts
@@ -86,7 +86,7 @@
       weightsOf: () => [],
       table: base.clusterView.table,
       entries: 1,
-      directory: { get: (id: string) => ({ record: { id, address: id } }) },
+      directory: { get: (id: string) => ({ record: { id, address: id, startedAt: 1 } }) },
     },
   } as unknown as EntryContext;
   let body = '';
--- a/packages/gateway/src/attemptOutcome.ts
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -29,6 +29,14 @@
   return headers.requestId === null || headers.requestId === requestId;
 }
 
+/** Outcome of an attempt whose upstream began to rest before anything was sent. */
+export const restingOutcome: NotRun = {
+  kind: 'notRun',
+  verdict: 'full',
+  reason: 'the upstream rests',
+  sent: false,
+};
+
 /** Classifies a complete answer; an answer to another request is never forwarded. */
 export function classifyAnswer(
   requestId: string,
--- a/packages/gateway/src/bufferedAttempt.ts
+++ b/packages/gateway/src/bufferedAttempt.ts
@@ -1,5 +1,10 @@
-import type { UpstreamIncarnation } from '@burdockrail/membership/leavingUpstreams.js';
-import { classifyAnswer, isOwnAnswer, type BufferedAttemptOutcome } from './attemptOutcome.js';
+import type { UpstreamIncarnation } from '@burdockrail/protocol/protocolDirectory.js';
+import {
+  classifyAnswer,
+  isOwnAnswer,
+  restingOutcome,
+  type BufferedAttemptOutcome,
+} from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 import { connectionLimit, type EntryContext } from './entryContext.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
@@ -29,7 +34,7 @@
   timeoutMilliseconds: number,
   mayGiveUp: () => boolean = () => true,
 ): Promise<BufferedAttemptOutcome> {
-  const { connections, dialect, time, upstreams, limits, departures, answerMemory } = entry;
+  const { connections, dialect, time, upstreams, limits, departures, rests, answerMemory } = entry;
   const { admitted, signal } = request;
   const outgoing = outgoingRequest(
     request,
@@ -48,6 +53,7 @@
     let isTimedOut = false;
     let isOverLimit = false;
     let isLeaving = false;
+    let isResting = false;
     const timer = setInterval(() => {
       if (!mayGiveUp()) return;
       isTimedOut = true;
@@ -64,9 +70,10 @@
       outgoing,
       {
         mayStart: () => {
-          // An answer may have arrived while the request waited for a connection.
+          // Answers to other requests may have arrived while this one waited for a connection.
           isLeaving = departures.isLeaving(upstream);
-          return !isLeaving;
+          isResting = rests.restMilliseconds(upstream, time.now()) > 0;
+          return !isLeaving && !isResting;
         },
         sent: () => {
           sent = true;
@@ -80,6 +87,8 @@
             upstreams.recordLoad(upstream.id, running + waiting, time.now());
           }
           limits.recordAnswer(upstream.id, answerHeaders);
+          if (answerHeaders.requestId === null || answerHeaders.requestId === request.id)
+            rests.recordAnswer(upstream, status, answerHeaders, time.now());
           buffered = { status, headers: answerHeaders, rawHeaders, parts: [], size: 0 };
         },
         data: (bytes) => {
@@ -103,8 +112,8 @@
           settle(classifyAnswer(request.id, status, headers, rawHeaders, body));
         },
         failed: (error) => {
-          if (isLeaving) {
-            settle(leavingOutcome);
+          if (isLeaving || isResting) {
+            settle(isLeaving ? leavingOutcome : restingOutcome);
             return;
           }
           const verdict = isOverLimit ? 'failed' : isTimedOut ? 'silent' : 'broken';
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -54,6 +54,11 @@
   readonly requestsPerSecond: number | null;
   /** True when the upstream states that it leaves and wants no further requests. */
   readonly leaving: boolean;
+  /**
+   * Time for which the upstream wants no requests from this entry if it turned the request away, in
+   * milliseconds; `null` if the answer states none.
+   */
+  readonly retryAfterMilliseconds: number | null;
 }
 
 /** A request of an upstream or operator to a control process. */
--- a/packages/gateway/src/entryContext.ts
+++ b/packages/gateway/src/entryContext.ts
@@ -8,6 +8,7 @@
 import type { UpstreamDepartures } from './upstreamDepartures.js';
 import type { UpstreamConnections } from './upstreamConnections.js';
 import type { UpstreamLimits } from './upstreamLimits.js';
+import type { UpstreamRests } from './upstreamRests.js';
 
 /** Dependencies shared by the modules of an entry. */
 export interface EntryContext extends GatewayContext {
@@ -16,6 +17,7 @@
   readonly connections: UpstreamConnections;
   readonly limits: UpstreamLimits;
   readonly departures: UpstreamDepartures;
+  readonly rests: UpstreamRests;
   readonly retryBudget: SharedRetryBudget;
   readonly callerElapsed: CallerElapsedEstimator;
   readonly quarantine: EntryQuarantine;
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -17,6 +17,7 @@
 import { createUpstreamConnections } from './upstreamConnections.js';
 import { createUpstreamDepartures } from './upstreamDepartures.js';
 import { createUpstreamLimits } from './upstreamLimits.js';
+import { createUpstreamRests } from './upstreamRests.js';
 
 /** Fraction of the revocation time after which an unconfirmed entry reports not ready. */
 const UNREADY_AGE_FRACTION = 0.5;
@@ -63,6 +64,7 @@
   const departures = createUpstreamDepartures(context);
   const upstreams = createEntryUpstreams(clusterView, departures);
   const limits = createUpstreamLimits(context);
+  const rests = createUpstreamRests(context, clusterView);
   const entry: EntryContext = {
     ...context,
     clusterView,
@@ -70,6 +72,7 @@
     connections,
     limits,
     departures,
+    rests,
     retryBudget: createSharedRetryBudget(bounds.retries),
     quarantine,
     answerMemory: createByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES),
@@ -147,6 +150,7 @@
       const cleanupTimer = setInterval(() => {
         upstreams.retain();
         limits.retain(new Set(clusterView.directory.entries.map(({ record }) => record.id)));
+        rests.discardEnded(time.now());
         connections.retain(
           new Set(clusterView.directory.entries.map(({ record }) => record.address)),
         );
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -9,6 +9,7 @@
 import type { EntryRequest } from './entryRequest.js';
 import { startStream, type RunningStream, type StreamObserver } from './streamAttempt.js';
 import { runWithHandover, type EndedStream, type IncompleteStream } from './streamHandover.js';
+import { restingRefusal } from './upstreamRests.js';
 
 /** Minimum remaining time for starting a stream, in milliseconds. */
 const MINIMUM_ATTEMPT_MILLISECONDS = 50;
@@ -42,6 +43,8 @@
 /** Attempts that have ended. */
 interface AttemptTally {
   sent: number;
+  /** Retries taken from the shared budget. */
+  paidRetries: number;
   /** Engines that were lost. */
   losses: number;
   mayHaveRun: boolean;
@@ -61,7 +64,14 @@
   const sentAt = new Map<string, Milliseconds>();
   const progress: Progress = { lastEventId: null, events: 0, lastEventAt: null };
   const engine = clusterView.table?.service(service)?.engine ?? null;
-  const attempts: AttemptTally = { sent: 0, losses: 0, mayHaveRun: false, lastReason: '' };
+  const attempts: AttemptTally = {
+    sent: 0,
+    paidRetries: 0,
+    losses: 0,
+    mayHaveRun: false,
+    lastReason: '',
+  };
+  let restMilliseconds: number | null = null;
 
   const isAborted = (): boolean => signal.aborted;
 
@@ -180,13 +190,22 @@
     return outcome.kind === 'granted' ? outcome.slot : null;
   };
 
+  /** Takes a retry from the shared budget; one that turned out not to be sent leaves its to the next. */
+  const takeRetry = (inProgress: number): boolean => {
+    const earlierAttempts = attempts.sent + inProgress;
+    if (earlierAttempts <= attempts.paidRetries) return true;
+    if (!retryBudget.trySpend(service, clusterView.entries, time.now())) return false;
+    attempts.paidRetries = earlierAttempts;
+    return true;
+  };
+
   while (canAttempt(0)) {
-    const now = time.now();
-    if (attempts.sent > 0 && !retryBudget.trySpend(service, clusterView.entries, now)) break;
+    if (!takeRetry(0)) break;
     const outcome = await slots.claim(request, triedEngines, slack(0));
     if (outcome.kind !== 'granted') {
       if (signal.aborted) return;
-      if (attempts.sent > 0) break;
+      if (outcome.kind === 'resting') restMilliseconds = outcome.restMilliseconds;
+      if (attempts.sent > 0 || outcome.kind === 'resting') break;
       const isFull = outcome.kind === 'full';
       trace.cause = isFull ? `full, ${outcome.asked} engines asked` : 'no engine';
       answer.refuse({
@@ -219,8 +238,7 @@
     const ended = await runWithHandover(slot, {
       start,
       claimSuccessor,
-      maySendAgain: () =>
-        canAttempt(1) && retryBudget.trySpend(service, clusterView.entries, time.now()),
+      maySendAgain: () => canAttempt(1) && takeRetry(1),
       // A resuming engine repeats no events; a wrong id must still not reach the caller.
       isNew: (id) => id === null || progress.lastEventId === null || id > progress.lastEventId,
       caller,
@@ -257,6 +275,12 @@
     answer.destroyConnection();
     return;
   }
+  if (restMilliseconds !== null && !attempts.mayHaveRun) {
+    const refusal = restingRefusal(restMilliseconds);
+    trace.cause = refusal.detail;
+    answer.refuse(refusal);
+    return;
+  }
   answer.refuse(
     attempts.mayHaveRun
       ? {
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -3,7 +3,7 @@
 import type { GrantedSlot } from './entrySlots.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
 import { createEventSplitter } from './eventSplitter.js';
-import { classifyAnswer, isOwnAnswer, type NotRun } from './attemptOutcome.js';
+import { classifyAnswer, isOwnAnswer, restingOutcome, type NotRun } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 import { leavingOutcome } from './upstreamDepartures.js';
 import { mayServeVersion, mustBeginBy } from './versionRule.js';
@@ -71,9 +71,11 @@
   lastEventId: number | null,
   observer: StreamObserver,
 ): RunningStream {
-  const { connections, dialect, time, clusterView, limits, departures, settings } = entry;
+  const { connections, dialect, time, clusterView, limits, departures, rests, settings } = entry;
   const incarnation = { id: slot.engine, startedAt: slot.startedAt };
   const { admitted, signal, caller } = request;
+  const isResting = (): boolean => rests.restMilliseconds(incarnation, time.now()) > 0;
+  if (isResting()) return unstartedStream(restingOutcome);
   const { route } = admitted;
   const outgoing = outgoingRequest(
     request,
@@ -102,6 +104,7 @@
   let isSettled = false;
   let isVersionSuperseded = false;
   let isLeaving = false;
+  let hasBegunToRest = false;
   let hasReceivedEvent = false;
   let head: { status: number; headers: AnswerHeaders; raw: readonly string[] } | null = null;
   let bufferedParts: Buffer[] | null = null;
@@ -184,7 +187,8 @@
           time.now(),
         );
         isLeaving = departures.isLeaving(incarnation);
-        return !isVersionSuperseded && !isLeaving;
+        hasBegunToRest = isResting();
+        return !isVersionSuperseded && !isLeaving && !hasBegunToRest;
       },
       sent: () => {
         sent = true;
@@ -199,6 +203,7 @@
         }
         limits.recordAnswer(slot.engine, answerHeaders);
         slot.reportLimit(answerHeaders);
+        rests.recordAnswer(incarnation, status, answerHeaders, time.now());
         head = { status, headers: answerHeaders, raw: rawHeaders };
         if (status !== SUCCESS_STATUS) bufferedParts = [];
         else if (!answerHeaders.signed || answerHeaders.requestId === null)
@@ -238,8 +243,8 @@
         settle({ kind: 'complete' });
       },
       failed: (error) => {
-        if (isLeaving) {
-          settle(leavingOutcome);
+        if (isLeaving || hasBegunToRest) {
+          settle(isLeaving ? leavingOutcome : restingOutcome);
           return;
         }
         if (isVersionSuperseded) {
@@ -273,6 +278,11 @@
   };
 }
 
+/** A stream of which nothing is sent. */
+function unstartedStream(outcome: NotRun): RunningStream {
+  return { outcome: Promise.resolve(outcome), isSilent: false, abort: () => undefined };
+}
+
 function createDeferred<Value>(): {
   readonly promise: Promise<Value>;
   readonly resolve: (value: Value) => void;
--- a/packages/gateway/src/upstreamDepartures.ts
+++ b/packages/gateway/src/upstreamDepartures.ts
@@ -1,7 +1,5 @@
-import {
-  createLeavingUpstreams,
-  type UpstreamIncarnation,
-} from '@burdockrail/membership/leavingUpstreams.js';
+import { createLeavingUpstreams } from '@burdockrail/membership/leavingUpstreams.js';
+import type { UpstreamIncarnation } from '@burdockrail/protocol/protocolDirectory.js';
 import type { NotRun } from './attemptOutcome.js';
 import type { AnswerHeaders } from './dialect.js';
 import type { GatewayContext } from './gatewayContext.js';
--- a/packages/membership/src/leavingUpstreams.ts
+++ b/packages/membership/src/leavingUpstreams.ts
@@ -1,7 +1,4 @@
-import type { UpstreamRecord } from '@burdockrail/protocol/protocolDirectory.js';
-
-/** One incarnation of an upstream. */
-export type UpstreamIncarnation = Pick<UpstreamRecord, 'id' | 'startedAt'>;
+import type { UpstreamIncarnation } from '@burdockrail/protocol/protocolDirectory.js';
 
 /** Incarnations of upstreams that said themselves that they leave. */
 export interface LeavingUpstreams {
--- a/packages/protocol/src/protocolDirectory.ts
+++ b/packages/protocol/src/protocolDirectory.ts
@@ -25,6 +25,9 @@
   readonly models: readonly HeldModel[];
 }
 
+/** One incarnation of an upstream; what it says of itself ends with its restart. */
+export type UpstreamIncarnation = Pick<UpstreamRecord, 'id' | 'startedAt'>;
+
 /** An upstream record as one process relays it to another. */
 export interface RelayedUpstreamRecord {
   readonly record: UpstreamRecord;
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -173,6 +173,11 @@
     level: 'info',
     text: 'Another process has taken the place of an upstream that left, and gets requests again.',
   },
+  upstreamRests: {
+    number: 2209,
+    level: 'info',
+    text: 'An upstream turned a request away and wants no others from this process for a time.',
+  },
   controlLost: {
     number: 4100,
     level: 'warn',
