--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -164,12 +164,12 @@
     text: 'The number of requests per second that an upstream names has changed; null is no limit.',
   },
   upstreamLeaving: {
-    number: 2207,
+    number: 2208,
     level: 'info',
     text: 'An upstream said in an answer that it leaves, and gets no further requests.',
   },
   upstreamReturned: {
-    number: 2208,
+    number: 2209,
     level: 'info',
     text: 'Another process has taken the place of an upstream that left, and gets requests again.',
   },
