--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -163,20 +163,20 @@
     level: 'info',
     text: 'The number of requests per second that an upstream names has changed; null is no limit.',
   },
-  upstreamLeaving: {
+  upstreamRests: {
     number: 2207,
     level: 'info',
-    text: 'An upstream said in an answer that it leaves, and gets no further requests.',
+    text: 'An upstream turned a request away and wants no others from this process for a time.',
   },
-  upstreamReturned: {
+  upstreamLeaving: {
     number: 2208,
     level: 'info',
-    text: 'Another process has taken the place of an upstream that left, and gets requests again.',
+    text: 'An upstream said in an answer that it leaves, and gets no further requests.',
   },
-  upstreamRests: {
+  upstreamReturned: {
     number: 2209,
     level: 'info',
-    text: 'An upstream turned a request away and wants no others from this process for a time.',
+    text: 'Another process has taken the place of an upstream that left, and gets requests again.',
   },
   controlLost: {
     number: 4100,
