fix(gateway): an engine's agent tells other entries that it rests

What callers saw: each entry sent a request of its own to each engine that turned everything away, and each took one of the retries that all share.

Cause: only the entry that was turned away knew; to all others an engine that serves nothing looks empty and is asked first.

Evidence: 'sends others to lightly loaded engines first, but grants a slot where none is free' failed before (granted instead of full), and 'is reported to its agent once, which tells other entries' failed with no report.

Change: an entry notifies the agent (place.rest). During the rest the agent answers full, with all slots taken, to claims that look for a lightly loaded engine, and grants the others, since the engine may take requests of other entries. A restart of the engine ends it. Agents that don't know the message ignore it.

Result: the specs of gateway and upstreamRest pass (96).

--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -138,6 +138,7 @@
     address: `127.0.0.1:${port}`,
     version: 1,
     reportLimit: () => undefined,
+    reportRest: () => undefined,
     release,
   };
 }
--- a/packages/gateway/__tests__/restingUpstreams.spec.ts
+++ b/packages/gateway/__tests__/restingUpstreams.spec.ts
@@ -161,6 +161,16 @@
   });
 }
 
+describe('an engine that rests', () => {
+  it('is reported to its agent once, which tells other entries', async () => {
+    await using disposables = createDisposalStack();
+    const entry = await playEntry(disposables, [refusing('2.5'), sound]);
+    assert.equal((await entry.ask(paths.stream)).status, 200);
+    await entry.ask(paths.stream);
+    assert.deepEqual(entry.slots.rests, [{ engine: 'upstream-0', restMilliseconds: 2_500 }]);
+  });
+});
+
 describe('a stream whose engine began to rest while its agent granted a slot', () => {
   it('runs at another engine without a retry, and the slot is released', async () => {
     await using disposables = createDisposalStack();
--- a/packages/gateway/__tests__/restingUpstreamsFixture.ts
+++ b/packages/gateway/__tests__/restingUpstreamsFixture.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import { createServer as createTcpServer, type AddressInfo } from 'node:net';
 import type { DisposalStack } from '@burdockrail/common/disposalStack.js';
+import type { EngineRest } from '@burdockrail/protocol/protocolDirectory.js';
 import type { EntryContext } from '../src/entryContext.js';
 import { startEntryServer } from '../src/entryServer.js';
 import { createEntrySlots } from '../src/entrySlots.js';
@@ -68,7 +69,7 @@
 /** A played entry and its upstreams. */
 export interface PlayedEntry {
   readonly upstreams: readonly PlayedUpstream[];
-  readonly slots: { claimed: number; released: number };
+  readonly slots: { claimed: number; released: number; readonly rests: readonly EngineRest[] };
   readonly retriesPaid: () => number;
   /** Holds back the answers of agents to claims until the promise resolves. */
   holdClaims(until: Promise<void>): void;
@@ -130,7 +131,7 @@
       get: (id: string) => entries.find(({ record }) => record.id === id),
     },
   } as unknown as EntryContext['clusterView'];
-  const slots = { claimed: 0, released: 0 };
+  const slots = { claimed: 0, released: 0, rests: [] as EngineRest[] };
   let retries = 0;
   let held = Promise.resolve();
   const call = async (_kind: string, claim: { readonly requestId: string }) => {
@@ -154,8 +155,9 @@
     upstreams: createEntryUpstreams(clusterView),
     client: {
       connectionTo: () => ({ call, destroy: () => undefined }),
-      notify: (_address: unknown, kind: string) => {
+      notify: (_address: unknown, kind: string, message: unknown) => {
         if (kind === 'place.release') slots.released += 1;
+        if (kind === 'place.rest') slots.rests.push(message as EngineRest);
       },
     } as unknown as EntryContext['client'],
     retryBudget: {
--- a/packages/gateway/src/agentSlots.ts
+++ b/packages/gateway/src/agentSlots.ts
@@ -2,6 +2,7 @@
 import { createNamedLimit } from '@burdockrail/limits/namedLimit.js';
 import { createSlotQueue, type WaitingClaimOutcome } from '@burdockrail/limits/slotQueue.js';
 import { toSlotRequest } from '@burdockrail/limits/slotRequest.js';
+import { createUpstreamRest, type UpstreamIncarnation } from '@burdockrail/limits/upstreamRest.js';
 import type { SlotClaim, SlotReply } from '@burdockrail/protocol/protocolDirectory.js';
 import type { EngineRules } from '@burdockrail/routing/routeConfiguration.js';
 import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
@@ -42,6 +43,12 @@
   const { time, log, metrics } = context;
   const queue = createSlotQueue(0);
   const limit = createNamedLimit();
+  const rest = createUpstreamRest();
+  let restarts = 0;
+  const incarnationOf = (engine: string): UpstreamIncarnation => ({
+    id: engine,
+    startedAt: restarts,
+  });
   const ticketResolvers = new Map<number, (outcome: WaitingClaimOutcome) => void>();
 
   const resolveTickets = (outcomes: readonly WaitingClaimOutcome[]): void => {
@@ -106,6 +113,12 @@
       return refuse(claim, buildReply('unloaded', engine, 0, 0, LOADING_RETRY_AFTER_MILLISECONDS));
     }
     if (queue.slots !== slots) resolveTickets(queue.resize(slots, now));
+    const restMilliseconds = rest.restMilliseconds(incarnationOf(engine), now);
+    if (restMilliseconds > 0 && claim.mostTaken !== null) {
+      // The engine may take requests of other entries, but is the last to be asked.
+      const answer = buildReply('full', engine, version, 0, restMilliseconds);
+      return refuse(claim, { ...answer, taken: queue.slots });
+    }
     const untilAllowed = limit.take(now);
     if (untilAllowed > 0) {
       // Entries ask an engine with free slots first; this one has none to give.
@@ -155,6 +168,7 @@
     },
     reset: () => {
       limit.set(null, time.now());
+      restarts += 1;
       resolveTickets(queue.reset(time.now()));
     },
     admitOnlyUntil: (endsBy) => {
@@ -176,6 +190,10 @@
           });
           limit.set(requestsPerSecond, time.now());
         },
+        'place.rest': ({ engine, restMilliseconds }) => {
+          if (engine !== engineState().engine) return;
+          rest.record(incarnationOf(engine), restMilliseconds, time.now());
+        },
         'place.release': ({ place: slot }) => {
           resolveTickets(queue.release(slot, time.now()));
         },
--- a/packages/gateway/src/entrySlots.ts
+++ b/packages/gateway/src/entrySlots.ts
@@ -29,6 +29,8 @@
   readonly version: number;
   /** Tells the engine's agent what an answer of the engine says about the engine's limit. */
   reportLimit(answer: NamedLimitAnswer): void;
+  /** Tells the engine's agent that the engine wants no requests of this entry for a time. */
+  reportRest(restMilliseconds: Milliseconds): void;
   release(): void;
 }
 
@@ -107,6 +109,9 @@
         if (requestsPerSecond === null && !signed) return;
         client.notify(agent, 'place.limit', { engine: record.id, requestsPerSecond });
       },
+      reportRest: (restMilliseconds) => {
+        client.notify(agent, 'place.rest', { engine: record.id, restMilliseconds });
+      },
       release: () => {
         if (released) return;
         released = true;
@@ -141,6 +146,7 @@
       address: record.address,
       version: heldModel.version,
       reportLimit: () => undefined,
+      reportRest: () => undefined,
       release: () => undefined,
     };
   };
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -159,7 +159,8 @@
         }
         limits.recordAnswer(slot.engine, answerHeaders);
         slot.reportLimit(answerHeaders);
-        rests.recordAnswer(incarnation, status, answerHeaders, time.now());
+        const rest = rests.recordAnswer(incarnation, status, answerHeaders, time.now());
+        if (rest !== null) slot.reportRest(rest);
         head = { status, headers: answerHeaders, raw: rawHeaders };
         if (status !== SUCCESS_STATUS) bufferedParts = [];
         else if (!answerHeaders.signed || answerHeaders.requestId === null)
--- a/packages/gateway/src/upstreamRests.ts
+++ b/packages/gateway/src/upstreamRests.ts
@@ -20,13 +20,16 @@
 export interface UpstreamRests {
   /** The upstream as the directory knows it; take it before a request is sent. */
   incarnationOf(upstream: string): UpstreamIncarnation;
-  /** Records what the head of an answer to a request of this entry says. */
+  /**
+   * Records what the head of an answer to a request of this entry says; returns the rest that it
+   * begins or prolongs, in milliseconds, or `null`.
+   */
   recordAnswer(
     upstream: UpstreamIncarnation,
     status: number,
     answer: Pick<AnswerHeaders, 'retryAfterMilliseconds'>,
     now: Milliseconds,
-  ): void;
+  ): Milliseconds | null;
   /** Returns the time until an upstream may get requests, in milliseconds; 0 if it may now. */
   restMilliseconds(upstream: UpstreamIncarnation, now: Milliseconds): Milliseconds;
   /** True after a rest while others should be preferred. */
@@ -62,10 +65,11 @@
     },
     recordAnswer: (upstream, status, { retryAfterMilliseconds }, now) => {
       if (status < REDIRECTION_STATUS) rests.recordServed(upstream, now);
-      if (status !== UNAVAILABLE_STATUS || retryAfterMilliseconds === null) return;
+      if (status !== UNAVAILABLE_STATUS || retryAfterMilliseconds === null) return null;
       const restMilliseconds = rests.record(upstream, retryAfterMilliseconds, now);
-      if (restMilliseconds === null) return;
-      log.write('upstreamRests', { upstream: upstream.id, restMilliseconds });
+      if (restMilliseconds !== null)
+        log.write('upstreamRests', { upstream: upstream.id, restMilliseconds });
+      return restMilliseconds;
     },
     restMilliseconds: (upstream, now) => rests.restMilliseconds(upstream, now),
     isAvoided: (upstream, now) => rests.isAvoided(upstream, now),
--- a/packages/protocol/src/protocolDirectory.ts
+++ b/packages/protocol/src/protocolDirectory.ts
@@ -174,6 +174,14 @@
   readonly requestsPerSecond: number | null;
 }
 
+/** Tells an agent that its engine turned a request away and wants no others from that entry. */
+export interface EngineRest {
+  /** Id of the engine that answered. */
+  readonly engine: string;
+  /** Time for which it wants no requests, in milliseconds. */
+  readonly restMilliseconds: number;
+}
+
 /** Tells an agent what the answer of its engine said about the engine's limit. */
 export interface EngineLimit {
   /** Id of the engine that answered. */
--- a/packages/protocol/src/protocolKinds.ts
+++ b/packages/protocol/src/protocolKinds.ts
@@ -30,6 +30,7 @@
   DirectoryWatchReply,
   DirectoryWatch,
   EngineLimit,
+  EngineRest,
   SlotClaim,
   SlotRelease,
   SlotReply,
@@ -100,6 +101,7 @@
   'agreement.message': AgreementMessage;
   'membership.beat': RegistrarHeartbeat;
   'place.limit': EngineLimit;
+  'place.rest': EngineRest;
   'place.release': SlotRelease;
   'place.withdraw': SlotWithdrawal;
   'quarantine.clear': QuarantineClear;
