--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -141,6 +141,7 @@
     startedAt: 1,
     version: 1,
     reportLimit: () => undefined,
+    reportRest: () => undefined,
     release,
   };
 }
