fix(gateway): a refusal counts only if it names the request

What callers saw: 'not run, try again' for a request that an upstream was running, or a second run of it, after a faulty upstream had written an earlier refusal once more on a kept connection.

Cause: classifyAnswer took status 421 as not run before it compared the request id, and took a refusal with neither status 421 nor an id as not run.

Evidence: repeatedRefusals failed before: 'does not tell that a request which an upstream runs was not run' (421, buffered) with expected: 'unknown', actual: 'notRun'; 'promises nothing without a request id' in all four variants with actual: 'notRun'.

Change: the id comes first. Upstreams echo the id in all their answers, so an answer without one proves nothing.

Result: these tests pass.

--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -107,7 +107,7 @@
       readAnswer: (headers: Readonly<Record<string, unknown>>) => ({
         requestId: headers['x-request'] ?? null,
         signed: headers['x-signed'] === 'yes',
-        notRun: false,
+        notRun: headers['x-not-run'] !== undefined,
         load: null,
         requestsPerSecond: null,
       }),
--- a/packages/gateway/__tests__/entryDecisions.spec.ts
+++ b/packages/gateway/__tests__/entryDecisions.spec.ts
@@ -104,6 +104,15 @@
     assert.equal(classifyAnswer('id', 503, withoutNotRun, [], body).kind, 'unknown');
     assert.equal(classifyAnswer('id', 421, withoutNotRun, [], body).kind, 'notRun');
   });
+
+  it('takes no refusal that names another request or none', () => {
+    for (const requestId of ['other', null]) {
+      for (const status of [400, 408, 421, 429, 503]) {
+        const refusal = { ...headers, requestId, notRun: true, signed: false };
+        assert.equal(classifyAnswer('id', status, refusal, [], body).kind, 'unknown');
+      }
+    }
+  });
 });
 
 describe('createEventSplitter', () => {
--- a/packages/gateway/src/attemptOutcome.ts
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -24,7 +24,18 @@
 
 const MISDIRECTED_STATUS = 421;
 
-/** Classifies a complete answer; an answer to another request is never forwarded. */
+/** True for an answer that names another request than this one. */
+export function isForeignAnswer(requestId: string, headers: AnswerHeaders): boolean {
+  return headers.requestId !== null && headers.requestId !== requestId;
+}
+
+/**
+ * Classifies a complete answer; an answer to another request is never forwarded.
+ *
+ * @remarks
+ * A late copy of an earlier answer can arrive in place of the answer to this request, so a refusal
+ * counts only if it names this request.
+ */
 export function classifyAnswer(
   requestId: string,
   status: number,
@@ -32,13 +43,17 @@
   rawHeaders: readonly string[],
   body: Buffer,
 ): BufferedAttemptOutcome {
+  if (isForeignAnswer(requestId, headers)) {
+    return { kind: 'unknown', verdict: 'failed', reason: 'the answer belongs to another request' };
+  }
+  if (headers.requestId === null) {
+    const reason = `answer with status ${status} does not name its request`;
+    return { kind: 'unknown', verdict: 'failed', reason };
+  }
   if (status === MISDIRECTED_STATUS) {
     const reason = 'another upstream is using the address';
     return { kind: 'notRun', verdict: 'replaced', reason, sent: true };
   }
-  if (headers.requestId !== null && headers.requestId !== requestId) {
-    return { kind: 'unknown', verdict: 'failed', reason: 'the answer belongs to another request' };
-  }
   if (headers.notRun) {
     return {
       kind: 'notRun',
@@ -47,7 +62,7 @@
       sent: true,
     };
   }
-  if (!headers.signed || headers.requestId === null) {
+  if (!headers.signed) {
     return {
       kind: 'unknown',
       verdict: 'failed',
