fix(gateway): the answer to another request closes its connection

What callers saw: a 502 for requests that an upstream had answered, one after the other, after it had written one answer too many; the limits in a foreign answer counted for its upstream.

Cause: a buffered attempt read a foreign answer to its end and left the connection open, so that the real answer was read as the next request's, and so on. limits.recordAnswer and recordLoad came before the id.

Evidence: repeatedRefusals failed before: 'closes its connection, so that no late answer meets the next request (buffered)' with expected: 'third', actual: false; 'says nothing about limits and load' with actual: [ 'limit' ]. Streams already closed it.

Change: the head of a foreign answer ends the attempt as unknown and closes the connection.

Result: these tests pass.

--- a/packages/gateway/__tests__/repeatedRefusals.spec.ts
+++ b/packages/gateway/__tests__/repeatedRefusals.spec.ts
@@ -126,3 +126,43 @@
     });
   }
 }
+
+describe('the answer to another request', { timeout: 30_000 }, () => {
+  for (const kind of ['buffered', 'stream'] as const) {
+    it(`closes its connection, so that no late answer meets the next request (${kind})`, async () => {
+      await using upstream = await startRawUpstream((request) => {
+        const id = idOf(request);
+        if (id === 'second') request.socket.write(refused('first'));
+        else if (id === 'third' && request.connection === 0)
+          request.socket.write(answered('second') + answered('third'));
+        else request.socket.write(answered(id));
+      });
+      await using connections = createUpstreamConnections('127.0.0.1');
+      const attempts = createAttempts(upstream.port, connections);
+      assert.equal((await attempts.buffered('first')).kind, 'answered');
+      await pause(SETTLE_MILLISECONDS);
+      assert.notEqual((await attempts[kind]('second')).kind, 'notRun');
+      await pause(SETTLE_MILLISECONDS);
+      const third = await attempts.buffered('third');
+      assert.equal(third.kind === 'answered' && third.body.toString(), 'third');
+      const connectionsUsed = upstream.requests.map(({ connection }) => connection);
+      assert.deepEqual(connectionsUsed, [0, 0, 1]);
+    });
+  }
+
+  it('says nothing about limits and load', async () => {
+    await using upstream = await startRawUpstream(({ socket }) => {
+      socket.write(refused('other'));
+    });
+    await using connections = createUpstreamConnections('127.0.0.1');
+    const recorded: string[] = [];
+    const limits = {
+      recordAnswer: () => recorded.push('limit'),
+      take: () => 0,
+    } as unknown as EntryContext['limits'];
+    const attempts = createAttempts(upstream.port, connections, { limits });
+    await attempts.buffered('first');
+    await attempts.stream('first');
+    assert.deepEqual(recorded, []);
+  });
+});
--- a/packages/gateway/src/bufferedAttempt.ts
+++ b/packages/gateway/src/bufferedAttempt.ts
@@ -1,4 +1,4 @@
-import { classifyAnswer, type BufferedAttemptOutcome } from './attemptOutcome.js';
+import { classifyAnswer, isForeignAnswer, type BufferedAttemptOutcome } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 import { connectionLimit, type EntryContext } from './entryContext.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
@@ -59,6 +59,12 @@
         },
         head: (status, headers: HeaderMap, rawHeaders) => {
           const answerHeaders = dialect.readAnswer(headers);
+          if (isForeignAnswer(request.id, answerHeaders)) {
+            settle(classifyAnswer(request.id, status, answerHeaders, rawHeaders, Buffer.alloc(0)));
+            // The answer to this request may still arrive, and must not meet the next one.
+            attempt.abort();
+            return;
+          }
           if (answerHeaders.load !== null) {
             const { running, waiting } = answerHeaders.load;
             upstreams.recordLoad(upstream.id, running + waiting, time.now());
