fix(gateway): an answer that a stream rejects is no lost connection

What callers saw: prompts could be quarantined although no engine had crashed under them.

Cause: an attempt that rejects an answer (a foreign or unsigned one, an event over the size limit) aborted its connection first; the abort settled the attempt as a connection lost by the engine, which the quarantine blames on the content of the request.

Evidence: repeatedRefusals 'does not count as a connection that the engine lost' failed before with reason 'request aborted by the gateway' and verdict 'broken' where 'the answer belongs to another request' and 'failed' were expected.

Change: the attempt is settled before its connection is closed.

Result: this test, troubledUpstreams and entryStream pass.

--- a/packages/gateway/__tests__/repeatedRefusals.spec.ts
+++ b/packages/gateway/__tests__/repeatedRefusals.spec.ts
@@ -166,3 +166,18 @@
     assert.deepEqual(recorded, []);
   });
 });
+
+describe('a stream attempt that gets the answer to another request', { timeout: 30_000 }, () => {
+  it('does not count as a connection that the engine lost', async () => {
+    await using upstream = await startRawUpstream(({ socket }) => {
+      socket.write(refused('other'));
+    });
+    await using connections = createUpstreamConnections('127.0.0.1');
+    const outcome = await createAttempts(upstream.port, connections).stream('first');
+    assert.deepEqual(outcome, {
+      kind: 'broken',
+      verdict: 'failed',
+      reason: 'the answer belongs to another request',
+    });
+  });
+});
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -98,8 +98,9 @@
     }, milliseconds);
   };
   const fail = (reason: string): void => {
-    attempt.abort();
+    // Aborting reports a lost connection, for which the engine is not to blame.
     settle({ kind: 'broken', verdict: 'failed', reason });
+    attempt.abort();
   };
 
   const onStreamData = (bytes: Buffer): void => {
