fix(gateway): a refusal by another upstream at the address closes its connection

What callers saw: 'not run, try again' for a request that the upstream at a reused address was running.

Cause: one request can be sent twice to one address, under the ids of the upstream that was there and of the one that is there now. After the 421 of the first attempt the second used the same connection; a copy of that 421 bears the same request id and was taken for the second answer.

Evidence: repeatedRefusals 'that comes twice does not refuse the request sent there again' (buffered and stream) failed before with expected: 'answered', actual: 'notRun'.

Change: the head of a 421 settles the attempt and closes the connection, as that of a foreign answer does.

Result: these tests, troubledUpstreams and entryStream pass.

--- a/packages/gateway/__tests__/repeatedRefusals.spec.ts
+++ b/packages/gateway/__tests__/repeatedRefusals.spec.ts
@@ -181,3 +181,23 @@
     });
   });
 });
+
+describe('a refusal by another upstream at the address', { timeout: 30_000 }, () => {
+  for (const kind of ['buffered', 'stream'] as const) {
+    it(`that comes twice does not refuse the request sent there again (${kind})`, async () => {
+      await using upstream = await startRawUpstream(({ socket, connection, index }) => {
+        if (index === 0) socket.write(misdirected('first'));
+        // The second attempt is meant for the upstream that is there, and runs.
+        else if (connection === 0) socket.write(misdirected('first'));
+        else socket.write(answered('first'));
+      });
+      await using connections = createUpstreamConnections('127.0.0.1');
+      const attempts = createAttempts(upstream.port, connections);
+      assert.equal((await attempts[kind]('first')).kind, 'notRun');
+      await pause(SETTLE_MILLISECONDS);
+      const again = await attempts.buffered('first');
+      assert.equal(again.kind, 'answered');
+      assert.equal(upstream.requests[1]?.connection, 1);
+    });
+  }
+});
--- a/packages/gateway/src/attemptOutcome.ts
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -25,10 +25,22 @@
 const MISDIRECTED_STATUS = 421;
 
 /** True for an answer that names another request than this one. */
-export function isForeignAnswer(requestId: string, headers: AnswerHeaders): boolean {
+function isForeignAnswer(requestId: string, headers: AnswerHeaders): boolean {
   return headers.requestId !== null && headers.requestId !== requestId;
 }
 
+/**
+ * True when the head alone decides about the answer, whose connection must then be closed.
+ *
+ * @remarks
+ * The real answer may still follow a foreign one. The request that another upstream at the address
+ * refused may be sent to the address again under the same id, so that a late copy of the refusal
+ * could be taken for the second answer.
+ */
+export function endsConnection(requestId: string, status: number, headers: AnswerHeaders): boolean {
+  return status === MISDIRECTED_STATUS || isForeignAnswer(requestId, headers);
+}
+
 /**
  * Classifies a complete answer; an answer to another request is never forwarded.
  *
--- a/packages/gateway/src/bufferedAttempt.ts
+++ b/packages/gateway/src/bufferedAttempt.ts
@@ -1,4 +1,4 @@
-import { classifyAnswer, isForeignAnswer, type BufferedAttemptOutcome } from './attemptOutcome.js';
+import { classifyAnswer, endsConnection, type BufferedAttemptOutcome } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 import { connectionLimit, type EntryContext } from './entryContext.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
@@ -59,9 +59,8 @@
         },
         head: (status, headers: HeaderMap, rawHeaders) => {
           const answerHeaders = dialect.readAnswer(headers);
-          if (isForeignAnswer(request.id, answerHeaders)) {
+          if (endsConnection(request.id, status, answerHeaders)) {
             settle(classifyAnswer(request.id, status, answerHeaders, rawHeaders, Buffer.alloc(0)));
-            // The answer to this request may still arrive, and must not meet the next one.
             attempt.abort();
             return;
           }
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -3,7 +3,7 @@
 import type { GrantedSlot } from './entrySlots.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
 import { createEventSplitter } from './eventSplitter.js';
-import { classifyAnswer, type NotRun } from './attemptOutcome.js';
+import { classifyAnswer, endsConnection, type NotRun } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 import { mayServeVersion, mustBeginBy } from './versionRule.js';
 
@@ -103,6 +103,18 @@
     attempt.abort();
   };
 
+  const settleWhole = (
+    status: number,
+    headers: AnswerHeaders,
+    rawHeaders: readonly string[],
+    body: Buffer,
+  ): void => {
+    const classified = classifyAnswer(request.id, status, headers, rawHeaders, body);
+    if (classified.kind === 'notRun') settle(classified);
+    else if (classified.kind === 'unknown') settle({ ...classified, kind: 'broken' });
+    else settle({ kind: 'whole', status, rawHeaders, body });
+  };
+
   const onStreamData = (bytes: Buffer): void => {
     const events = splitter.push(bytes);
     for (const { bytes: event, id } of events) {
@@ -149,8 +161,9 @@
       },
       head: (status, headers: HeaderMap, rawHeaders) => {
         const answerHeaders = dialect.readAnswer(headers);
-        if (answerHeaders.requestId !== null && answerHeaders.requestId !== request.id) {
-          fail('the answer belongs to another request');
+        if (endsConnection(request.id, status, answerHeaders)) {
+          settleWhole(status, answerHeaders, rawHeaders, Buffer.alloc(0));
+          attempt.abort();
           return;
         }
         limits.recordAnswer(slot.engine, answerHeaders);
@@ -176,10 +189,7 @@
         }
         if (bufferedParts !== null) {
           const body = Buffer.concat(bufferedParts, bufferedBytes);
-          const classified = classifyAnswer(request.id, head.status, head.headers, head.raw, body);
-          if (classified.kind === 'notRun') settle(classified);
-          else if (classified.kind === 'unknown') settle({ ...classified, kind: 'broken' });
-          else settle({ kind: 'whole', status: head.status, rawHeaders: head.raw, body });
+          settleWhole(head.status, head.headers, head.raw, body);
           return;
         }
         if (splitter.pendingBytes > 0) {
