test(gateway): answers that stop in their head or body

An answer of an upstream that stops after any byte of its head, or of a body with a length or chunks, and is closed or reset, fails the attempt: on a new connection and on a kept one, after interim heads, with and without 'Connection: close'.

--- a/packages/gateway/__tests__/upstreamConnections.spec.ts
+++ b/packages/gateway/__tests__/upstreamConnections.spec.ts
@@ -21,10 +21,18 @@
   },
 };
 
-async function outcomeOf(answer: string, ending: Ending): Promise<string> {
+/** How an attempt ended at a server that first answers `before` others on the connection. */
+async function outcomeOf(answer: string, ending: Ending, before = 0): Promise<string> {
+  let answered = 0;
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
-    socket.once('data', () => {
+    socket.on('data', () => {
+      answered += 1;
+      if (answered <= before) {
+        socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx');
+        return;
+      }
+      if (answered > before + 1) return;
       socket.write(answer);
       ending(socket);
     });
@@ -33,11 +41,11 @@
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
   await using connections = createUpstreamConnections('127.0.0.1');
-  try {
-    return await new Promise((resolve) => {
+  const run = async (): Promise<string> =>
+    new Promise((resolve) => {
       connections.run(
         `127.0.0.1:${port}`,
-        2,
+        1,
         { method: 'GET', path: '/', headers: [], body: null },
         {
           mayStart: () => true,
@@ -53,6 +61,9 @@
         },
       );
     });
+  try {
+    for (let index = 0; index < before; index += 1) assert.equal(await run(), 'end');
+    return await run();
   } finally {
     server.close();
   }
@@ -168,3 +179,58 @@
     assert.equal(await outcomeOf(chunked, endings.close), 'failed');
   });
 });
+
+describe('an answer that stops in its head', { timeout: 30_000 }, () => {
+  const heads: Readonly<Record<string, string>> = {
+    'a length': 'HTTP/1.1 200 OK\r\nX-Signed: yes\r\nContent-Length: 4\r\n\r\n',
+    chunks: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+    neither: 'HTTP/1.1 200 OK\r\nX-Signed: yes\r\n\r\n',
+    'a length and a close': 'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\n',
+    'neither and a close': 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n',
+    'status 204': 'HTTP/1.1 204 No Content\r\nX-Signed: yes\r\n\r\n',
+    'HTTP/1.0': 'HTTP/1.0 200 OK\r\nX-Signed: yes\r\n\r\n',
+    'an interim head before': 'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n\r\n',
+    'an interim head and a close before':
+      'HTTP/1.1 102 Processing\r\nConnection: close\r\n\r\nHTTP/1.1 200 OK\r\n\r\n',
+  };
+
+  for (const [name, head] of Object.entries(heads)) {
+    it(`is incomplete after each byte, closed or reset (${name})`, async () => {
+      for (let length = 1; length < head.length; length += 1) {
+        for (const ending of [endings.close, endings.resetAtOnce]) {
+          const sent = head.slice(0, length);
+          assert.equal(await outcomeOf(sent, ending), 'failed', JSON.stringify(sent));
+          assert.equal(await outcomeOf(sent, ending, 1), 'failed', `kept, ${JSON.stringify(sent)}`);
+        }
+      }
+    });
+  }
+
+  it('is incomplete after an interim head with status 100', async () => {
+    const interim = 'HTTP/1.1 100 Continue\r\n\r\n';
+    assert.equal(await outcomeOf(interim, endings.close), 'failed');
+    assert.equal(await outcomeOf(`${interim}HTTP/1.1 200 OK\r\nCont`, endings.close), 'failed');
+  });
+});
+
+describe('an answer that stops in its body', { timeout: 30_000 }, () => {
+  for (const connection of ['keep-alive', 'close']) {
+    const bodies: Readonly<Record<string, string>> = {
+      'a length': 'Content-Length: 9\r\n\r\nwhole one',
+      chunks: 'Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n1\r\nx\r\n0\r\n\r\n',
+    };
+    for (const [name, body] of Object.entries(bodies)) {
+      it(`is incomplete after each byte, closed or reset (${name}, ${connection})`, async () => {
+        const answer = `HTTP/1.1 200 OK\r\nConnection: ${connection}\r\n${body}`;
+        const start = answer.indexOf('\r\n\r\n') + 4;
+        for (let length = start; length < answer.length; length += 1) {
+          for (const ending of [endings.close, endings.resetAtOnce, endings.reset]) {
+            const sent = answer.slice(0, length);
+            assert.equal(await outcomeOf(sent, ending), 'failed', JSON.stringify(sent));
+          }
+        }
+        assert.equal(await outcomeOf(answer, endings.close), 'end');
+      });
+    }
+  }
+});
