fix(gateway): a text without event ids does not continue a stream

What callers saw: the text of an error, or its whole head, in the middle of a stream that had broken off and went on at the next engine; the stream then ended as complete.

Cause: what a resuming engine sends with status 200 was cut at blank lines and forwarded, whether it was events or not. Answers with other statuses were never forwarded.

Evidence: interruptedStreams failed before for a success that is not a stream, an error text and the head of an error in a stream, with length, chunks and neither: actual body 'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nthe engine failed\n\nno such stream\n\n', expected only the first two events.

Change: an event without an id ends an attempt that continues a stream. The protocol gives each event an id; an attempt that begins a stream still forwards what its engine sends.

Result: these cases pass, as do errors, refusals, 404 and 204 in the same place, which passed before.

--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -119,6 +119,10 @@
     const events = splitter.push(bytes);
     for (const { bytes: event, id } of events) {
       if (head === null) return;
+      if (id === null && lastEventId !== null) {
+        fail('an event without an id cannot continue the stream');
+        return;
+      }
       if (!hasReceivedEvent) observer.head(head.status, head.raw);
       hasReceivedEvent = true;
       if (!observer.event(event, id)) {
