fix(gateway): a resumed stream that ends with its head is not complete

What callers saw: a stream that had broken off ended as complete before its last event.

Cause: an answer without an event counted as complete after a resumption, because the first engine may have broken off right after its last event. An engine that stops after its head, whose answer has neither a length nor chunks, looks the same.

Evidence: interruptedStreams 'is not complete when the next engine closes after its head' failed before with expected: 'broken', actual: 'whole'.

Change: the end without an event counts only if a length or chunks state it.

Result: this test and 'is complete when the next engine states that no event follows' pass.

--- a/packages/gateway/__tests__/interruptedStreams.spec.ts
+++ b/packages/gateway/__tests__/interruptedStreams.spec.ts
@@ -151,4 +151,16 @@
       assert.equal(played.ending, 'broken');
     });
   }
+
+  it('is not complete when the next engine closes after its head', async () => {
+    const unframed = `${head('200 OK', EVENT_STREAM)}\r\n`;
+    assert.equal((await play([interrupted, unframed])).ending, 'broken');
+  });
+
+  it('is complete when the next engine states that no event follows', async () => {
+    for (const framing of ['length', 'chunks'] as const) {
+      const nothing = head('200 OK', EVENT_STREAM) + framings[framing]('');
+      assert.equal((await play([interrupted, nothing])).ending, 'whole');
+    }
+  });
 });
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -82,6 +82,7 @@
   let isVersionSuperseded = false;
   let hasReceivedEvent = false;
   let head: { status: number; headers: AnswerHeaders; raw: readonly string[] } | null = null;
+  let isFramed = false;
   let bufferedParts: Buffer[] | null = null;
   let bufferedBytes = 0;
   let timer: NodeJS.Timeout | undefined;
@@ -173,6 +174,9 @@
         limits.recordAnswer(slot.engine, answerHeaders);
         slot.reportLimit(answerHeaders);
         head = { status, headers: answerHeaders, raw: rawHeaders };
+        isFramed = ['content-length', 'transfer-encoding'].some(
+          (name) => headers[name] !== undefined,
+        );
         if (status !== SUCCESS_STATUS) bufferedParts = [];
         else if (!answerHeaders.signed || answerHeaders.requestId === null)
           fail('stream is not signed by an upstream');
@@ -200,7 +204,8 @@
           settle({ kind: 'broken', verdict: 'broken', reason: 'stream ended inside an event' });
           return;
         }
-        if (!hasReceivedEvent && lastEventId === null) {
+        // An engine that stops after its head also closes such an answer.
+        if (!hasReceivedEvent && (lastEventId === null || !isFramed)) {
           settle({ kind: 'broken', verdict: 'broken', reason: 'stream ended without an event' });
           return;
         }
