fix(daemon): the answer to another attempt closes its connection

What callers saw: AnswerMismatched for attempts that the upstream had answered, one after the other, after it had written one answer too many.

Cause: the agent found the foreign id only after the HTTP client had read the answer and had put the connection back, so that the real answer was read as the next attempt's.

Evidence: rawUpstream 'closes its connection, so that no late answer meets the next attempt' failed before with expected: 'third', actual: ''.

Change: the head of a foreign answer aborts its request, which closes the connection.

Result: rawUpstream, attemptService and entryRole pass. rawUpstream also shows what held before: a copied refusal (421, 429, 503; with an id or without) leaves the run state unknown, and no answer that stops in its head or body is passed on as complete.

--- a/packages/daemon/src/attemptUpstream.ts
+++ b/packages/daemon/src/attemptUpstream.ts
@@ -1,6 +1,8 @@
 import { connect } from 'node:net';
+import { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { AttemptStart } from '@burdockrail/protocol/protocolAttempt.js';
 import { Agent, type Dispatcher } from 'undici';
+import { AttemptError } from './attemptFailure.js';
 
 /** Timeout of connecting to the upstream, which runs on the same machine, in milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
@@ -64,6 +66,30 @@
   return forwarded;
 }
 
+/** Handler that closes the connection of an answer to another attempt, and rejects the request. */
+function rejectForeignAnswer(
+  attemptId: string,
+  handler: Dispatcher.DispatchHandler,
+): Dispatcher.DispatchHandler {
+  return {
+    onRequestStart: (controller, context) => handler.onRequestStart?.(controller, context),
+    onRequestUpgrade: (...upgrade) => handler.onRequestUpgrade?.(...upgrade),
+    onResponseStart: (controller, status, headers, statusMessage) => {
+      const answeredId = headers[REQUEST_ID_HEADER];
+      if (answeredId === undefined || answeredId === attemptId) {
+        handler.onResponseStart?.(controller, status, headers, statusMessage);
+        return;
+      }
+      // The answer to this attempt may still arrive, and must not meet the next one.
+      const detail = "the answer does not carry the attempt's id";
+      controller.abort(new AttemptError(ResultCode.AnswerMismatched, 'unknown', detail));
+    },
+    onResponseData: (controller, bytes) => handler.onResponseData?.(controller, bytes),
+    onResponseEnd: (controller, trailers) => handler.onResponseEnd?.(controller, trailers),
+    onResponseError: (controller, error) => handler.onResponseError?.(controller, error),
+  };
+}
+
 async function canConnect(url: URL, localAddress: string): Promise<boolean> {
   const socket = connect({ host: url.hostname, port: Number(url.port), localAddress });
   socket.setTimeout(CONNECT_TIMEOUT_MILLISECONDS);
@@ -97,12 +123,17 @@
     bodyTimeout: 0,
     pipelining: 1,
   });
+  const dispatcherOf = (attemptId: string): Dispatcher =>
+    dispatcher.compose(
+      (dispatch) => (options, handler) =>
+        dispatch(options, rejectForeignAnswer(attemptId, handler)),
+    );
   const streamPath = (attemptId: string): string =>
     `${pathPrefix}/v1/streams/${encodeURIComponent(attemptId)}`;
 
   return {
     send: async (start, signal) =>
-      dispatcher.request({
+      dispatcherOf(start.attemptId).request({
         origin: baseUrl.origin,
         path: `${pathPrefix}${start.path}`,
         method: start.method,
@@ -115,7 +146,7 @@
         signal,
       }),
     resume: async (attemptId, lastEventId, signal) =>
-      dispatcher.request({
+      dispatcherOf(attemptId).request({
         origin: baseUrl.origin,
         path: streamPath(attemptId),
         method: 'GET',
