--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -5,6 +5,7 @@
 import type { EntryContext } from '../src/entryContext.js';
 import type { EntrySlots, GrantedSlot } from '../src/entrySlots.js';
 import { createUpstreamRests } from '../src/upstreamRests.js';
+import type { StreamObserver } from '../src/streamAttempt.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -115,7 +116,7 @@
       readAnswer: (headers: Readonly<Record<string, unknown>>) => ({
         requestId: headers['x-request'] ?? null,
         signed: headers['x-signed'] === 'yes',
-        notRun: headers['x-not-run'] === 'yes',
+        notRun: headers['x-not-run'] !== undefined,
         load: null,
         requestsPerSecond: null,
         leaving: headers['x-leaving'] === '1',
@@ -129,6 +130,14 @@
   } as unknown as EntryContext;
 }
 
+/** Takes everything that a stream reports. */
+export const ignoringObserver: StreamObserver = {
+  head: () => undefined,
+  event: () => true,
+  onDrain: () => undefined,
+  silent: () => undefined,
+};
+
 /** A granted slot of an engine at a port of this machine. */
 export function createSlot(
   engine: string,
--- a/packages/gateway/__tests__/troubledUpstreams.spec.ts
+++ b/packages/gateway/__tests__/troubledUpstreams.spec.ts
@@ -8,13 +8,9 @@
 import type { EntryContext } from '../src/entryContext.js';
 import type { EntryRequest } from '../src/entryRequest.js';
 import { createHttpClient } from '../src/httpClient.js';
-import {
-  startStream,
-  type StreamAttemptOutcome,
-  type StreamObserver,
-} from '../src/streamAttempt.js';
+import { startStream, type StreamAttemptOutcome } from '../src/streamAttempt.js';
 import { createUpstreamConnections } from '../src/upstreamConnections.js';
-import { createEntryContext, createSlot } from './entryContextFixture.js';
+import { createEntryContext, createSlot, ignoringObserver } from './entryContextFixture.js';
 
 /** Time within which an attempt at a server that sends without end must be over, in milliseconds. */
 const ENDED_WITHIN_MILLISECONDS = 5_000;
@@ -107,13 +103,6 @@
   return { entry, request, slot };
 }
 
-const ignoringObserver: StreamObserver = {
-  head: () => undefined,
-  event: () => true,
-  onDrain: () => undefined,
-  silent: () => undefined,
-};
-
 /** Plays one stream; with `endsWhenSilent` the caller of the attempt ends it once it is silent. */
 async function streamOutcome(
   flood: Flood,
--- a/packages/gateway/src/agentSlots.ts
+++ b/packages/gateway/src/agentSlots.ts
@@ -2,8 +2,12 @@
 import { createNamedLimit } from '@burdockrail/limits/namedLimit.js';
 import { createSlotQueue, type WaitingClaimOutcome } from '@burdockrail/limits/slotQueue.js';
 import { toSlotRequest } from '@burdockrail/limits/slotRequest.js';
-import { createUpstreamRest, type UpstreamIncarnation } from '@burdockrail/limits/upstreamRest.js';
-import type { SlotClaim, SlotReply } from '@burdockrail/protocol/protocolDirectory.js';
+import { createUpstreamRest } from '@burdockrail/limits/upstreamRest.js';
+import type {
+  SlotClaim,
+  SlotReply,
+  UpstreamIncarnation,
+} from '@burdockrail/protocol/protocolDirectory.js';
 import type { EngineRules } from '@burdockrail/routing/routeConfiguration.js';
 import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
 import type { GatewayContext } from './gatewayContext.js';
--- a/packages/gateway/src/attemptOutcome.ts
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -37,7 +37,25 @@
   sent: false,
 };
 
-/** Classifies a complete answer; an answer to another request is never forwarded. */
+/**
+ * True when the head alone decides about the answer, whose connection must then be closed.
+ *
+ * @remarks
+ * The real answer may still follow a foreign one. The request that another upstream at the address
+ * refused may be sent to the address again under the same id, so that a late copy of the refusal
+ * could be taken for the second answer.
+ */
+export function endsConnection(requestId: string, status: number, headers: AnswerHeaders): boolean {
+  return status === MISDIRECTED_STATUS || !isOwnAnswer(requestId, headers);
+}
+
+/**
+ * Classifies a complete answer; an answer to another request is never forwarded.
+ *
+ * @remarks
+ * A late copy of an earlier answer can arrive in place of the answer to this request, so a refusal
+ * counts only if it names this request.
+ */
 export function classifyAnswer(
   requestId: string,
   status: number,
@@ -45,13 +63,17 @@
   rawHeaders: readonly string[],
   body: Buffer,
 ): BufferedAttemptOutcome {
+  if (!isOwnAnswer(requestId, headers)) {
+    return { kind: 'unknown', verdict: 'failed', reason: 'the answer belongs to another request' };
+  }
+  if (headers.requestId === null) {
+    const reason = `answer with status ${status} does not name its request`;
+    return { kind: 'unknown', verdict: 'failed', reason };
+  }
   if (status === MISDIRECTED_STATUS) {
     const reason = 'another upstream is using the address';
     return { kind: 'notRun', verdict: 'replaced', reason, sent: true };
   }
-  if (!isOwnAnswer(requestId, headers)) {
-    return { kind: 'unknown', verdict: 'failed', reason: 'the answer belongs to another request' };
-  }
   if (headers.notRun) {
     return {
       kind: 'notRun',
@@ -60,7 +82,7 @@
       sent: true,
     };
   }
-  if (!headers.signed || headers.requestId === null) {
+  if (!headers.signed) {
     return {
       kind: 'unknown',
       verdict: 'failed',
--- a/packages/gateway/src/bufferedAttempt.ts
+++ b/packages/gateway/src/bufferedAttempt.ts
@@ -1,6 +1,7 @@
 import type { UpstreamIncarnation } from '@burdockrail/protocol/protocolDirectory.js';
 import {
   classifyAnswer,
+  endsConnection,
   isOwnAnswer,
   restingOutcome,
   type BufferedAttemptOutcome,
@@ -82,13 +83,17 @@
           const answerHeaders = dialect.readAnswer(headers);
           if (isOwnAnswer(request.id, answerHeaders))
             departures.recordAnswer(upstream, answerHeaders);
+          if (endsConnection(request.id, status, answerHeaders)) {
+            settle(classifyAnswer(request.id, status, answerHeaders, rawHeaders, Buffer.alloc(0)));
+            attempt.abort();
+            return;
+          }
           if (answerHeaders.load !== null) {
             const { running, waiting } = answerHeaders.load;
             upstreams.recordLoad(upstream.id, running + waiting, time.now());
           }
           limits.recordAnswer(upstream.id, answerHeaders);
-          if (answerHeaders.requestId === null || answerHeaders.requestId === request.id)
-            rests.recordAnswer(upstream, status, answerHeaders, time.now());
+          rests.recordAnswer(upstream, status, answerHeaders, time.now());
           buffered = { status, headers: answerHeaders, rawHeaders, parts: [], size: 0 };
         },
         data: (bytes) => {
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -3,7 +3,13 @@
 import type { GrantedSlot } from './entrySlots.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
 import { createEventSplitter } from './eventSplitter.js';
-import { classifyAnswer, isOwnAnswer, restingOutcome, type NotRun } from './attemptOutcome.js';
+import {
+  classifyAnswer,
+  endsConnection,
+  isOwnAnswer,
+  restingOutcome,
+  type NotRun,
+} from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 import { leavingOutcome } from './upstreamDepartures.js';
 import { mayServeVersion, mustBeginBy } from './versionRule.js';
@@ -107,6 +113,7 @@
   let hasBegunToRest = false;
   let hasReceivedEvent = false;
   let head: { status: number; headers: AnswerHeaders; raw: readonly string[] } | null = null;
+  let isFramed = false;
   let bufferedParts: Buffer[] | null = null;
   let bufferedBytes = 0;
   let silenceTimer: NodeJS.Timeout | undefined;
@@ -143,14 +150,31 @@
     restartSilenceTimer(silenceTimeoutMilliseconds);
   };
   const fail = (reason: string): void => {
-    attempt.abort();
+    // Aborting reports a lost connection, for which the engine is not to blame.
     settle({ kind: 'broken', verdict: 'failed', reason });
+    attempt.abort();
+  };
+
+  const settleWhole = (
+    status: number,
+    headers: AnswerHeaders,
+    rawHeaders: readonly string[],
+    body: Buffer,
+  ): void => {
+    const classified = classifyAnswer(request.id, status, headers, rawHeaders, body);
+    if (classified.kind === 'notRun') settle(classified);
+    else if (classified.kind === 'unknown') settle({ ...classified, kind: 'broken' });
+    else settle({ kind: 'whole', status, rawHeaders, body });
   };
 
   const onStreamData = (bytes: Buffer): void => {
     const events = splitter.push(bytes);
     for (const { bytes: event, id } of events) {
       if (head === null) return;
+      if (id === null && lastEventId !== null) {
+        fail('an event without an id cannot continue the stream');
+        return;
+      }
       isSilent = false;
       clearTimeout(beginTimer);
       if (!hasReceivedEvent) observer.head(head.status, head.raw);
@@ -197,8 +221,9 @@
         const answerHeaders = dialect.readAnswer(headers);
         if (isOwnAnswer(request.id, answerHeaders))
           departures.recordAnswer(incarnation, answerHeaders);
-        if (answerHeaders.requestId !== null && answerHeaders.requestId !== request.id) {
-          fail('the answer belongs to another request');
+        if (endsConnection(request.id, status, answerHeaders)) {
+          settleWhole(status, answerHeaders, rawHeaders, Buffer.alloc(0));
+          attempt.abort();
           return;
         }
         limits.recordAnswer(slot.engine, answerHeaders);
@@ -206,6 +231,9 @@
         const rest = rests.recordAnswer(incarnation, status, answerHeaders, time.now());
         if (rest !== null) slot.reportRest(rest);
         head = { status, headers: answerHeaders, raw: rawHeaders };
+        isFramed = ['content-length', 'transfer-encoding'].some(
+          (name) => headers[name] !== undefined,
+        );
         if (status !== SUCCESS_STATUS) bufferedParts = [];
         else if (!answerHeaders.signed || answerHeaders.requestId === null)
           fail('stream is not signed by an upstream');
@@ -226,17 +254,15 @@
         }
         if (bufferedParts !== null) {
           const body = Buffer.concat(bufferedParts, bufferedBytes);
-          const classified = classifyAnswer(request.id, head.status, head.headers, head.raw, body);
-          if (classified.kind === 'notRun') settle(classified);
-          else if (classified.kind === 'unknown') settle({ ...classified, kind: 'broken' });
-          else settle({ kind: 'whole', status: head.status, rawHeaders: head.raw, body });
+          settleWhole(head.status, head.headers, head.raw, body);
           return;
         }
         if (splitter.pendingBytes > 0) {
           settle({ kind: 'broken', verdict: 'broken', reason: 'stream ended inside an event' });
           return;
         }
-        if (!hasReceivedEvent && lastEventId === null) {
+        // An engine that stops after its head also closes such an answer.
+        if (!hasReceivedEvent && (lastEventId === null || !isFramed)) {
           settle({ kind: 'broken', verdict: 'broken', reason: 'stream ended without an event' });
           return;
         }
