feat(bench): replay patterns of engines that rest, leave and fall silent

'rests': two of ten engines refuse all requests for 8 s each and name 1 and 2.5 s of rest, at 60 arrivals a second. 'departures': two of ten engines say in their answers that they leave, 5 to 6 s before the directory lists it, and two others fall silent for 1.1 and 1.4 s. The table has the requests that reached engines in rests, the most of one entry in one rest, and those sent over 2 s after an entry heard that the engine leaves.

--- a/packages/bench/__tests__/replay.spec.ts
+++ b/packages/bench/__tests__/replay.spec.ts
@@ -2,9 +2,11 @@
 import { describe, it } from 'node:test';
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
 import { replayArrivals } from '../src/replayFleet.js';
+import { countUnwanted } from '../src/replayNotices.js';
 import { drawArrivals } from '../src/replayTraffic.js';
 import { replayScenario } from '../src/replayMain.js';
 import { replayScenarios } from '../src/replayScenarios.js';
+import type { ReplayNotice, ReplayResult } from '../src/replayTypes.js';
 import { createVirtualClock } from '../src/virtualClock.js';
 
 const SEEDS = 2;
@@ -98,12 +100,54 @@
     assert.ok(refused < 0.05, `${refused}`);
   });
 
+  it('plays engines that rest, leave and fall silent, and serves almost all requests', () => {
+    for (const name of ['rests', 'departures']) {
+      const scenario = scenarioNamed(name);
+      const arrivals = drawArrivals(scenario.traffic, createSeededRandom(1));
+      const results = replayArrivals({ ...scenario.fleet, seed: 1 }, arrivals);
+      const engines = new Set(
+        results.flatMap(({ notices }) => notices.map(({ engine }) => engine)),
+      );
+      assert.deepEqual([...engines].sort(), ['0', '1'], name);
+      const refused = results.filter(({ outcome }) => outcome === 'refused').length;
+      assert.ok(refused < 0.05 * results.length, `${name}: ${refused} of ${results.length}`);
+    }
+  });
+
   it('gives the same results for the same seed', () => {
     const scenario = scenarioNamed('brim');
     assert.deepEqual(replayScenario(scenario, 'agents', 1), replayScenario(scenario, 'agents', 1));
   });
 });
 
+describe('countUnwanted', () => {
+  const [arrival] = drawArrivals(scenarioNamed('calm').traffic, createSeededRandom(1));
+  const resultOf = (
+    notice: Pick<ReplayNotice, 'kind' | 'until'>,
+    times: readonly number[],
+    entry = 0,
+  ): ReplayResult => {
+    assert.ok(arrival !== undefined);
+    const sent = times.map((at) => ({ engine: '0', entry, at }));
+    const notices = [{ ...notice, engine: '0', entry: 0, at: 1_000 }];
+    const figures = { firstMilliseconds: 1, refusalMilliseconds: 0, refusals: 0 };
+    return { arrival, outcome: 'onTime', ...figures, sent, notices };
+  };
+
+  it('counts what the same entry sends between half a second after a refusal and the end', () => {
+    const rest = { kind: 'rests', until: 3_000 } as const;
+    const counts = countUnwanted([resultOf(rest, [1_500, 1_501, 2_999, 3_000])]);
+    assert.deepEqual(counts, { mostDuringRest: 2, duringRests: 2, afterDepartures: 0 });
+    assert.equal(countUnwanted([resultOf(rest, [1_501, 2_999], 1)]).duringRests, 0);
+  });
+
+  it('counts what the same entry sends over two seconds after a notice of a departure', () => {
+    const departure = { kind: 'leaves', until: Number.POSITIVE_INFINITY } as const;
+    const counts = countUnwanted([resultOf(departure, [3_000, 3_001])]);
+    assert.deepEqual(counts, { mostDuringRest: 0, duringRests: 0, afterDepartures: 1 });
+  });
+});
+
 describe('createVirtualClock', () => {
   it('runs events in order of time, and events at the same time in the order they were scheduled', () => {
     const clock = createVirtualClock();
--- a/packages/bench/src/replayFleet.ts
+++ b/packages/bench/src/replayFleet.ts
@@ -14,6 +14,7 @@
   crashReport,
   traitsOf,
 } from './replayCrashes.js';
+import type { Attempt } from './replayAttempt.js';
 import {
   changeOwnRequests,
   createReplayEntry,
@@ -27,23 +28,16 @@
   type SimulatedEngine,
 } from './simulatedEngine.js';
 import type { StreamArrival } from './replayTraffic.js';
-import type { ReplayFleet, ReplayResult } from './replayTypes.js';
+import { departureNotice, scheduleTroubles } from './replayTroubles.js';
+import type { ReplayFleet, ReplayNotice, ReplayResult, ReplaySending } from './replayTypes.js';
 import { createVirtualClock } from './virtualClock.js';
 
-/** One attempt of a caller. */
-interface Attempt {
-  readonly arrival: StreamArrival;
-  readonly entry: ReplayEntry;
-  readonly refuse: (freeInMilliseconds: number | null) => void;
-  readonly finish: (outcome: 'onTime' | 'late', firstMilliseconds: number) => void;
-  /** The engine has crashed; the request is sent again if another attempt is left. */
-  readonly interrupted: () => void;
-  readonly onSent: (engine: string) => void;
-}
-
 /** Time that a caller takes to open a new connection, in milliseconds. */
 const RECONNECT_MILLISECONDS = 8;
 
+/** Engines to which an entry sends one request of a caller. */
+const ENGINE_ATTEMPTS = 2;
+
 /** Upper limit on the advised wait before a retry, as a share of the time until the deadline. */
 const RETRY_WAIT_SHARE = 1 / 3;
 
@@ -108,6 +102,8 @@
         return;
       }
       const at = clock.now() + delay - arrival.at;
+      const notice = departureNotice(fleet, engine.id, clock.now());
+      if (firstAt === null && notice !== null) attempt.onNotice(notice);
       if (firstAt !== null) longestPause = Math.max(longestPause, at - lastAt);
       firstAt ??= at;
       lastAt = at;
@@ -129,9 +125,18 @@
       });
       clock.schedule(delay, attempt.interrupted);
     };
+    const onRefused = (restMilliseconds: number): void => {
+      const until = clock.now() + restMilliseconds;
+      attempt.onNotice({ kind: 'rests', engine: engine.id, at: clock.now(), until });
+      clock.schedule(delay, () => {
+        changeOwnRequests(entry, engine.id, -1);
+        attempt.refusedByEngine();
+        clock.schedule(delay, onReleased);
+      });
+    };
     clock.schedule(delay, () => {
       attempt.onSent(engine.id);
-      engine.run(request, { onTokens, onCrash });
+      engine.run(request, { onTokens, onCrash, onRefused });
     });
   };
 
@@ -230,13 +235,16 @@
     let refusals = 0;
     let refusalMilliseconds = 0;
     let crashes = 0;
-    const sent: { readonly engine: string; readonly at: number }[] = [];
+    let rests = 0;
+    const sent: ReplaySending[] = [];
+    const notices: ReplayNotice[] = [];
     const endUnserved = (): void => {
-      const ended = { firstMilliseconds: null, refusalMilliseconds, refusals, sent };
+      const ended = { firstMilliseconds: null, refusalMilliseconds, refusals, sent, notices };
       results.push({ arrival, outcome: 'refused', ...ended });
     };
     const attempt = (): void => {
-      const entry = entries[random.nextInteger(entries.length)];
+      const entryIndex = random.nextInteger(entries.length);
+      const entry = entries[entryIndex];
       if (entry === undefined) return;
       const arrivedAt = clock.now();
       const status = entry.quarantine.statusOf(traitsOf(arrival), arrivedAt);
@@ -244,6 +252,22 @@
         endUnserved();
         return;
       }
+      const refuse = (freeInMilliseconds: number | null): void => {
+        refusals += 1;
+        refusalMilliseconds = Math.max(refusalMilliseconds, clock.now() - arrivedAt);
+        const remaining = fleet.deadlineMilliseconds - (clock.now() - arrival.at);
+        if (refusals > fleet.maximumRetries || remaining <= 0) {
+          endUnserved();
+          return;
+        }
+        const slackMilliseconds = slackOf(arrival);
+        const retryAfterMilliseconds = refusalRetryAfterMilliseconds({
+          freeInMilliseconds,
+          slackMilliseconds,
+        });
+        const wait = Math.min(retryAfterMilliseconds, remaining * RETRY_WAIT_SHARE);
+        clock.schedule(wait + RECONNECT_MILLISECONDS, attempt);
+      };
       route({
         arrival,
         entry,
@@ -255,6 +279,7 @@
             refusalMilliseconds,
             refusals,
             sent,
+            notices,
           });
         },
         interrupted: () => {
@@ -262,25 +287,18 @@
           if (crashes < CRASH_ATTEMPTS) attempt();
           else endUnserved();
         },
+        refusedByEngine: () => {
+          rests += 1;
+          if (rests < ENGINE_ATTEMPTS) attempt();
+          else refuse(null);
+        },
         onSent: (engine) => {
-          sent.push({ engine, at: clock.now() });
+          sent.push({ engine, entry: entryIndex, at: clock.now() });
         },
-        refuse: (freeInMilliseconds) => {
-          refusals += 1;
-          refusalMilliseconds = Math.max(refusalMilliseconds, clock.now() - arrivedAt);
-          const remaining = fleet.deadlineMilliseconds - (clock.now() - arrival.at);
-          if (refusals > fleet.maximumRetries || remaining <= 0) {
-            endUnserved();
-            return;
-          }
-          const slackMilliseconds = slackOf(arrival);
-          const retryAfterMilliseconds = refusalRetryAfterMilliseconds({
-            freeInMilliseconds,
-            slackMilliseconds,
-          });
-          const wait = Math.min(retryAfterMilliseconds, remaining * RETRY_WAIT_SHARE);
-          clock.schedule(wait + RECONNECT_MILLISECONDS, attempt);
+        onNotice: (notice) => {
+          notices.push({ ...notice, entry: entryIndex });
         },
+        refuse,
       });
     };
     attempt();
@@ -291,14 +309,7 @@
       sendArrival(arrival);
     });
   }
-  fleet.loadsAtSeconds.forEach((second, index) => {
-    engines[index]?.loadWeightsAt(second * 1_000);
-  });
-  for (const { engine, requestsPerSecond, fromSecond } of fleet.limits ?? []) {
-    clock.schedule(fromSecond * 1_000, () => {
-      engines[engine]?.setLimit(requestsPerSecond);
-    });
-  }
+  scheduleTroubles(fleet, engines, clock);
   if (fleet.routingMode === 'alone') reportLoads();
   clock.runUntil((arrivals.at(-1)?.at ?? 0) + 4 * fleet.deadlineMilliseconds);
   return results;
--- a/packages/bench/src/replayMain.ts
+++ b/packages/bench/src/replayMain.ts
@@ -1,6 +1,7 @@
 import { parseArgs } from 'node:util';
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
 import { replayArrivals } from './replayFleet.js';
+import { countUnwanted, sumUnwanted } from './replayNotices.js';
 import type { RoutingMode } from './replayTypes.js';
 import { replayScenarios, type ReplayScenario } from './replayScenarios.js';
 import { summarizeReplay, type ReplaySummary } from './replaySummary.js';
@@ -21,7 +22,8 @@
   });
   // Requests that crash engines are owed no answer.
   const sound = runs.flat().filter(({ arrival }) => !arrival.isCrashing);
-  return summarizeReplay(`${scenario.name} ${routingMode}`, sound);
+  const unwanted = sumUnwanted(runs.map(countUnwanted));
+  return summarizeReplay(`${scenario.name} ${routingMode}`, sound, unwanted);
 }
 
 const percent = (share: number): string => (share * 100).toFixed(1);
@@ -39,6 +41,9 @@
   ['p95', ({ firstP95 }) => firstP95.toFixed(0)],
   ['p99', ({ firstP99 }) => firstP99.toFixed(0)],
   ['longest refusal ms', ({ longestRefusal }) => longestRefusal.toFixed(0)],
+  ['in rests', ({ unwanted }) => String(unwanted.duringRests)],
+  ['most in one', ({ unwanted }) => String(unwanted.mostDuringRest)],
+  ['after leaving', ({ unwanted }) => String(unwanted.afterDepartures)],
 ];
 
 function table(summaries: readonly ReplaySummary[]): string {
--- a/packages/bench/src/replayScenarios.ts
+++ b/packages/bench/src/replayScenarios.ts
@@ -245,4 +245,36 @@
     },
     traffic: steadyTraffic(40),
   },
+  {
+    name: 'rests',
+    pattern: 'two of ten engines refuse all requests and name a rest, one after the other',
+    fleet: {
+      ...fleet,
+      engines: alwaysServing(10),
+      rests: [
+        { engine: 0, fromSecond: 4, untilSecond: 12, restMilliseconds: 1_000 },
+        { engine: 1, fromSecond: 7, untilSecond: 15, restMilliseconds: 2_500 },
+      ],
+    },
+    traffic: steadyTraffic(60),
+  },
+  {
+    name: 'departures',
+    pattern: 'two of ten engines leave, long before the directory lists it, and others fall silent',
+    fleet: {
+      ...fleet,
+      engines: alwaysServing(10).map((period, index) =>
+        index < 2 ? { ...period, untilSecond: 10 } : period,
+      ),
+      departures: [
+        { engine: 0, fromSecond: 4 },
+        { engine: 1, fromSecond: 5 },
+      ],
+      silences: [
+        { engine: 2, atSecond: 6, milliseconds: 1_100 },
+        { engine: 3, atSecond: 8, milliseconds: 1_400 },
+      ],
+    },
+    traffic: steadyTraffic(60),
+  },
 ];
--- a/packages/bench/src/replaySummary.ts
+++ b/packages/bench/src/replaySummary.ts
@@ -1,4 +1,5 @@
 import { createLatencyRecorder } from './latencySummary.js';
+import type { NoticeCounts } from './replayNotices.js';
 import type { ReplayResult } from './replayTypes.js';
 
 /** Results of a replay, from the callers' point of view. */
@@ -21,6 +22,8 @@
   readonly largestServed: number;
   /** Longest time until an attempt was refused, in milliseconds. */
   readonly longestRefusal: number;
+  /** Requests that reached engines that wanted none: totals, but the most for one rest. */
+  readonly unwanted: NoticeCounts;
 }
 
 /**
@@ -48,7 +51,11 @@
 }
 
 /** Summarizes results under a name. */
-export function summarizeReplay(name: string, results: readonly ReplayResult[]): ReplaySummary {
+export function summarizeReplay(
+  name: string,
+  results: readonly ReplayResult[],
+  unwanted: NoticeCounts,
+): ReplaySummary {
   const first = createLatencyRecorder();
   let totalWorth = 0;
   let earnedWorth = 0;
@@ -81,5 +88,6 @@
     firstP99: p99,
     largestServed: largestServed(results),
     longestRefusal,
+    unwanted,
   };
 }
--- a/packages/bench/src/simulatedEngine.ts
+++ b/packages/bench/src/simulatedEngine.ts
@@ -26,6 +26,8 @@
   onTokens(isLast: boolean): void;
   /** The engine crashed before the last token. */
   onCrash(): void;
+  /** The engine rests for a time, in milliseconds, and does not run the request. */
+  onRefused(restMilliseconds: number): void;
 }
 
 /** An engine with the agent that grants its slots, simulated in virtual time. */
@@ -45,6 +47,10 @@
   crash(downMilliseconds: number): void;
   /** Limit that the engine names, kept by its agent, in requests per second; `null` for none. */
   setLimit(requestsPerSecond: number | null): void;
+  /** Time that its refusals name while it refuses all requests; `null` while it serves. */
+  setRest(restMilliseconds: number | null): void;
+  /** Generates nothing for a time, in milliseconds, and then goes on. */
+  fallSilent(milliseconds: number): void;
   /** Loads other weights at a time: drains before it, and serves nothing until they are loaded. */
   loadWeightsAt(time: number): void;
 }
@@ -78,6 +84,8 @@
   let isBusy = false;
   let isLoading = false;
   let isDown = false;
+  let restMilliseconds: number | null = null;
+  let silentUntil = Number.NEGATIVE_INFINITY;
 
   const finishLoadWhenIdle = (): void => {
     if (!isLoading || passes.running + passes.waiting > 0) return;
@@ -93,8 +101,12 @@
     if (end === null) return;
     isBusy = true;
     const startedPasses = passes;
-    clock.schedule(end - clock.now(), () => {
+    const endPass = (): void => {
       if (passes !== startedPasses) return;
+      if (clock.now() < silentUntil) {
+        clock.schedule(silentUntil - clock.now(), endPass);
+        return;
+      }
       isBusy = false;
       for (const { id, isLast } of passes.end()) {
         listeners.get(id)?.onTokens(isLast);
@@ -102,7 +114,8 @@
       }
       runPass();
       finishLoadWhenIdle();
-    });
+    };
+    clock.schedule(end - clock.now(), endPass);
   };
 
   const deliverOutcomes = (outcomes: readonly WaitingClaimOutcome[]): void => {
@@ -164,6 +177,10 @@
         listener.onCrash();
         return;
       }
+      if (restMilliseconds !== null) {
+        listener.onRefused(restMilliseconds);
+        return;
+      }
       listeners.set(request.id, listener);
       passes.add(request);
       runPass();
@@ -184,6 +201,12 @@
     setLimit: (requestsPerSecond) => {
       limit.set(requestsPerSecond, clock.now());
     },
+    setRest: (milliseconds) => {
+      restMilliseconds = milliseconds;
+    },
+    fallSilent: (milliseconds) => {
+      silentUntil = clock.now() + milliseconds;
+    },
     loadWeightsAt: (time) => {
       clock.schedule(time - DRAIN_MILLISECONDS - clock.now(), () => {
         queue.drainBy(time);
