test(standins): faults of servers that leave, rest and fall silent

Engines and plain services refuse requests with a Retry-After, say in their answers that they leave, and engines hold back a stream for a time and go on, so that tests of the daemon can play them.

--- a/packages/standins/__tests__/engineServer.spec.ts
+++ b/packages/standins/__tests__/engineServer.spec.ts
@@ -97,6 +97,34 @@
     assert.ok(text.endsWith('data: [DONE]\n\n'));
   });
 
+  it('refuses requests with a rest, says that it leaves and falls silent under faults', async () => {
+    await using server = await createEngineServer({ address });
+    const client = createStandinClient<EngineReport, EngineFault>(server.url);
+    const content = createWeightContent(version);
+    await stage(server.url, content, -1);
+    await load(server.url, content, 1);
+    const silenceMilliseconds = 120;
+    await client.faults([
+      { kind: 'rest', seconds: 1.5, times: 1 },
+      { kind: 'leaving' },
+      { kind: 'silence', afterTokens: 2, milliseconds: silenceMilliseconds },
+    ]);
+    const ask = async () => {
+      const streamed = JSON.stringify({ prompt: 'hello', max_tokens: 5, stream: true });
+      return request(`${server.url}/v1/completions`, { method: 'POST', body: streamed });
+    };
+    const refused = await ask();
+    await refused.body.dump();
+    assert.deepEqual([refused.statusCode, refused.headers['retry-after']], [503, '1.5']);
+    assert.equal((await client.counts()).runs, 0);
+    const startedAt = performance.now();
+    const answer = await ask();
+    assert.deepEqual([answer.statusCode, answer.headers['x-leaving']], [200, '1']);
+    const ids = [...(await answer.body.text()).matchAll(/^id: (\d+)$/gmu)].map(([, id]) => id);
+    assert.deepEqual(ids, ['0', '1', '2', '3', '4']);
+    assert.ok(performance.now() - startedAt >= silenceMilliseconds);
+  });
+
   it('reports the weights at the start of a sequence, not at the arrival of its request', async () => {
     const settings = { capacity: 1, loadMilliseconds: 50 };
     await using server = await createEngineServer({ address, settings });
--- a/packages/standins/src/engineCompletions.ts
+++ b/packages/standins/src/engineCompletions.ts
@@ -6,7 +6,7 @@
 import { answerLength, answerToken, prefixDigests, promptText } from './enginePrompt.js';
 import type { CompletionBody } from './enginePrompt.js';
 import type { EngineState } from './engineState.js';
-import { limitHeaders } from './faultSet.js';
+import { noticeHeaders, sendRest } from './faultSet.js';
 import { createEngineStream, type EngineStream } from './engineStream.js';
 import { headerOf, readJson, sendJson, type StandinExchange } from './standinServer.js';
 
@@ -104,8 +104,8 @@
   const digest = state.weights.digest;
   const shownDigest = digest === completion.digestAtStart ? digest : 'mixed';
   const headers = { 'content-type': 'application/json', 'content-length': answer.length };
-  const limit = limitHeaders(state.faults.consume('limit'));
-  response.writeHead(200, { ...headers, ...limit, ...answerHeaders(completion, shownDigest) });
+  const notices = noticeHeaders(state.faults.consume('limit'), state.faults.consume('leaving'));
+  response.writeHead(200, { ...headers, ...notices, ...answerHeaders(completion, shownDigest) });
   if (completion.cutAfterTokens < completion.length) {
     response.write(answer.slice(0, answer.length / 2), () => response.destroy());
     return;
@@ -146,6 +146,8 @@
 ): void {
   state.counts.tokens += 1;
   if (index === completion.cutAfterTokens) stream.abort();
+  const silence = state.faults.consume('silence', ({ afterTokens }) => afterTokens === index);
+  if (silence !== undefined) stream.holdBack(silence.milliseconds);
   if (index >= completion.stallAfterTokens) return;
   stream.push(tokenEvent(completion, index, state.weights.digest));
 }
@@ -159,7 +161,7 @@
   response.writeHead(200, {
     'content-type': 'text/event-stream',
     'cache-control': 'no-store',
-    ...limitHeaders(state.faults.consume('limit')),
+    ...noticeHeaders(state.faults.consume('limit'), state.faults.consume('leaving')),
     ...answerHeaders(completion, completion.digestAtStart),
   });
   response.flushHeaders();
@@ -258,6 +260,11 @@
     complete: async (exchange) => {
       const body = (await readJson(exchange.request)) as CompletionBody;
       state.counts.requests += 1;
+      const rest = state.faults.consume('rest');
+      if (rest !== undefined) {
+        sendRest(exchange.response, rest);
+        return;
+      }
       const rejection = findRejection();
       if (rejection !== undefined) {
         sendJson(exchange.response, rejection.status, { error: rejection.error });
--- a/packages/standins/src/engineFaults.ts
+++ b/packages/standins/src/engineFaults.ts
@@ -1,21 +1,30 @@
-import type { FaultBase, LimitFault } from './faultSet.js';
+import type { FaultBase, NoticeFault } from './faultSet.js';
+
+/** A stream sends nothing for a time after a number of tokens, and then goes on. */
+export interface SilenceFault {
+  readonly kind: 'silence';
+  readonly afterTokens: number;
+  readonly milliseconds: number;
+}
 
 /** Faults of an engine; `crossed` answers with the identity of the previous request. */
-export type EngineFault = FaultBase &
-  (
-    | { readonly kind: 'stall'; readonly afterTokens: number }
-    | { readonly kind: 'cut'; readonly afterTokens: number }
-    | { readonly kind: 'crossed' }
-    | { readonly kind: 'twice' }
-    | { readonly kind: 'late'; readonly milliseconds: number }
-    | { readonly kind: 'crash'; readonly marker: string }
-    | { readonly kind: 'error' }
-    | LimitFault
-    | { readonly kind: 'corrupt-chunk' }
-    | { readonly kind: 'order-late'; readonly milliseconds: number }
-    | { readonly kind: 'order-refused' }
-    | { readonly kind: 'events-silent' }
-  );
+export type EngineFault =
+  | NoticeFault
+  | (FaultBase &
+      (
+        | { readonly kind: 'stall'; readonly afterTokens: number }
+        | { readonly kind: 'cut'; readonly afterTokens: number }
+        | { readonly kind: 'crossed' }
+        | { readonly kind: 'twice' }
+        | { readonly kind: 'late'; readonly milliseconds: number }
+        | { readonly kind: 'crash'; readonly marker: string }
+        | { readonly kind: 'error' }
+        | { readonly kind: 'corrupt-chunk' }
+        | { readonly kind: 'order-late'; readonly milliseconds: number }
+        | { readonly kind: 'order-refused' }
+        | { readonly kind: 'events-silent' }
+        | SilenceFault
+      ));
 
 /** Counts of an engine; a crash does not reset them. */
 export interface EngineCounts {
--- a/packages/standins/src/engineStream.ts
+++ b/packages/standins/src/engineStream.ts
@@ -5,6 +5,8 @@
   readonly id: string;
   /** Appends an event and sends it to all readers. */
   push(data: string): void;
+  /** Sends nothing for a time, in milliseconds; later events are sent after it. */
+  holdBack(milliseconds: number): void;
   /** Sends the end of the stream to all readers. */
   finish(): void;
   /** Closes the connections of all readers without an end of the stream. */
@@ -25,18 +27,35 @@
 export function createEngineStream(id: string, onLastReaderLeft: () => void): EngineStream {
   const events: string[] = [];
   const readers = new Set<ServerResponse>();
+  const heldActions: (() => void)[] = [];
+  let isHeldBack = false;
   let finished = false;
+  const actUnlessHeldBack = (action: () => void): void => {
+    if (isHeldBack) heldActions.push(action);
+    else action();
+  };
   return {
     id,
     push: (data) => {
-      const event = `id: ${events.length}\ndata: ${data}\n\n`;
-      events.push(event);
-      for (const reader of readers) reader.write(event);
+      actUnlessHeldBack(() => {
+        const event = `id: ${events.length}\ndata: ${data}\n\n`;
+        events.push(event);
+        for (const reader of readers) reader.write(event);
+      });
+    },
+    holdBack: (milliseconds) => {
+      isHeldBack = true;
+      setTimeout(() => {
+        isHeldBack = false;
+        for (const action of heldActions.splice(0)) action();
+      }, milliseconds).unref();
     },
     finish: () => {
-      finished = true;
-      for (const reader of readers) reader.end(END_OF_STREAM);
-      readers.clear();
+      actUnlessHeldBack(() => {
+        finished = true;
+        for (const reader of readers) reader.end(END_OF_STREAM);
+        readers.clear();
+      });
     },
     abort: () => {
       for (const reader of readers) reader.destroy();
--- a/packages/standins/src/faultSet.ts
+++ b/packages/standins/src/faultSet.ts
@@ -1,4 +1,6 @@
+import type { ServerResponse } from 'node:http';
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
+import { sendJson } from './standinServer.js';
 
 /** Fields that all faults have. */
 export interface FaultBase {
@@ -15,9 +17,36 @@
   readonly requestsPerSecond: number;
 }
 
-/** Headers of an answer under a `limit` fault; none without one. */
-export function limitHeaders(fault: LimitFault | undefined): Readonly<Record<string, string>> {
-  return fault === undefined ? {} : { 'x-requests-per-second': String(fault.requestsPerSecond) };
+/** The server says in its answers that it leaves. */
+export interface LeavingFault {
+  readonly kind: 'leaving';
+}
+
+/** The server refuses requests and names the time for which it wants no more. */
+export interface RestFault {
+  readonly kind: 'rest';
+  readonly seconds: number;
+}
+
+/** Faults that are a notice of a server about itself. */
+export type NoticeFault = FaultBase & (LimitFault | LeavingFault | RestFault);
+
+const REFUSED_STATUS = 503;
+
+/** Headers of an answer under `limit` and `leaving` faults; none without one. */
+export function noticeHeaders(
+  limit: LimitFault | undefined,
+  leaving: LeavingFault | undefined,
+): Readonly<Record<string, string>> {
+  return {
+    ...(limit === undefined ? {} : { 'x-requests-per-second': String(limit.requestsPerSecond) }),
+    ...(leaving === undefined ? {} : { 'x-leaving': '1' }),
+  };
+}
+
+/** Refuses a request under a `rest` fault. */
+export function sendRest(response: ServerResponse, { seconds }: RestFault): void {
+  sendJson(response, REFUSED_STATUS, { error: 'rest' }, { 'retry-after': String(seconds) });
 }
 
 /** Faults that a test has set for a stand-in. */
--- a/packages/standins/src/plainServer.ts
+++ b/packages/standins/src/plainServer.ts
@@ -1,6 +1,12 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { digestOf } from '@burdockrail/common/digest.js';
-import { createFaultSet, limitHeaders, type FaultBase, type LimitFault } from './faultSet.js';
+import {
+  createFaultSet,
+  noticeHeaders,
+  sendRest,
+  type FaultBase,
+  type NoticeFault,
+} from './faultSet.js';
 import { controlRoutes } from './standinControl.js';
 import {
   createStandinServer,
@@ -16,20 +22,21 @@
 const DEFAULT_DOWN_MILLISECONDS = 300;
 
 /** Faults of a plain service; `crossed` sends the answer to the previous request. */
-export type PlainFault = FaultBase &
-  (
-    | { readonly kind: 'latency'; readonly milliseconds: number }
-    | { readonly kind: 'late'; readonly milliseconds: number }
-    | { readonly kind: 'crash-before-run' }
-    | { readonly kind: 'crash-after-run' }
-    | { readonly kind: 'crash'; readonly marker: string }
-    | { readonly kind: 'twice' }
-    | { readonly kind: 'crossed' }
-    | { readonly kind: 'cut' }
-    | { readonly kind: 'stall' }
-    | { readonly kind: 'error' }
-    | LimitFault
-  );
+export type PlainFault =
+  | NoticeFault
+  | (FaultBase &
+      (
+        | { readonly kind: 'latency'; readonly milliseconds: number }
+        | { readonly kind: 'late'; readonly milliseconds: number }
+        | { readonly kind: 'crash-before-run' }
+        | { readonly kind: 'crash-after-run' }
+        | { readonly kind: 'crash'; readonly marker: string }
+        | { readonly kind: 'twice' }
+        | { readonly kind: 'crossed' }
+        | { readonly kind: 'cut' }
+        | { readonly kind: 'stall' }
+        | { readonly kind: 'error' }
+      ));
 
 /** Counts of a plain service; a crash does not reset them. */
 export interface PlainCounts {
@@ -102,7 +109,7 @@
     const headers = {
       'content-type': 'application/json',
       'content-length': text.length,
-      ...limitHeaders(faults.consume('limit')),
+      ...noticeHeaders(faults.consume('limit'), faults.consume('leaving')),
     };
     response.writeHead(200, { ...headers, 'x-request-id': answer.requestId ?? '' });
     if (faults.consume('cut') !== undefined) {
@@ -122,6 +129,11 @@
 
   const serve = async (exchange: StandinExchange): Promise<void> => {
     const body = await readBody(exchange.request);
+    const rest = faults.consume('rest');
+    if (rest !== undefined) {
+      sendRest(exchange.response, rest);
+      return;
+    }
     if (faults.consume('error') !== undefined) {
       sendJson(exchange.response, 500, { error: 'fault' });
       return;
