feat(bench): replayed entries heed engines that rest or leave

Replayed entries keep what engines said of themselves with the entries' own deciding parts (limits/upstreamRest, membership/leavingUpstreams), when they rank engines and once more when a slot is granted.

The replay's test asserts both bounds.

--- a/packages/bench/__tests__/replay.spec.ts
+++ b/packages/bench/__tests__/replay.spec.ts
@@ -100,7 +100,7 @@
     assert.ok(refused < 0.05, `${refused}`);
   });
 
-  it('plays engines that rest, leave and fall silent, and serves almost all requests', () => {
+  it('keeps requests from engines that rest or leave, and serves almost all requests', () => {
     for (const name of ['rests', 'departures']) {
       const scenario = scenarioNamed(name);
       const arrivals = drawArrivals(scenario.traffic, createSeededRandom(1));
@@ -109,6 +109,9 @@
         results.flatMap(({ notices }) => notices.map(({ engine }) => engine)),
       );
       assert.deepEqual([...engines].sort(), ['0', '1'], name);
+      const { mostDuringRest, afterDepartures } = countUnwanted(results);
+      assert.ok(mostDuringRest <= 2, `${name}: ${mostDuringRest} during a rest`);
+      assert.equal(afterDepartures, 0, name);
       const refused = results.filter(({ outcome }) => outcome === 'refused').length;
       assert.ok(refused < 0.05 * results.length, `${name}: ${refused} of ${results.length}`);
     }
--- a/packages/bench/src/replayEntry.ts
+++ b/packages/bench/src/replayEntry.ts
@@ -1,7 +1,13 @@
 import type { QuarantineState } from '@burdockrail/limits/quarantineState.js';
+import { createUpstreamRest, type UpstreamRest } from '@burdockrail/limits/upstreamRest.js';
+import {
+  createLeavingUpstreams,
+  type LeavingUpstreams,
+} from '@burdockrail/membership/leavingUpstreams.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import type { EngineView } from '@burdockrail/routing/engineOrder.js';
 import { createReplayQuarantine } from './replayCrashes.js';
+import type { ReplayFleet, ReplayNotice } from './replayTypes.js';
 import type { SimulatedEngine } from './simulatedEngine.js';
 
 /** What an entry heard of an engine, and when. */
@@ -19,6 +25,8 @@
   readonly observations: Map<string, EngineObservation>;
   readonly ownRequests: Map<string, number>;
   readonly quarantine: QuarantineState;
+  readonly rests: UpstreamRest;
+  readonly leaving: LeavingUpstreams;
 }
 
 /** Time for which an entry skips an engine that reported no weights, in milliseconds. */
@@ -31,6 +39,8 @@
     observations: new Map(),
     ownRequests: new Map(),
     quarantine: createReplayQuarantine(),
+    rests: createUpstreamRest(),
+    leaving: createLeavingUpstreams(),
   };
 }
 
@@ -60,8 +70,43 @@
   };
 }
 
+/** Time of a message from an entry, or through its dispatcher, to an engine, in milliseconds. */
+export function latencyTo(
+  fleet: ReplayFleet,
+  entry: ReplayEntry,
+  engine: SimulatedEngine,
+): Milliseconds {
+  const { localLatencyMilliseconds, remoteLatencyMilliseconds } = fleet;
+  const isLocal = entry.dataCentre === engine.dataCentre;
+  const hopDelay = fleet.routingMode === 'dispatchers' ? localLatencyMilliseconds : 0;
+  return hopDelay + (isLocal ? localLatencyMilliseconds : remoteLatencyMilliseconds);
+}
+
 /** False for a time after the engine reported that it has no weights. */
 export function mayAsk(entry: ReplayEntry, engine: string, now: Milliseconds): boolean {
   const observation = entry.observations.get(engine);
   return observation?.unloaded !== true || now - observation.at >= UNLOADED_MILLISECONDS;
 }
+
+/** The only incarnation of an engine; replayed engines keep what they said. */
+const incarnationOf = (id: string) => ({ id, startedAt: 0 });
+
+/** Records what an engine said of itself in an answer. */
+export function recordNotice(
+  { rests, leaving }: ReplayEntry,
+  { kind, engine, at, until }: Omit<ReplayNotice, 'entry'>,
+  now: Milliseconds,
+): void {
+  if (kind === 'rests') rests.record(incarnationOf(engine), until - at, now);
+  else leaving.add(incarnationOf(engine));
+}
+
+/** False while the engine has said that it wants no requests from the entry. */
+export function wantsRequests(
+  { rests, leaving }: ReplayEntry,
+  engine: string,
+  now: Milliseconds,
+): boolean {
+  const incarnation = incarnationOf(engine);
+  return rests.restMilliseconds(incarnation, now) === 0 && !leaving.has(incarnation);
+}
--- a/packages/bench/src/replayFleet.ts
+++ b/packages/bench/src/replayFleet.ts
@@ -1,5 +1,4 @@
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
-import { refusalRetryAfterMilliseconds } from '@burdockrail/limits/refusalRetryAfter.js';
 import { streamSlackMilliseconds } from '@burdockrail/limits/streamSlack.js';
 import { orderEngines } from '@burdockrail/routing/engineOrder.js';
 import {
@@ -14,12 +13,15 @@
   crashReport,
   traitsOf,
 } from './replayCrashes.js';
-import type { Attempt } from './replayAttempt.js';
+import { callerWait, ENGINE_ATTEMPTS, type Attempt } from './replayAttempt.js';
 import {
   changeOwnRequests,
   createReplayEntry,
   engineViewAt,
+  latencyTo,
   mayAsk,
+  recordNotice,
+  wantsRequests,
   type ReplayEntry,
 } from './replayEntry.js';
 import {
@@ -32,15 +34,6 @@
 import type { ReplayFleet, ReplayNotice, ReplayResult, ReplaySending } from './replayTypes.js';
 import { createVirtualClock } from './virtualClock.js';
 
-/** Time that a caller takes to open a new connection, in milliseconds. */
-const RECONNECT_MILLISECONDS = 8;
-
-/** Engines to which an entry sends one request of a caller. */
-const ENGINE_ATTEMPTS = 2;
-
-/** Upper limit on the advised wait before a retry, as a share of the time until the deadline. */
-const RETRY_WAIT_SHARE = 1 / 3;
-
 /** Replays arrivals in virtual time with the routing and admission code of entries and agents. */
 export function replayArrivals(
   fleet: ReplayFleet,
@@ -66,12 +59,6 @@
   );
   let lastId = 0;
 
-  const latencyTo = (entry: ReplayEntry, engine: SimulatedEngine): number => {
-    const isLocal = entry.dataCentre === engine.dataCentre;
-    const hopDelay = fleet.routingMode === 'dispatchers' ? fleet.localLatencyMilliseconds : 0;
-    return hopDelay + (isLocal ? fleet.localLatencyMilliseconds : fleet.remoteLatencyMilliseconds);
-  };
-
   const servingEngines = (): readonly SimulatedEngine[] => {
     const second = clock.now() / 1_000;
     return engines.filter((_engine, index) => {
@@ -82,20 +69,28 @@
 
   const rankEngines = (entry: ReplayEntry): readonly string[] =>
     orderEngines(
-      servingEngines().map((engine) => engineViewAt(entry, engine, performance.slots, clock.now())),
+      servingEngines()
+        .filter(({ id }) => wantsRequests(entry, id, clock.now()))
+        .map((engine) => engineViewAt(entry, engine, performance.slots, clock.now())),
       entry.dataCentre,
     );
 
   const runAtEngine = (attempt: Attempt, engine: SimulatedEngine, onReleased: () => void): void => {
     const { arrival, entry } = attempt;
     const { kind, promptTokens, answerTokens } = arrival;
-    const delay = latencyTo(entry, engine);
+    const delay = latencyTo(fleet, entry, engine);
     let firstAt: number | null = null;
     let lastAt = 0;
     let longestPause = 0;
     lastId += 1;
     const request = { id: lastId, promptTokens, answerTokens };
     changeOwnRequests(entry, engine.id, 1);
+    const hearNotice = (notice: Omit<ReplayNotice, 'entry'>): void => {
+      attempt.onNotice(notice);
+      clock.schedule(delay, () => {
+        recordNotice(entry, notice, clock.now());
+      });
+    };
     const onTokens = (isLast: boolean): void => {
       if (arrival.isCrashing) {
         engine.crash(CRASH_MILLISECONDS);
@@ -103,7 +98,7 @@
       }
       const at = clock.now() + delay - arrival.at;
       const notice = departureNotice(fleet, engine.id, clock.now());
-      if (firstAt === null && notice !== null) attempt.onNotice(notice);
+      if (firstAt === null && notice !== null) hearNotice(notice);
       if (firstAt !== null) longestPause = Math.max(longestPause, at - lastAt);
       firstAt ??= at;
       lastAt = at;
@@ -127,7 +122,7 @@
     };
     const onRefused = (restMilliseconds: number): void => {
       const until = clock.now() + restMilliseconds;
-      attempt.onNotice({ kind: 'rests', engine: engine.id, at: clock.now(), until });
+      hearNotice({ kind: 'rests', engine: engine.id, at: clock.now(), until });
       clock.schedule(delay, () => {
         changeOwnRequests(entry, engine.id, -1);
         attempt.refusedByEngine();
@@ -167,7 +162,7 @@
       const { engine: id, terms } = step.value;
       const engine = engines[Number(id)];
       if (engine === undefined) return;
-      const delay = latencyTo(entry, engine);
+      const delay = latencyTo(fleet, entry, engine);
       const onClaimResult = (result: ClaimResult): void => {
         const { taken, load } = engine;
         clock.schedule(delay, () => {
@@ -177,6 +172,12 @@
             advanceSearch(search.next(result));
             return;
           }
+          // Another answer may have come while the claim waited.
+          if (!wantsRequests(entry, id, clock.now())) {
+            engine.release(result.slot);
+            advanceSearch(search.next({ kind: 'unloaded' }));
+            return;
+          }
           runAtEngine(attempt, engine, () => {
             engine.release(result.slot);
           });
@@ -260,13 +261,7 @@
           endUnserved();
           return;
         }
-        const slackMilliseconds = slackOf(arrival);
-        const retryAfterMilliseconds = refusalRetryAfterMilliseconds({
-          freeInMilliseconds,
-          slackMilliseconds,
-        });
-        const wait = Math.min(retryAfterMilliseconds, remaining * RETRY_WAIT_SHARE);
-        clock.schedule(wait + RECONNECT_MILLISECONDS, attempt);
+        clock.schedule(callerWait(freeInMilliseconds, slackOf(arrival), remaining), attempt);
       };
       route({
         arrival,
