fix(gateway): a caller that leaves during a handover does not count as a crash

Callers saw: streams whose prompts were blamed for crashes could be refused, and the engine was avoided. Cause: runWithHandover reports the first of two streams that end to recordEnd, also when the caller's leaving or the deadline ended both; only the last one was checked for that. The engine's verdict became 'broken' and recordConnectionLoss blamed the request. Evidence: silentUpstream.spec.ts failed before: expected no losses, got [ 'engine-1' ]. Change: recordEnd itself checks whether the entry ended the attempt.

--- a/packages/gateway/__tests__/silentUpstream.spec.ts
+++ b/packages/gateway/__tests__/silentUpstream.spec.ts
@@ -108,6 +108,8 @@
   readonly attempts?: number;
   /** Time for which the caller reads nothing after the first event, in milliseconds. */
   readonly callerPauseMilliseconds?: number;
+  /** Aborts the request, as a caller does that leaves. */
+  readonly signal?: AbortSignal;
 }
 
 /** Plays one resumable stream. */
@@ -116,6 +118,7 @@
   changes = {},
   attempts = 2,
   callerPauseMilliseconds = 0,
+  signal = new AbortController().signal,
 }: Play): Promise<Played> {
   await using connections = createUpstreamConnections('127.0.0.1');
   let claimed = 0;
@@ -164,7 +167,7 @@
     traits: { content: 'c', parts: ['p'] },
     arrivedAt: performance.now(),
     elapsedMilliseconds: 0,
-    signal: new AbortController().signal,
+    signal,
     trace: { attempts: 0, upstreams: [], firstByteMilliseconds: null, cause: '' },
     answer: {
       get state() {
@@ -379,3 +382,25 @@
     assert.equal(received, event(1) + event(2));
   });
 });
+
+describe('a stream whose caller leaves while two engines are silent', { timeout: 60_000 }, () => {
+  it('does not count as a crash of either engine', async () => {
+    await using engine = await startEngine(closed);
+    await using other = await startEngine(closed);
+    const losses: string[] = [];
+    await using connections = createUpstreamConnections('127.0.0.1');
+    const { quarantine } = createEntryContext(connections, '');
+    const recordConnectionLoss = (_traits: unknown, upstream: string): void => {
+      losses.push(upstream);
+    };
+    const { verdicts, unreleased } = await playStream({
+      grants: [engine.port, other.port],
+      changes: { quarantine: { ...quarantine, recordConnectionLoss } },
+      signal: AbortSignal.timeout(FIRST_SILENCE_MILLISECONDS),
+    });
+    assert.equal(other.requests.length, 1);
+    assert.deepEqual(losses, []);
+    assert.ok(verdicts.every(([, verdict]) => verdict === 'silent'));
+    assert.equal(unreleased, 0);
+  });
+});
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -151,7 +151,12 @@
   };
 
   /** Records a stream that ended without a complete answer. */
-  const recordEnd = ({ slot: { engine }, outcome, events }: IncompleteStream): void => {
+  const recordEnd = ({ slot: { engine }, outcome, events, wasSilent }: IncompleteStream): void => {
+    if (signal.aborted) {
+      // The entry closed the connection, which says nothing about the engine but its silence.
+      if (wasSilent) upstreams.recordVerdict(engine, 'silent', time.now());
+      return;
+    }
     if (outcome.kind === 'whole') {
       const verdict = outcome.status >= SERVER_ERROR_STATUS ? 'failed' : 'answered';
       upstreams.recordVerdict(engine, verdict, time.now());
@@ -253,11 +258,8 @@
       answer.finish();
       return;
     }
-    if (signal.aborted) {
-      if (ended.wasSilent) upstreams.recordVerdict(endedEngine, 'silent', time.now());
-      return;
-    }
     recordEnd({ ...ended, outcome: result });
+    if (isAborted()) return;
     if (result.kind !== 'whole') continue;
     if (answer.headersSent) break;
     if (
