fix(gateway): a silent upstream is not given up when no other may get the request

Callers saw: a refusal for a plain repeatable request whose upstream would have answered 0.5 s later. Cause: after 2.5 objectives the attempt was closed if another upstream had existed when it started; whether one was untried, rested, left or limited its requests was looked at only afterwards. Evidence: silentPlainUpstream.spec.ts, 'when the other upstream limits its requests', failed before: expected 'late', got ''. Change: the successor is chosen, and its turn taken, before the silent upstream is given up. One that refuses the request still costs the first answer.

--- a/packages/gateway/__tests__/silentPlainUpstream.spec.ts
+++ b/packages/gateway/__tests__/silentPlainUpstream.spec.ts
@@ -57,6 +57,7 @@
 async function playRequest(
   addresses: readonly string[],
   retryIsAllowed: boolean,
+  changes: Partial<EntryContext> = {},
 ): Promise<{ readonly body: string; readonly refused: boolean }> {
   await using connections = createUpstreamConnections('127.0.0.1');
   const base = createEntryContext(connections, '', {
@@ -64,6 +65,7 @@
       trySpend: () => retryIsAllowed,
       recordRequest: () => undefined,
     },
+    ...changes,
   });
   const candidates = addresses.map((address, index): UpstreamCandidate => {
     return {
@@ -141,4 +143,19 @@
     assert.equal(body, 'late');
     assert.equal(second.requests, 0);
   });
+
+  it('is answered by it when the other upstream limits its requests', async () => {
+    await using first = await startUpstream(answerLate);
+    await using second = await startUpstream((response) => {
+      sendAnswer(response, 'second');
+    });
+    const limits = {
+      take: (id: string) => (id === second.address ? 1_000 : 0),
+      recordAnswer: () => undefined,
+      retain: () => undefined,
+    };
+    const { body } = await playRequest([first.address, second.address], true, { limits });
+    assert.equal(second.requests, 0);
+    assert.equal(body, 'late');
+  });
 });
--- a/packages/gateway/src/entryBuffered.ts
+++ b/packages/gateway/src/entryBuffered.ts
@@ -1,6 +1,7 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
-import { chooseUpstream } from '@burdockrail/routing/upstreamChoice.js';
+import type { UpstreamRecord } from '@burdockrail/protocol/protocolDirectory.js';
+import { chooseUpstream, type UpstreamCandidate } from '@burdockrail/routing/upstreamChoice.js';
 import type { BufferedAttemptOutcome } from './attemptOutcome.js';
 import type { EntryContext } from './entryContext.js';
 import type { Refusal } from './entryAdmission.js';
@@ -141,32 +142,52 @@
       now,
     );
 
-  while (canAttempt()) {
-    const now = time.now();
-    const candidates = upstreams
+  const availableUpstreams = (now: Milliseconds): readonly UpstreamCandidate[] =>
+    upstreams
       .candidates(service, now)
       .filter(({ id }) => rests.restMilliseconds(rests.incarnationOf(id), now) === 0)
       .map((candidate) => {
         const isAvoided = rests.isAvoided(rests.incarnationOf(candidate.id), now);
         return { ...candidate, suspended: candidate.suspended || isAvoided };
       });
-    const criteria = { dataCentre: entry.settings.dataCentre, tried, draw: random.next() };
-    const chosen = chooseUpstream(candidates, criteria);
-    const directoryEntry = chosen === undefined ? undefined : clusterView.directory.get(chosen.id);
-    if (directoryEntry === undefined) {
-      if (candidates.length === 0) restMilliseconds = shortestRestMilliseconds(now);
-      break;
-    }
-    const { id, address, startedAt } = directoryEntry.record;
-    tried.add(id);
-    const untilAllowed = limits.take(id, clusterView, Date.now());
-    if (untilAllowed > 0) {
+
+  /** Chooses an upstream that may get the request now; `null` if there is none left to try. */
+  const chooseNext = (): UpstreamRecord | null => {
+    for (;;) {
+      const now = time.now();
+      const candidates = availableUpstreams(now);
+      const criteria = { dataCentre: entry.settings.dataCentre, tried, draw: random.next() };
+      const chosen = chooseUpstream(candidates, criteria);
+      const record =
+        chosen === undefined ? undefined : clusterView.directory.get(chosen.id)?.record;
+      if (record === undefined) {
+        if (candidates.length === 0) restMilliseconds = shortestRestMilliseconds(now);
+        return null;
+      }
+      tried.add(record.id);
+      const untilAllowed = limits.take(record.id, clusterView, Date.now());
+      if (untilAllowed === 0) return record;
       limitedMilliseconds = Math.min(limitedMilliseconds ?? untilAllowed, untilAllowed);
-      continue;
     }
+  };
+
+  /** At most one upstream, for which a silent one may be given up. */
+  const successors: UpstreamRecord[] = [];
+  const hasSuccessor = (): boolean => {
+    const successor = successors.pop() ?? chooseNext();
+    if (successor === null) return false;
+    successors.push(successor);
+    return takeRetry(sentCount + 1);
+  };
+
+  while (canAttempt()) {
+    const next = successors.pop() ?? chooseNext();
+    if (next === null) break;
+    const { id, address, startedAt } = next;
+    const now = time.now();
     if (!takeRetry(sentCount)) break;
     const remainingMilliseconds = admitted.deadline - now;
-    const canFailOver = isRepeatable && sentCount + 1 < route.attempts && candidates.length > 1;
+    const canFailOver = isRepeatable && sentCount + 1 < route.attempts;
     const attemptTimeoutMilliseconds = route.objectiveMilliseconds * ATTEMPT_TIMEOUT_OBJECTIVES;
     upstreams.requestStarted(id);
     trace.attempts += 1;
@@ -179,7 +200,7 @@
       request,
       { id, address, startedAt },
       timeoutMilliseconds,
-      () => !canFailOver || takeRetry(sentCount + 1),
+      () => !canFailOver || hasSuccessor(),
     );
     upstreams.requestEnded(id);
     recordVerdict(entry, request, id, outcome, now);
