--- a/packages/gateway/__tests__/silentPlainUpstream.spec.ts
+++ b/packages/gateway/__tests__/silentPlainUpstream.spec.ts
@@ -158,4 +158,14 @@
     assert.equal(second.requests, 0);
     assert.equal(body, 'late');
   });
+
+  it('is answered by it when the other upstream is full', async () => {
+    await using first = await startUpstream(answerLate);
+    await using second = await startUpstream((response) => {
+      response.statusCode = 503;
+      sendAnswer(response, 'full');
+    });
+    const { body } = await playRequest([first.address, second.address], true);
+    assert.equal(body, 'late');
+  });
 });
