--- a/packages/gateway/src/entryBuffered.ts
+++ b/packages/gateway/src/entryBuffered.ts
@@ -171,8 +171,9 @@
     }
   };
 
-  /** At most one upstream, for which a silent one may be given up. */
+  /** The upstream that gets the request next, if it was chosen to replace a silent one; or empty. */
   const successors: UpstreamRecord[] = [];
+  /** True if a silent upstream may be given up: another one and a retry are at hand. */
   const hasSuccessor = (): boolean => {
     const successor = successors.pop() ?? chooseNext();
     if (successor === null) return false;
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -94,7 +94,7 @@
     },
     dialect,
   );
-  // A stream that cannot continue at another engine has no use for silence.
+  // Silence matters only where another engine could take the stream over.
   const silenceTimeoutMilliseconds = route.resumable
     ? Math.max(
         MINIMUM_SILENCE_TIMEOUT_MILLISECONDS,
