refactor(gateway): the timer for silence and the progress of a stream in modules of their own

streamAttempt and entryStream had grown past 300 lines with state that belongs to neither: when an engine counts as silent, and what the caller has received. streamSilence and streamProgress hold these; no behaviour changes.

--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -9,6 +9,7 @@
 import type { EntryRequest } from './entryRequest.js';
 import { startStream, type RunningStream, type StreamObserver } from './streamAttempt.js';
 import { runWithHandover, type EndedStream, type IncompleteStream } from './streamHandover.js';
+import { createStreamProgress } from './streamProgress.js';
 import { restingRefusal } from './upstreamRests.js';
 
 /** Minimum remaining time for starting a stream, in milliseconds. */
@@ -33,13 +34,6 @@
   readonly reason: string;
 }
 
-/** Events forwarded so far; prevents duplicates and gaps when a stream is resumed. */
-interface Progress {
-  lastEventId: number | null;
-  events: number;
-  lastEventAt: number | null;
-}
-
 /** Attempts that have ended. */
 interface AttemptTally {
   sent: number;
@@ -62,7 +56,7 @@
   const { route, service } = admitted;
   const triedEngines = new Set<string>();
   const sentAt = new Map<string, Milliseconds>();
-  const progress: Progress = { lastEventId: null, events: 0, lastEventAt: null };
+  const progress = createStreamProgress(request, time);
   const engine = clusterView.table?.service(service)?.engine ?? null;
   const attempts: AttemptTally = {
     sent: 0,
@@ -96,25 +90,6 @@
           readTokensPerSecond: engine?.readTokensPerSecond ?? 0,
         });
 
-  const caller: Omit<StreamObserver, 'silent'> = {
-    head: (status, rawHeaders) => {
-      trace.firstByteMilliseconds ??= time.now() - request.arrivedAt;
-      answer.sendHeaders(status, rawHeaders);
-    },
-    event: (bytes, id) => {
-      if (id !== null) progress.lastEventId = id;
-      progress.events += 1;
-      const eventAt = time.now();
-      const pause = eventAt - (progress.lastEventAt ?? eventAt);
-      trace.longestPauseMilliseconds = Math.max(trace.longestPauseMilliseconds, pause);
-      progress.lastEventAt = eventAt;
-      return answer.write(bytes);
-    },
-    onDrain: (resume) => {
-      answer.onDrain(resume);
-    },
-  };
-
   const start = (slot: GrantedSlot, observer: StreamObserver): RunningStream => {
     triedEngines.add(slot.engine);
     sentAt.set(slot.engine, time.now());
@@ -244,9 +219,8 @@
       start,
       claimSuccessor,
       maySendAgain: () => canAttempt(1) && takeRetry(1),
-      // A resuming engine repeats no events; a wrong id must still not reach the caller.
-      isNew: (id) => id === null || progress.lastEventId === null || id > progress.lastEventId,
-      caller,
+      isNew: (id) => progress.isNew(id),
+      caller: progress.caller,
       ended: recordEnd,
       givenUp: recordGivenUp,
     });
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -12,17 +12,9 @@
 } from './attemptOutcome.js';
 import type { AnswerHeaders, HeaderMap } from './dialect.js';
 import { leavingOutcome } from './upstreamDepartures.js';
+import { startSilenceTimer } from './streamSilence.js';
 import { mayServeVersion, mustBeginBy } from './versionRule.js';
 
-/** Time without a first event after which an engine counts as silent, in milliseconds. */
-const FIRST_EVENT_TIMEOUT_MILLISECONDS = 1_700;
-
-/** The same between events, in multiples of the route's usual pause. */
-const SILENCE_TIMEOUT_PAUSES = 3;
-
-/** Minimum time between events after which an engine counts as silent, in milliseconds. */
-const MINIMUM_SILENCE_TIMEOUT_MILLISECONDS = 900;
-
 /** Maximum size of one event, in bytes. */
 const MAXIMUM_EVENT_BYTES = 256 * 1024;
 
@@ -94,20 +86,11 @@
     },
     dialect,
   );
-  // Silence matters only where another engine could take the stream over.
-  const silenceTimeoutMilliseconds = route.resumable
-    ? Math.max(
-        MINIMUM_SILENCE_TIMEOUT_MILLISECONDS,
-        route.pauseMilliseconds * SILENCE_TIMEOUT_PAUSES,
-      )
-    : null;
   const { resolve, promise } = createDeferred<StreamAttemptOutcome>();
   const splitter = createEventSplitter();
   let sent = false;
   let isTooLateToBegin = false;
-  let isSilent = false;
   let isPaused = false;
-  let isSettled = false;
   let isVersionSuperseded = false;
   let isLeaving = false;
   let hasBegunToRest = false;
@@ -116,39 +99,32 @@
   let isFramed = false;
   let bufferedParts: Buffer[] | null = null;
   let bufferedBytes = 0;
-  let silenceTimer: NodeJS.Timeout | undefined;
   let beginTimer: NodeJS.Timeout | undefined;
 
+  // Silence matters only where another engine could take the stream over.
+  const silence = route.resumable
+    ? startSilenceTimer(route.pauseMilliseconds, () => {
+        observer.silent();
+      })
+    : null;
+
   const settle = (outcome: StreamAttemptOutcome): void => {
-    clearTimeout(silenceTimer);
+    silence?.stop();
     clearTimeout(beginTimer);
-    isSettled = true;
     resolve(outcome);
   };
-  const restartSilenceTimer = (milliseconds: number): void => {
-    clearTimeout(silenceTimer);
-    silenceTimer = setTimeout(() => {
-      isSilent = true;
-      restartSilenceTimer(silenceTimeoutMilliseconds ?? milliseconds);
-      observer.silent();
-    }, milliseconds);
-  };
-  /** Stops reading until the caller has read what was sent; the engine is not silent meanwhile. */
+  /** Stops reading until the caller has read what was sent. */
   const pauseForCaller = (): void => {
     if (isPaused) return;
     isPaused = true;
+    silence?.pause();
     attempt.pause();
     observer.onDrain(() => {
       isPaused = false;
       attempt.resume();
-      expectNextEvent();
+      silence?.resume();
     });
   };
-  const expectNextEvent = (): void => {
-    clearTimeout(silenceTimer);
-    if (isPaused || isSettled || silenceTimeoutMilliseconds === null) return;
-    restartSilenceTimer(silenceTimeoutMilliseconds);
-  };
   const fail = (reason: string): void => {
     // Aborting reports a lost connection, for which the engine is not to blame.
     settle({ kind: 'broken', verdict: 'failed', reason });
@@ -175,19 +151,17 @@
         fail('an event without an id cannot continue the stream');
         return;
       }
-      isSilent = false;
+      // A stalled upstream may send a byte now and then, so only whole events count as progress.
+      silence?.eventReceived();
       clearTimeout(beginTimer);
       if (!hasReceivedEvent) observer.head(head.status, head.raw);
       hasReceivedEvent = true;
       if (!observer.event(event, id)) pauseForCaller();
     }
     if (splitter.pendingBytes > MAXIMUM_EVENT_BYTES) fail('an event exceeds the size limit');
-    // A stalled upstream may send a byte now and then, so only whole events count as progress.
-    else if (events.length > 0) expectNextEvent();
   };
 
   const beginBy = mustBeginBy(slot.version, clusterView.weightsOf(caller.model), settings.bounds);
-  if (route.resumable) restartSilenceTimer(FIRST_EVENT_TIMEOUT_MILLISECONDS);
   if (Number.isFinite(beginBy)) {
     beginTimer = setTimeout(
       () => {
@@ -297,7 +271,7 @@
   return {
     outcome: promise,
     get isSilent() {
-      return isSilent;
+      return silence?.isSilent === true;
     },
     abort: () => {
       attempt.abort();
