--- a/packages/daemon/src/attemptAnswer.ts
+++ b/packages/daemon/src/attemptAnswer.ts
@@ -2,11 +2,14 @@
 import type { AttemptItem, AttemptStart } from '@burdockrail/protocol/protocolAttempt.js';
 import type { Dispatcher } from 'undici';
 import { AttemptError, connectionLostError, sendError } from './attemptFailure.js';
+import {
+  firstHeaderValue,
+  namedLimit,
+  requestedRest,
+  saysLeaving,
+} from './attemptAnswerHeaders.js';
 import { createEventSplitter, chooseEventAction } from './attemptEvents.js';
 import {
-  LEAVING_HEADER,
-  REQUESTS_PER_SECOND_HEADER,
-  RETRY_AFTER_HEADER,
   WEIGHTS_DIGEST_HEADER,
   REQUEST_ID_HEADER,
   endToEndHeaders,
@@ -20,11 +23,6 @@
 /** Largest answer that is buffered completely before its head is forwarded, in bytes. */
 const MAXIMUM_BUFFERED_BYTES = 256 * 1024;
 
-const MILLISECONDS_PER_SECOND = 1_000;
-
-/** HTTP status of a refusal that may ask for a rest. */
-const UNAVAILABLE_STATUS = 503;
-
 /** Lowest HTTP status of a server error. */
 const SERVER_ERROR_STATUS = 500;
 
@@ -36,11 +34,6 @@
 
 type Response = Dispatcher.ResponseData;
 
-function firstHeaderValue(response: Response, name: string): string | undefined {
-  const value = response.headers[name];
-  return typeof value === 'string' ? value : value?.[0];
-}
-
 function isEventStream(response: Response): boolean {
   return firstHeaderValue(response, 'content-type')?.startsWith('text/event-stream') ?? false;
 }
@@ -59,34 +52,6 @@
   return isChunked && firstHeaderValue(response, 'connection')?.toLowerCase() !== 'close';
 }
 
-function namedLimit(response: Response): number | null {
-  const requestsPerSecond = Number(
-    firstHeaderValue(response, REQUESTS_PER_SECOND_HEADER) ?? Number.NaN,
-  );
-  return requestsPerSecond >= 0 && Number.isFinite(requestsPerSecond) ? requestsPerSecond : null;
-}
-
-/** Reports an answer that says that the upstream leaves, unless it belongs to another attempt. */
-function reportLeaving(
-  { departure }: UpstreamAnswerOptions,
-  incarnation: number,
-  start: AttemptStart,
-  response: Response,
-): void {
-  const requestId = firstHeaderValue(response, REQUEST_ID_HEADER);
-  if (requestId !== undefined && requestId !== start.attemptId) return;
-  if (firstHeaderValue(response, LEAVING_HEADER) === '1') departure.record(incarnation);
-}
-
-/** Returns the rest that a refusal asks for, in milliseconds; `null` for any other answer. */
-function requestedRest(start: AttemptStart, response: Response): number | null {
-  const requestId = firstHeaderValue(response, REQUEST_ID_HEADER);
-  const isAnotherRequest = requestId !== undefined && requestId !== start.attemptId;
-  if (response.statusCode !== UNAVAILABLE_STATUS || isAnotherRequest) return null;
-  const seconds = Number(firstHeaderValue(response, RETRY_AFTER_HEADER) ?? Number.NaN);
-  return seconds > 0 ? seconds * MILLISECONDS_PER_SECOND : null;
-}
-
 function checkAttemptId(start: AttemptStart, response: Response): void {
   const requestId = firstHeaderValue(response, REQUEST_ID_HEADER);
   if (requestId === start.attemptId) return;
@@ -131,6 +96,18 @@
   readonly isResting: () => boolean;
 }
 
+/** Reports what an answer says of the upstream beside its outcome. */
+function reportUpstreamState(
+  { departure, onRest }: UpstreamAnswerOptions,
+  incarnation: number,
+  attemptId: string,
+  response: Response,
+): void {
+  const restMilliseconds = requestedRest(attemptId, response);
+  if (restMilliseconds !== null) onRest(restMilliseconds);
+  if (saysLeaving(attemptId, response)) departure.record(incarnation);
+}
+
 async function* readBody(
   options: UpstreamAnswerOptions,
   response: Response,
@@ -241,9 +218,7 @@
     const hasCrashed = !(await options.upstream.isReachable());
     throw new AttemptError(ResultCode.AnswerIncomplete, 'unknown', detail, hasCrashed);
   }
-  reportLeaving(options, incarnation, start, response);
-  const restMilliseconds = requestedRest(start, response);
-  if (restMilliseconds !== null) options.onRest(restMilliseconds);
+  reportUpstreamState(options, incarnation, start.attemptId, response);
   if (response.statusCode !== 200) {
     await response.body.dump();
     // An upstream that no longer knows a stream it was sending has restarted.
@@ -314,11 +289,8 @@
   }
   // Destroying the body of a rejected answer emits an error, which would otherwise be unhandled.
   response.body.on('error', () => undefined);
-  const restMilliseconds = requestedRest(start, response);
-  if (restMilliseconds !== null) options.onRest(restMilliseconds);
+  reportUpstreamState(options, incarnation, start.attemptId, response);
   try {
-    // An upstream may refuse an attempt without its id.
-    reportLeaving(options, incarnation, start, response);
     checkAttemptId(start, response);
     options.onLimit(namedLimit(response));
     checkDigest(start, response, options.allowsDigest);
