--- a/packages/gateway/__tests__/restingUpstreamsFixture.ts
+++ b/packages/gateway/__tests__/restingUpstreamsFixture.ts
@@ -5,16 +5,14 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
-import { createServer as createTcpServer, type AddressInfo } from 'node:net';
+import { type AddressInfo } from 'node:net';
 import type { DisposalStack } from '@burdockrail/common/disposalStack.js';
 import type { EngineRest } from '@burdockrail/protocol/protocolDirectory.js';
 import type { EntryContext } from '../src/entryContext.js';
-import { startEntryServer } from '../src/entryServer.js';
-import { createEntrySlots } from '../src/entrySlots.js';
 import { createEntryUpstreams } from '../src/entryUpstreams.js';
-import type { EntrySettings } from '../src/gatewaySettings.js';
 import { createUpstreamConnections } from '../src/upstreamConnections.js';
 import { createEntryContext } from './entryContextFixture.js';
+import { listenAtFreePort } from './entryRequestFixture.js';
 
 const HOST = '127.0.0.1';
 const AGENT_PORT = 7_701;
@@ -170,18 +168,7 @@
     },
     settings: { ...base.settings, dataCentre: 'north' },
   });
-  const listener = createTcpServer().listen(0, HOST);
-  await once(listener, 'listening');
-  const { port } = listener.address() as AddressInfo;
-  listener.close();
-  await once(listener, 'close');
-  disposables.use(
-    await startEntryServer(
-      entry,
-      { listen: { host: HOST, port } } as unknown as EntrySettings,
-      createEntrySlots(entry, AGENT_PORT),
-    ),
-  );
+  const port = await listenAtFreePort(disposables, entry, AGENT_PORT);
   let asked = 0;
   return {
     upstreams,
--- a/packages/gateway/__tests__/silentStreamFixture.ts
+++ b/packages/gateway/__tests__/silentStreamFixture.ts
@@ -3,11 +3,11 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import type { AttemptVerdict } from '@burdockrail/routing/upstreamHealthTracker.js';
 import type { EntryContext } from '../src/entryContext.js';
-import type { EntryRequest } from '../src/entryRequest.js';
 import type { EntrySlots, SlotOutcome } from '../src/entrySlots.js';
 import { runStream } from '../src/entryStream.js';
 import { createUpstreamConnections } from '../src/upstreamConnections.js';
 import { createEntryContext, createSlot } from './entryContextFixture.js';
+import { createPlayedRequest } from './entryRequestFixture.js';
 
 const REQUEST_ID = 'request-1';
 
@@ -159,18 +159,10 @@
   let headersSent = false;
   let state = 'open';
   let end: Played['end'] = 'none';
-  const request = {
+  const request = createPlayedRequest({
     id: REQUEST_ID,
-    method: 'GET',
-    target: '/',
-    headers: [],
-    body: null,
-    caller: { model: 'm', promptTokens: 1, sharedParts: [] },
-    traits: { content: 'c', parts: ['p'] },
-    arrivedAt: performance.now(),
-    elapsedMilliseconds: 0,
     signal,
-    trace: { attempts: 0, upstreams: [], firstByteMilliseconds: null, cause: '' },
+    route: { pauseMilliseconds: 100, resumable: true, attempts, objectiveMilliseconds: 500 },
     answer: {
       get state() {
         return state;
@@ -206,13 +198,7 @@
         end = 'destroyed';
       },
     },
-    admitted: {
-      service: 's',
-      team: null,
-      deadline: performance.now() + 10_000,
-      route: { pauseMilliseconds: 100, resumable: true, attempts, objectiveMilliseconds: 500 },
-    },
-  } as unknown as EntryRequest;
+  });
   await runStream(entry, slots, request);
   return { received, end, verdicts, unreleased };
 }
--- a/packages/gateway/__tests__/twoUpstreamEntry.ts
+++ b/packages/gateway/__tests__/twoUpstreamEntry.ts
@@ -15,13 +15,11 @@
   UpstreamRecord,
 } from '@burdockrail/protocol/protocolDirectory.js';
 import type { EntryContext } from '../src/entryContext.js';
-import { startEntryServer } from '../src/entryServer.js';
-import { createEntrySlots } from '../src/entrySlots.js';
 import { createEntryUpstreams } from '../src/entryUpstreams.js';
-import type { EntrySettings } from '../src/gatewaySettings.js';
 import { createUpstreamConnections } from '../src/upstreamConnections.js';
 import { createUpstreamDepartures } from '../src/upstreamDepartures.js';
 import { createEntryContext } from './entryContextFixture.js';
+import { listenAtFreePort } from './entryRequestFixture.js';
 
 const HOST = '127.0.0.1';
 const AGENT_PORT = 7_701;
@@ -174,18 +172,7 @@
       notify: ignore,
     } as unknown as EntryContext['client'],
   });
-  const listener = createServer().listen(0, HOST);
-  await once(listener, 'listening');
-  const { port } = listener.address() as AddressInfo;
-  listener.close();
-  await once(listener, 'close');
-  disposables.use(
-    await startEntryServer(
-      entry,
-      { listen: { host: HOST, port } } as unknown as EntrySettings,
-      createEntrySlots(entry, AGENT_PORT),
-    ),
-  );
+  const port = await listenAtFreePort(disposables, entry, AGENT_PORT);
   return {
     near,
     far,
