fix(daemon): stored records count only once they are written again after a failed sync

What callers saw: nothing yet. A replica that started again took whatever read back for stored. If the sync of a vote had failed or had not begun when its process ended, a loss of power later took the vote back, and the replica could vote twice in a term.

Cause: what reads back is in memory; a sync that succeeds after a failed one says nothing about the pages before it.

Evidence: storageFaults.spec.ts has a disk that loses pages and names.

An empty folder is probed by a write. So a storage is opened only on a disk that takes writes.

--- a/packages/cli/src/dataFolderInspection.ts
+++ b/packages/cli/src/dataFolderInspection.ts
@@ -77,7 +77,7 @@
   });
   if (folder === null)
     throw new ResultError(ResultCode.SettingsUnreadable, `${path} contains no replica state`);
-  const { stored, incarnation, cutTo } = folder;
+  const { stored, incarnation, validLog, hasIncompleteTail } = folder;
   const { groupId, membership, index } = latestMembership(stored);
   return {
     group,
@@ -90,7 +90,7 @@
     lastIndex: stored.entries.at(-1)?.index ?? index,
     voters: membership.voters.map(({ id }) => id),
     learners: membership.learners.map(({ id }) => id),
-    soundBytes: cutTo,
+    soundBytes: hasIncompleteTail ? validLog.length : null,
     configuration: group === FLEET_GROUP ? latestConfiguration(stored) : null,
   };
 }
--- a/packages/daemon/src/storageFiles.ts
+++ b/packages/daemon/src/storageFiles.ts
@@ -1,9 +1,21 @@
 import { open, rename, type FileHandle } from 'node:fs/promises';
 import { dirname } from 'node:path';
 
+/** Operations through which a storage changes its files. */
+export interface StorageFileSystem {
+  readonly open: typeof open;
+  readonly rename: typeof rename;
+}
+
+/** File system of the machine. */
+export const machineFileSystem: StorageFileSystem = { open, rename };
+
+/** Suffix of a file that replaces another one once it is complete. */
+const TEMPORARY_SUFFIX = '.new';
+
 /** Syncs a folder, which makes created and renamed files in it durable. */
-export async function syncFolder(folder: string): Promise<void> {
-  const handle = await open(folder, 'r');
+export async function syncFolder(fileSystem: StorageFileSystem, folder: string): Promise<void> {
+  const handle = await fileSystem.open(folder, 'r');
   try {
     await handle.sync();
   } finally {
@@ -12,8 +24,12 @@
 }
 
 /** Writes a file and syncs its content; its name is durable only after {@link syncFolder}. */
-export async function writeAndSyncFile(path: string, bytes: Uint8Array): Promise<void> {
-  const handle: FileHandle = await open(path, 'w');
+export async function writeAndSyncFile(
+  fileSystem: StorageFileSystem,
+  path: string,
+  bytes: Uint8Array,
+): Promise<void> {
+  const handle: FileHandle = await fileSystem.open(path, 'w');
   try {
     await handle.writeFile(bytes);
     await handle.sync();
@@ -23,9 +39,13 @@
 }
 
 /** Replaces a file by a rename; after a crash, either the old or the new content is complete. */
-export async function replaceFileAtomically(path: string, bytes: Uint8Array): Promise<void> {
-  const temporaryPath = `${path}.new`;
-  await writeAndSyncFile(temporaryPath, bytes);
-  await rename(temporaryPath, path);
-  await syncFolder(dirname(path));
+export async function replaceFileAtomically(
+  fileSystem: StorageFileSystem,
+  path: string,
+  bytes: Uint8Array,
+): Promise<void> {
+  const temporaryPath = `${path}${TEMPORARY_SUFFIX}`;
+  await writeAndSyncFile(fileSystem, temporaryPath, bytes);
+  await fileSystem.rename(temporaryPath, path);
+  await syncFolder(fileSystem, dirname(path));
 }
--- a/packages/daemon/src/storageLog.ts
+++ b/packages/daemon/src/storageLog.ts
@@ -1,9 +1,15 @@
-import { mkdir, open, readdir, rm, type FileHandle } from 'node:fs/promises';
+import { mkdir, readdir, rm, type FileHandle } from 'node:fs/promises';
 import { join } from 'node:path';
 import type { StoredRecord } from '@burdockrail/agreement/replicaEffect.js';
 import { decodeBody, encodeBody } from '@burdockrail/transport/frameCodec.js';
 import { encodeBatch } from './storageBatch.js';
-import { replaceFileAtomically, syncFolder, writeAndSyncFile } from './storageFiles.js';
+import {
+  machineFileSystem,
+  replaceFileAtomically,
+  syncFolder,
+  writeAndSyncFile,
+  type StorageFileSystem,
+} from './storageFiles.js';
 import type { GroupStorage } from './groupStorage.js';
 import {
   LOG_FILE_PREFIX,
@@ -11,6 +17,7 @@
   readStorageFolder,
   SNAPSHOT_FILE,
   type SnapshotFileContent,
+  type StoredFolder,
 } from './storageReader.js';
 
 type SnapshotRecord = Extract<StoredRecord, { readonly kind: 'snapshot' }>;
@@ -40,6 +47,32 @@
   ];
 }
 
+/** File that is written to an empty folder to see whether the disk accepts it. */
+const PROBE_FILE = 'probe';
+
+async function probeWrite(fileSystem: StorageFileSystem, folder: string): Promise<void> {
+  const path = join(folder, PROBE_FILE);
+  await writeAndSyncFile(fileSystem, path, Buffer.from(PROBE_FILE));
+  await rm(path);
+}
+
+/**
+ * Replaces the files by synced copies of their valid content.
+ *
+ * @remarks
+ * What reads back may be in memory only: its sync may have failed or never have begun, and after a
+ * failed sync a later one of the same file succeeds without the lost pages. The log comes first,
+ * since a snapshot file whose rename was not synced may be followed by that of its log.
+ */
+async function rewriteFiles(
+  fileSystem: StorageFileSystem,
+  folder: string,
+  { generation, validLog, snapshotFile }: StoredFolder,
+): Promise<void> {
+  await replaceFileAtomically(fileSystem, join(folder, logFileName(generation)), validLog);
+  await replaceFileAtomically(fileSystem, join(folder, SNAPSHOT_FILE), snapshotFile);
+}
+
 /** Options of {@link openStorageLog}. */
 export interface StorageLogOptions {
   readonly folder: string;
@@ -47,6 +80,7 @@
   readonly freshIncarnation: string;
   /** Called after an unsynced batch was truncated, with the length of the valid log in bytes. */
   readonly onTailCut: (validBytes: number) => void;
+  readonly fileSystem?: StorageFileSystem;
 }
 
 /**
@@ -57,14 +91,18 @@
  * number. Each new snapshot starts a new log: the log is written first, then a rename replaces the
  * snapshot file.
  *
+ * After a failed write the storage accepts no more records, because the content of its files is
+ * unknown; opened again, it continues with the records that are complete, as after a restart.
+ *
  * @throws `ResultError` with `StorageCorrupt` if synced data fails its checksum or the log is
- * missing.
+ * missing, and an error of the file system if the disk refuses writes.
  */
 export async function openStorageLog(options: StorageLogOptions): Promise<GroupStorage> {
-  const { folder, freshIncarnation, onTailCut } = options;
+  const { folder, freshIncarnation, onTailCut, fileSystem = machineFileSystem } = options;
   await mkdir(folder, { recursive: true });
   const storedFolder = await readStorageFolder(folder);
   const incarnation = storedFolder?.incarnation ?? freshIncarnation;
+  const storedReplica = storedFolder?.stored ?? null;
   let generation = storedFolder?.generation ?? 0;
   let logFile: FileHandle | null = null;
   let pendingAppends: PendingAppend[] = [];
@@ -73,7 +111,7 @@
 
   const openLogFile = async (): Promise<void> => {
     await logFile?.close();
-    logFile = await open(join(folder, logFileName(generation)), 'a');
+    logFile = await fileSystem.open(join(folder, logFileName(generation)), 'a');
   };
 
   const startNextGeneration = async (encoded: Buffer): Promise<void> => {
@@ -81,15 +119,15 @@
     // The state behind the snapshot may have changed since submission; the encoded copy has not.
     const [record] = decodeBody(encoded) as readonly [SnapshotRecord];
     const firstBatch = encodeBatch([encodeBody(initialLogRecords(record))]);
-    await writeAndSyncFile(join(folder, logFileName(nextGeneration)), firstBatch);
+    await writeAndSyncFile(fileSystem, join(folder, logFileName(nextGeneration)), firstBatch);
     const content: SnapshotFileContent = {
       incarnation,
       generation: nextGeneration,
       snapshot: record.snapshot,
     };
     const snapshotBatch = encodeBatch([encodeBody(content)]);
-    await syncFolder(folder);
-    await replaceFileAtomically(join(folder, SNAPSHOT_FILE), snapshotBatch);
+    await syncFolder(fileSystem, folder);
+    await replaceFileAtomically(fileSystem, join(folder, SNAPSHOT_FILE), snapshotBatch);
     generation = nextGeneration;
     await openLogFile();
     await removeStaleLogs(folder, generation);
@@ -124,7 +162,7 @@
         await processAppends(appends);
         for (const append of appends) append.resolve();
       } catch (error) {
-        // The content of the file is unknown after a failed sync, so all later appends fail too.
+        // The content of the file is unknown now; later appends fail until the storage is reopened.
         writeError = error;
         for (const append of appends) append.reject(error);
       }
@@ -132,20 +170,17 @@
     drainInProgress = null;
   };
 
-  if (storedFolder !== null) {
+  if (storedFolder === null) await probeWrite(fileSystem, folder);
+  else {
+    await rewriteFiles(fileSystem, folder, storedFolder);
     await removeStaleLogs(folder, generation);
     await openLogFile();
-  }
-  const cutTo = storedFolder?.cutTo ?? null;
-  if (cutTo !== null) {
-    await (logFile as FileHandle | null)?.truncate(cutTo);
-    await (logFile as FileHandle | null)?.sync();
-    onTailCut(cutTo);
+    if (storedFolder.hasIncompleteTail) onTailCut(storedFolder.validLog.length);
   }
 
   return {
     incarnation,
-    storedReplica: storedFolder?.stored ?? null,
+    storedReplica,
     durable: true,
     append: async (records) =>
       new Promise((resolve, reject) => {
--- a/packages/daemon/src/storageReader.ts
+++ b/packages/daemon/src/storageReader.ts
@@ -52,8 +52,12 @@
   readonly incarnation: string;
   readonly generation: number;
   readonly stored: StoredReplica;
-  /** Length in bytes to which the log has to be truncated; `null` if all of it is valid. */
-  readonly cutTo: number | null;
+  /** Content of the snapshot file. */
+  readonly snapshotFile: Uint8Array;
+  /** Valid content of the log file. */
+  readonly validLog: Uint8Array;
+  /** Whether the log file has an incomplete batch after its valid content. */
+  readonly hasIncompleteTail: boolean;
 }
 
 /**
@@ -74,6 +78,12 @@
     const records = decodeBody(Buffer.from(payload)) as readonly StoredRecord[];
     for (const record of records) stored = applyStoredRecord(stored, record);
   }
-  const cutTo = validBytes === log.length ? null : validBytes;
-  return { incarnation, generation, stored, cutTo };
+  return {
+    incarnation,
+    generation,
+    stored,
+    snapshotFile: file,
+    validLog: log.subarray(0, validBytes),
+    hasIncompleteTail: validBytes < log.length,
+  };
 }
