fix(daemon, gateway): a replica takes part again once its disk has room

What callers saw: after the disk of each control replica had been full for a few seconds, one after another, changes were refused or timed out from then on, while all processes ran. Where upstreams announce themselves, the process ended instead a second after its first refused write.

Cause: the first failed write of a log stopped its replica for good (storageLog keeps the error, groupHost stopped with it), and the stopped replica went on saying that it leads, or who led when it stopped. The class: a state that one failure sets and nothing ends.

Evidence, on the former code: proofs/fullDisks "an answer to order-4: timed out after 20000 ms: configuration.apply", with the second disk full; platform/fullDisks "prlimit: failed to get old FSIZE limit: No such process", because core-11 had ended. Both fill disks of real processes by a limit of the size of files.

Change: a replica whose storage fails withdraws. It answers what it was asked with "unknown" at once, refuses further proposals, names as leader only whom it hears from, and is created again from its storage, as after a restart, as soon as that can be opened (100 ms to 1 s between tries). The committed state that a process shows and its age are kept until the new replica has applied as much. A start with a full disk waits in the same way, and promises nothing to those that form a group meanwhile. Corrupt data stays an error, also when it is found at a reopening. Seen by 3005 groupStorageFailed, 3008 groupStorageRecovered (with its duration), 3009 groupStorageCorrupt, the role "withdrawn" in the status, and the gauge burdockrail_storage_failed of the gateway.

--- a/packages/daemon/src/groupFormationGuard.ts
+++ b/packages/daemon/src/groupFormationGuard.ts
@@ -1,5 +1,5 @@
 import type { GroupForm, GroupFormReply } from '@burdockrail/protocol/protocolAgreement.js';
-import type { GroupHost } from './groupHost.js';
+import type { GroupHost } from './groupHostTypes.js';
 
 /** Ensures that a replica without a group becomes a member of at most one formation. */
 export interface FormationGuard {
@@ -23,6 +23,7 @@
       const { groupId, members, final } = request;
       const currentGroupId = host.replica.groupId;
       if (currentGroupId !== null) return { accepted: currentGroupId === groupId };
+      if (host.replica.role === 'withdrawn') return { accepted: false };
       if (!includesThisReplica(request) || groupId < promisedGroupId) return { accepted: false };
       if (final && groupId !== promisedGroupId) return { accepted: false };
       promisedGroupId = groupId;
--- a/packages/daemon/src/groupHost.ts
+++ b/packages/daemon/src/groupHost.ts
@@ -1,121 +1,142 @@
-import { memberId, slotOf, type Membership } from '@burdockrail/agreement/groupMembership.js';
-import { createReplica, type Replica, type ReplicaStatus } from '@burdockrail/agreement/replica.js';
+import {
+  memberId,
+  type MemberId,
+  type Membership,
+} from '@burdockrail/agreement/groupMembership.js';
+import { createReplica, type Replica } from '@burdockrail/agreement/replica.js';
 import type { ReplicaEffect } from '@burdockrail/agreement/replicaEffect.js';
-import type { MembershipRepair } from '@burdockrail/agreement/replicaState.js';
 import type { ReplicaMessage } from '@burdockrail/agreement/replicaMessage.js';
-import type { AnyReplicatedState } from '@burdockrail/agreement/replicaState.js';
-import { defaultReplicaTiming, type ReplicaTiming } from '@burdockrail/agreement/replicaTiming.js';
+import { defaultReplicaTiming } from '@burdockrail/agreement/replicaTiming.js';
 import { assertNever } from '@burdockrail/common/assertNever.js';
 import { failure, type Outcome } from '@burdockrail/common/outcome.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
-import type { Address } from '@burdockrail/protocol/protocolAddress.js';
-import type { GroupStatus } from '@burdockrail/protocol/protocolConfiguration.js';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { createController } from './controller.js';
-import type { DaemonContext } from './daemonRole.js';
-import { createGroupReport } from './groupReport.js';
+import type { GroupHost, GroupHostOptions } from './groupHostTypes.js';
+import { createGroupReport, type GroupReport } from './groupReport.js';
 import { encodeReplicaMessage } from './groupWire.js';
 import type { GroupStorage } from './groupStorage.js';
+import { createShownState } from './shownState.js';
+import { isRefusedWrite, reopenStorage } from './storageRecovery.js';
+import {
+  createWithdrawnReplica,
+  type HostedReplicaStatus,
+  type WithdrawnReplica,
+} from './withdrawnReplica.js';
 
 /** Interval between ticks of a replica, in milliseconds. */
 const TICK_INTERVAL_MILLISECONDS = 50;
 
+/** A replica with the storage from which it was created. */
+interface HostedReplica {
+  readonly member: MemberId;
+  readonly replica: Replica;
+  readonly storage: GroupStorage;
+  readonly report: GroupReport;
+}
+
 /** Messages that the controller of a replica handles. */
 type HostMessage =
   | { readonly kind: 'tick' }
   | { readonly kind: 'received'; readonly message: ReplicaMessage }
-  | { readonly kind: 'persisted'; readonly sequence: number }
+  | { readonly kind: 'persisted'; readonly hosted: HostedReplica; readonly sequence: number }
   | { readonly kind: 'propose'; readonly requestId: number; readonly command: unknown }
   | { readonly kind: 'query'; readonly requestId: number; readonly query: unknown }
   | { readonly kind: 'formGroup'; readonly groupId: string; readonly membership: Membership };
 
-/** Parts of the process context that a replica's host needs. */
-export type GroupHostContext = Pick<
-  DaemonContext,
-  'time' | 'random' | 'log' | 'client' | 'actors'
-> & {
-  /** Slot of this process. */
-  readonly settings: { readonly name: string };
-};
-
-/** Options of {@link createGroupHost}. */
-export interface GroupHostOptions {
-  readonly context: GroupHostContext;
-  readonly group: string;
-  /** Slots known at the start; all slots of the group if these are fixed. */
-  readonly slots: readonly string[];
-  readonly addressOf: (slot: string) => Address | undefined;
-  readonly timing?: ReplicaTiming;
-  readonly repair?: MembershipRepair;
-  /** Owned by the host and disposed of with it. */
-  readonly storage: GroupStorage;
-  readonly state: AnyReplicatedState;
-  /** Called after the state has applied committed commands. */
-  readonly onApplied?: () => void;
-  /** Called once when the storage has failed and the replica has stopped. */
-  readonly onHalted?: () => void;
-}
-
-/** One replica of a quorum group in this process. */
-export interface GroupHost extends AsyncDisposable {
-  readonly group: string;
-  readonly member: string;
-  readonly durable: boolean;
-  readonly status: GroupStatus;
-  readonly replica: ReplicaStatus;
-  /** Time since this replica was last confirmed to be up to date, in milliseconds. */
-  readonly confirmedAgeMilliseconds: number;
-  receive(message: ReplicaMessage): void;
-  /** Proposes a command; failures other than `QuorumUnreachable` mean that it was not proposed. */
-  propose(command: unknown): Promise<Outcome<unknown>>;
-  query(query: unknown): Promise<Outcome<unknown>>;
-  formGroup(groupId: string, membership: Membership): void;
-  /** Answers from the committed state of this replica, which may be stale. */
-  peek(query: unknown): unknown;
+function describeError(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
 }
 
-/** Hosts a replica: passes ticks and messages to it and performs its effects. */
-export function createGroupHost(options: GroupHostOptions): GroupHost {
-  const { context, group, slots, storage, state } = options;
+/**
+ * Hosts a replica: passes ticks and messages to it and performs its effects.
+ *
+ * @throws the error of `openStorage`, unless it means that the disk refuses writes at present.
+ */
+export async function createGroupHost(options: GroupHostOptions): Promise<GroupHost> {
+  const { context, group, openStorage } = options;
   const { settings, time } = context;
-  const member = memberId(settings.name, storage.incarnation);
+  const stop = new AbortController();
   const pendingRequests = new Map<number, (outcome: Outcome<unknown>) => void>();
-  const report = createGroupReport(context, group, member);
+  const shown = createShownState(options.createState());
   let nextRequestId = 1;
-  let isStopped = false;
-
-  const replica: Replica = createReplica({
-    self: { id: member, durable: storage.durable },
-    slots,
-    state,
-    timing: options.timing ?? defaultReplicaTiming,
-    ...(options.repair === undefined ? {} : { repair: options.repair }),
-    random: context.random,
-    stored: storage.storedReplica,
-    now: time.now(),
-  });
+  let latest: HostedReplica | null = null;
+  let withdrawn: WithdrawnReplica | null = createWithdrawnReplica(null);
+  let recovery = Promise.resolve();
 
   const completeRequest = (requestId: number, outcome: Outcome<unknown>): void => {
     pendingRequests.get(requestId)?.(outcome);
     pendingRequests.delete(requestId);
   };
 
-  const halt = (reason: string): void => {
-    isStopped = true;
-    clearInterval(tickTimer);
-    context.log.write('groupStorageFailed', { group, reason });
+  const startReplica = (storage: GroupStorage): void => {
+    const member = memberId(settings.name, storage.incarnation);
+    const replica = createReplica({
+      self: { id: member, durable: storage.durable },
+      slots: options.slots,
+      state: options.createState(),
+      timing: options.timing ?? defaultReplicaTiming,
+      ...(options.repair === undefined ? {} : { repair: options.repair }),
+      random: context.random,
+      stored: storage.storedReplica,
+      now: time.now(),
+    });
+    latest = { member, replica, storage, report: createGroupReport(context, group, member) };
+    withdrawn = null;
+    shown.offer(replica);
+  };
+
+  const logRefusal = (error: unknown): void => {
+    context.log.write('groupStorageFailed', { group, reason: describeError(error) });
+  };
+
+  const close = async (storage: GroupStorage | null): Promise<void> => {
+    try {
+      await storage?.[Symbol.asyncDispose]();
+    } catch (error) {
+      logRefusal(error);
+    }
+  };
+
+  const recover = async (failed: GroupStorage | null, failedAt: Milliseconds): Promise<void> => {
+    try {
+      await close(failed);
+      const { signal } = stop;
+      const storage = await reopenStorage({ openStorage, onRefused: logRefusal, signal });
+      if (storage === null) return;
+      startReplica(storage);
+    } catch (error) {
+      context.log.write('groupStorageCorrupt', { group, reason: describeError(error) });
+      options.onCorrupt?.();
+      return;
+    }
+    const milliseconds = Math.round(time.now() - failedAt);
+    context.log.write('groupStorageRecovered', { group, milliseconds });
+    options.onApplied?.();
+  };
+
+  const withdraw = ({ member, replica, storage }: HostedReplica, error: unknown): void => {
+    logRefusal(error);
+    shown.retire(time.now());
+    withdrawn = createWithdrawnReplica(member, replica.status());
     for (const requestId of [...pendingRequests.keys()]) {
       completeRequest(requestId, failure(ResultCode.QuorumUnreachable));
     }
-    options.onHalted?.();
+    recovery = recover(storage, time.now());
   };
 
-  const persist = (effect: Extract<ReplicaEffect, { readonly kind: 'persist' }>): void => {
-    storage.append(effect.records).then(
+  const isRunning = (hosted: HostedReplica): boolean => hosted === latest && withdrawn === null;
+
+  const persist = (
+    hosted: HostedReplica,
+    effect: Extract<ReplicaEffect, { readonly kind: 'persist' }>,
+  ): void => {
+    hosted.storage.append(effect.records).then(
       () => {
-        controller.send({ kind: 'persisted', sequence: effect.sequence });
+        controller.send({ kind: 'persisted', hosted, sequence: effect.sequence });
       },
       (error: unknown) => {
-        if (!isStopped) halt(error instanceof Error ? error.message : String(error));
+        if (!stop.signal.aborted && isRunning(hosted)) withdraw(hosted, error);
       },
     );
   };
@@ -126,10 +147,10 @@
     context.client.notify(address, 'agreement.message', encodeReplicaMessage(group, message));
   };
 
-  const performEffect = (effect: ReplicaEffect): void => {
+  const performEffect = (hosted: HostedReplica, effect: ReplicaEffect): void => {
     switch (effect.kind) {
       case 'persist':
-        persist(effect);
+        persist(hosted, effect);
         return;
       case 'send':
         send(effect.slot, effect.message);
@@ -138,6 +159,7 @@
         completeRequest(effect.requestId, effect.outcome);
         return;
       case 'applied':
+        shown.offer(hosted.replica);
         options.onApplied?.();
         return;
       default:
@@ -145,7 +167,8 @@
     }
   };
 
-  const handleMessage = (message: HostMessage): readonly ReplicaEffect[] => {
+  const handleMessage = (hosted: HostedReplica, message: HostMessage): readonly ReplicaEffect[] => {
+    const { replica } = hosted;
     const now = time.now();
     switch (message.kind) {
       case 'tick':
@@ -153,7 +176,7 @@
       case 'received':
         return replica.receive(message.message, now);
       case 'persisted':
-        return replica.persisted(message.sequence, now);
+        return message.hosted === hosted ? replica.persisted(message.sequence, now) : [];
       case 'propose':
         return replica.propose(message.requestId, message.command, now);
       case 'query':
@@ -163,26 +186,51 @@
     }
   };
 
+  const step = (message: HostMessage): void => {
+    if (stop.signal.aborted) return;
+    if (withdrawn !== null || latest === null) {
+      if (message.kind === 'received') withdrawn?.receive(message.message);
+      return;
+    }
+    const hosted = latest;
+    for (const effect of handleMessage(hosted, message)) performEffect(hosted, effect);
+    hosted.report.observe(hosted.replica.status());
+  };
+
   const controller = createController<null, HostMessage>(
     context.actors,
     `group-${group.replaceAll('.', '-')}`,
     null,
     (_state, message) => {
-      if (isStopped) return null;
-      for (const effect of handleMessage(message)) performEffect(effect);
-      report.observe(replica.status());
+      step(message);
       return null;
     },
     context.log,
   );
+
+  try {
+    startReplica(await openStorage());
+  } catch (error) {
+    if (!isRefusedWrite(error)) {
+      controller.stop();
+      throw error;
+    }
+    logRefusal(error);
+    recovery = recover(null, time.now());
+  }
   const tickTimer = setInterval(() => {
     controller.send({ kind: 'tick' });
   }, TICK_INTERVAL_MILLISECONDS);
 
+  const currentStatus = (): HostedReplicaStatus =>
+    withdrawn?.status ?? latest?.replica.status() ?? createWithdrawnReplica(null).status;
+
   const sendRequest = async (
     message: (requestId: number) => HostMessage,
   ): Promise<Outcome<unknown>> => {
-    if (isStopped) return failure(ResultCode.GroupNotFormed);
+    if (stop.signal.aborted || currentStatus().groupId === null)
+      return failure(ResultCode.GroupNotFormed);
+    if (withdrawn !== null) return failure(ResultCode.NotLeader);
     const requestId = nextRequestId++;
     return new Promise((resolve) => {
       pendingRequests.set(requestId, resolve);
@@ -192,16 +240,20 @@
 
   return {
     group,
-    member,
-    durable: storage.durable,
+    get member() {
+      return latest?.member ?? null;
+    },
+    get durable() {
+      return latest?.storage.durable ?? true;
+    },
     get status() {
-      return report.toGroupStatus(replica.status());
+      return latest?.report.toGroupStatus(currentStatus()) ?? null;
     },
     get replica() {
-      return replica.status();
+      return currentStatus();
     },
     get confirmedAgeMilliseconds() {
-      return replica.confirmedAge(time.now());
+      return shown.confirmedAge(time.now());
     },
     receive: (message) => {
       controller.send({ kind: 'received', message });
@@ -212,18 +264,13 @@
     formGroup: (groupId, membership) => {
       controller.send({ kind: 'formGroup', groupId, membership });
     },
-    peek: (query) => replica.peek(query),
+    peek: (query) => shown.peek(query),
     [Symbol.asyncDispose]: async () => {
-      isStopped = true;
+      stop.abort();
       clearInterval(tickTimer);
       controller.stop();
-      await storage[Symbol.asyncDispose]();
+      await recovery;
+      await latest?.storage[Symbol.asyncDispose]();
     },
   };
 }
-
-/** Slot of the leader; `null` if it is unknown to the replica. */
-export function leaderSlot(host: GroupHost): string | null {
-  const { leader } = host.replica;
-  return leader === null ? null : slotOf(leader);
-}
--- a/packages/daemon/src/groupHosts.ts
+++ b/packages/daemon/src/groupHosts.ts
@@ -9,7 +9,9 @@
 import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
 import type { DaemonContext } from './daemonRole.js';
 import { createFormationGuard, type FormationGuard } from './groupFormationGuard.js';
-import { createGroupHost, leaderSlot, type GroupHost } from './groupHost.js';
+import { createGroupHost } from './groupHost.js';
+import type { GroupHost } from './groupHostTypes.js';
+import { inspectReplica, leaderSlot } from './groupInspection.js';
 import { FLEET_GROUP, createSortableId } from './groupName.js';
 import { groupNames, groupSlots } from './groupSlots.js';
 import { decodeReplicaMessage } from './groupWire.js';
@@ -70,13 +72,13 @@
     const slots = groupSlots(settings, group);
     if (!slots.some((slot) => slot.name === settings.name)) return;
     const isFleet = group === FLEET_GROUP;
-    const host = createGroupHost({
+    const host = await createGroupHost({
       context,
       group,
       slots: slots.map((slot) => slot.name),
       addressOf: (slotName) => slots.find((slot) => slot.name === slotName)?.address,
-      storage: await openStorage(group),
-      state: isFleet ? createFleetRegister() : options.createLedgerState(),
+      openStorage: async () => openStorage(group),
+      createState: isFleet ? createFleetRegister : options.createLedgerState,
       ...(isFleet ? { onApplied: options.onFleetApplied } : {}),
     });
     hosts.set(group, disposables.use(host));
@@ -86,7 +88,7 @@
 
   return {
     get groups() {
-      return [...hosts.values()].map((host) => host.status);
+      return [...hosts.values()].flatMap((host) => host.status ?? []);
     },
     host: (group) => hosts.get(group),
     start: async () => {
@@ -102,12 +104,7 @@
           const host = requireHost(group);
           return toGroupReply(host, await host.query(query));
         },
-        'group.inspect': async ({ group }) => {
-          const host = requireHost(group);
-          const { member, durable, replica } = host;
-          const { groupId } = replica;
-          return Promise.resolve({ member, durable, groupId, leader: leaderSlot(host) });
-        },
+        'group.inspect': async ({ group }) => Promise.resolve(inspectReplica(requireHost(group))),
         'group.found': async (request) => {
           requireHost(request.group);
           const guard = formationGuards.get(request.group);
--- a/packages/daemon/src/groupReport.ts
+++ b/packages/daemon/src/groupReport.ts
@@ -2,12 +2,13 @@
 import type { ReplicaStatus } from '@burdockrail/agreement/replica.js';
 import type { GroupStatus } from '@burdockrail/protocol/protocolConfiguration.js';
 import type { EventLog } from '@burdockrail/telemetry/eventLog.js';
+import type { HostedReplicaStatus } from './withdrawnReplica.js';
 
 /** Reports the state of a replica to operators. */
 export interface GroupReport {
   /** Writes log events for changes since the last call. */
   observe(status: ReplicaStatus): void;
-  toGroupStatus(status: ReplicaStatus): GroupStatus;
+  toGroupStatus(status: HostedReplicaStatus): GroupStatus;
 }
 
 function formatMembers(status: ReplicaStatus): string {
--- a/packages/gateway/src/controlGroup.ts
+++ b/packages/gateway/src/controlGroup.ts
@@ -5,8 +5,11 @@
   createFormationGuard,
   type FormationGuard,
 } from '@burdockrail/daemon/groupFormationGuard.js';
-import { createGroupHost, leaderSlot, type GroupHost } from '@burdockrail/daemon/groupHost.js';
+import { createGroupHost } from '@burdockrail/daemon/groupHost.js';
+import type { GroupHost } from '@burdockrail/daemon/groupHostTypes.js';
+import { inspectReplica, leaderSlot } from '@burdockrail/daemon/groupInspection.js';
 import { createSortableId } from '@burdockrail/daemon/groupName.js';
+import type { GroupStorage } from '@burdockrail/daemon/groupStorage.js';
 import { decodeReplicaMessage } from '@burdockrail/daemon/groupWire.js';
 import { openStorageLog } from '@burdockrail/daemon/storageLog.js';
 import { createRouteRegister, type RouteRegisterState } from '@burdockrail/fleet/routeRegister.js';
@@ -44,7 +47,8 @@
   readonly context: GatewayContext;
   readonly control: ControlSettings;
   readonly onApplied: () => void;
-  readonly onHalted: () => void;
+  /** Called once if stored data turns out to be corrupt, which ends the replica. */
+  readonly onCorrupt: () => void;
 }
 
 /** This process's replica of the group. */
@@ -75,26 +79,32 @@
 export async function openControlGroup(options: ControlGroupOptions): Promise<ControlGroup> {
   const { context, control } = options;
   const self = formatAddress(control.internal);
-  const storage = await openStorageLog({
-    folder: join(control.dataFolder, ROUTE_GROUP),
-    freshIncarnation: createSortableId(),
-    onTailCut: (soundBytes) => {
-      context.log.write('storageTailCut', { group: ROUTE_GROUP, soundBytes });
-    },
-  });
+  const openStorage = async (): Promise<GroupStorage> =>
+    openStorageLog({
+      folder: join(control.dataFolder, ROUTE_GROUP),
+      freshIncarnation: createSortableId(),
+      onTailCut: (soundBytes) => {
+        context.log.write('storageTailCut', { group: ROUTE_GROUP, soundBytes });
+      },
+    });
   const contacts = [...new Set([self, ...context.settings.seeds.map(formatAddress)])];
-  const host = createGroupHost({
+  const host = await createGroupHost({
     context: { ...context, settings: { name: self } },
     group: ROUTE_GROUP,
     slots: contacts,
     addressOf: parseAddress,
     timing: groupTiming,
     repair: { unresponsiveTimeoutMilliseconds: MEMBER_SILENCE_LIMIT_MILLISECONDS },
-    storage,
-    state: createRouteRegister(),
+    openStorage,
+    createState: createRouteRegister,
     onApplied: options.onApplied,
-    onHalted: options.onHalted,
+    onCorrupt: options.onCorrupt,
   });
+  context.metrics.gauge(
+    'burdockrail_storage_failed',
+    '1 while the disk refuses writes and the replica takes no part in its group.',
+    () => (host.replica.role === 'withdrawn' ? 1 : 0),
+  );
   const founding = createFormationGuard(host);
   return {
     host,
@@ -113,11 +123,7 @@
       calls: {
         'group.propose': async ({ command }) => groupReply(host, await host.propose(command)),
         'group.query': async ({ query }) => groupReply(host, await host.query(query)),
-        'group.inspect': async () => {
-          const { member, durable, replica } = host;
-          const { groupId } = replica;
-          return Promise.resolve({ member, durable, groupId, leader: leaderSlot(host) });
-        },
+        'group.inspect': async () => Promise.resolve(inspectReplica(host)),
         'group.found': async (request) => Promise.resolve(founding.handle(request)),
       },
       notifications: {
--- a/packages/gateway/src/controlRole.ts
+++ b/packages/gateway/src/controlRole.ts
@@ -9,7 +9,7 @@
 import type { GatewayContext, GatewayRole } from './gatewayContext.js';
 import type { ControlSettings } from './gatewaySettings.js';
 
-/** Delay before a process with failed storage exits, in milliseconds: a full disk stays full. */
+/** Delay before a process with corrupt storage exits, in milliseconds; a start fails as well. */
 const EXIT_DELAY_MILLISECONDS = 1_000;
 
 /** Creates the `control` role: control group replica, upstream directory and servers. */
@@ -25,8 +25,7 @@
           onApplied: () => {
             directory.stateChanged();
           },
-          onHalted: () => {
-            // The log can no longer be trusted; after a restart the process reads what was synced.
+          onCorrupt: () => {
             setTimeout(() => process.exit(1), EXIT_DELAY_MILLISECONDS);
           },
         }),
--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -1,7 +1,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { failure, success, type Outcome } from '@burdockrail/common/outcome.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
-import { leaderSlot } from '@burdockrail/daemon/groupHost.js';
+import { leaderSlot } from '@burdockrail/daemon/groupInspection.js';
 import type {
   RouteCommand,
   RouteRegisterState,
--- a/packages/protocol/src/protocolConfiguration.ts
+++ b/packages/protocol/src/protocolConfiguration.ts
@@ -53,7 +53,8 @@
 export interface GroupStatus {
   readonly group: string;
   readonly member: string;
-  readonly role: 'unformed' | 'learner' | 'follower' | 'candidate' | 'leader';
+  /** `withdrawn` while the replica's disk refuses writes. */
+  readonly role: 'unformed' | 'learner' | 'follower' | 'candidate' | 'leader' | 'withdrawn';
   readonly term: number;
   readonly commitIndex: number;
   readonly leader: string | null;
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -106,7 +106,17 @@
   groupStorageFailed: {
     number: 3005,
     level: 'error',
-    text: 'A replica cannot store its log and no longer takes part in its group.',
+    text: 'A replica cannot store its log; it takes no part in its group until the disk accepts it.',
+  },
+  groupStorageRecovered: {
+    number: 3008,
+    level: 'info',
+    text: 'A replica stores its log again and takes part in its group.',
+  },
+  groupStorageCorrupt: {
+    number: 3009,
+    level: 'error',
+    text: 'Stored data of a replica is corrupt; it takes no further part in its group.',
   },
   storageTailCut: {
     number: 3006,
