fix(gateway, daemon): a request behind one with a body over the limit is answered

What callers saw: after the 413 for a body over the limit the connection stays open, but its next request gets neither an answer nor a refusal, and the connection isn't closed. A body limit that shrinks with a configuration does this to callers that kept the former one.

Cause: reading stopped at the limit, so the rest of the body stayed unread before the next request. The hypothesis that the connection is destroyed and the 413 with it is wrong: a run shows that Node 20.19 sends the 413.

Change: one function for both entries and the control server reads a body to its end and drops what exceeds the limit. The control server ended the connection of an order over its 16 MB without an answer; it sends 413. That part was read, no test shows it yet.

--- a/packages/daemon/__tests__/entryRole.spec.ts
+++ b/packages/daemon/__tests__/entryRole.spec.ts
@@ -1,9 +1,18 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { describe, it } from 'node:test';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { createFakeAgent, sendCompleteAnswer, startEntry } from './entryFixture.js';
 
 const headers = { 'burdockrail-team': 'desk' };
+
+/** Default of the setting `entry.maximumBodyBytes`. */
+const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Time in which a request is answered, in milliseconds. */
+const ANSWER_MILLISECONDS = 2_000;
+
 const chatRequest = (overrides: object = {}): RequestInit => ({
   method: 'POST',
   headers,
@@ -138,4 +147,22 @@
     assert.deepEqual(await (await slow).json(), { text: 'late' });
     await drained;
   });
+
+  it('answers the next request on the connection of one whose body exceeds the limit', async () => {
+    await using entry = await startEntry([]);
+    const { hostname, port } = new URL(entry.url);
+    const caller = connect({ host: hostname, port: Number(port) });
+    const body = 'x'.repeat(MAXIMUM_BODY_BYTES + 1);
+    const head = `POST /v1/chat HTTP/1.1\r\nhost: a\r\ncontent-length: ${body.length}\r\n\r\n`;
+    caller.write(`${head}${body}`);
+    caller.write('GET /livez HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n');
+    caller.setTimeout(ANSWER_MILLISECONDS, () => caller.destroy());
+    let received = '';
+    caller.on('data', (bytes) => {
+      received += bytes.toString();
+    });
+    await once(caller, 'close');
+    assert.match(received, /^HTTP\/1\.1 413 /u);
+    assert.match(received, /HTTP\/1\.1 200 [^]*live\n$/u);
+  });
 });
--- a/packages/daemon/src/requestAccept.ts
+++ b/packages/daemon/src/requestAccept.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
+import { readBoundedBody } from '@burdockrail/common/boundedBody.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { failure, success, type Outcome } from '@burdockrail/common/outcome.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
@@ -59,21 +60,6 @@
   services: readServiceTarget,
 };
 
-/** Reads the body; resolves with null if it is longer than `maximumBytes`. */
-async function readBody(
-  message: IncomingMessage,
-  maximumBytes: number,
-): Promise<Uint8Array | null> {
-  const parts: Buffer[] = [];
-  let length = 0;
-  for await (const part of message as AsyncIterable<Buffer>) {
-    length += part.length;
-    if (length > maximumBytes) return null;
-    parts.push(part);
-  }
-  return Buffer.concat(parts, length);
-}
-
 function headersOf(message: IncomingMessage): Readonly<Record<string, string>> {
   const headers: Record<string, string> = {};
   for (const [name, value] of Object.entries(message.headers)) {
@@ -101,7 +87,7 @@
   const url = new URL(message.url ?? '/', 'http://entry');
   const readTarget = targetReaders[url.pathname.split('/')[1] ?? ''];
   if (readTarget === undefined) return failure(ResultCode.UnknownService);
-  const body = await readBody(message, settings.maximumBodyBytes);
+  const body = await readBoundedBody(message, settings.maximumBodyBytes);
   if (body === null) return failure(ResultCode.BodyTooLarge);
   const target = readTarget(url, body);
   if (target.kind === 'failure') return target;
--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
+import { readBoundedBody } from '@burdockrail/common/boundedBody.js';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
 import { configurationIssue } from '@burdockrail/routing/routeConfiguration.js';
 import type { ControlDirectory } from './controlDirectory.js';
@@ -24,18 +25,6 @@
 /** HTTP server for upstreams' heartbeats and operators' requests. */
 export type ControlServer = AsyncDisposable;
 
-async function readBody(request: IncomingMessage): Promise<string> {
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of request) {
-    const bytes = part as Buffer;
-    size += bytes.length;
-    if (size > MAXIMUM_BODY_BYTES) throw new Error('the request body is too large');
-    parts.push(bytes);
-  }
-  return Buffer.concat(parts, size).toString('utf8');
-}
-
 /** Starts the server; resolves when it is listening. */
 export async function startControlServer(
   context: GatewayContext,
@@ -144,7 +133,12 @@
       return;
     }
     metrics.count('burdockrail_control_calls_total', { call: call.kind });
-    const body = await readBody(request);
+    const bytes = await readBoundedBody(request, MAXIMUM_BODY_BYTES);
+    if (bytes === null) {
+      send(errorAnswer(413, ResultCode.BodyTooLarge, 'the request body is too large'));
+      return;
+    }
+    const body = bytes.toString('utf8');
     const handleCall = handlers[call.kind] as (
       call: ControlCall,
       body: string,
--- a/packages/gateway/src/entryBody.ts
+++ b/packages/gateway/src/entryBody.ts
@@ -1,5 +1,6 @@
 import { createHash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
+import { readBoundedBody } from '@burdockrail/common/boundedBody.js';
 
 /** The body of a request exceeds the limit of the configuration. */
 export class BodyTooLarge extends Error {}
@@ -10,15 +11,9 @@
   const hasBody =
     headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
   if (!hasBody) return null;
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of request) {
-    const bytes = part as Buffer;
-    size += bytes.length;
-    if (size > limit) throw new BodyTooLarge(method);
-    parts.push(bytes);
-  }
-  return Buffer.concat(parts, size);
+  const bytes = await readBoundedBody(request, limit);
+  if (bytes === null) throw new BodyTooLarge(method);
+  return bytes;
 }
 
 /** Digest of key, method, URL and body. */
