--- a/packages/gateway/__tests__/silentUpstream.spec.ts
+++ b/packages/gateway/__tests__/silentUpstream.spec.ts
@@ -83,6 +83,27 @@
     assert.equal(unreleased, 0);
   });
 
+  const emptyAnswers = {
+    'with a length': 'content-length: 0\r\n\r\n',
+    'in chunks': 'transfer-encoding: chunked\r\n\r\n0\r\n\r\n',
+  };
+  for (const [framing, emptyAnswer] of Object.entries(emptyAnswers)) {
+    it(`is not ended when the next engine answers ${framing} without an event`, async () => {
+      await using engine = await startEngine(pauseWithinStream);
+      await using other = await startEngine(async (socket) => {
+        socket.end(signedHead.slice(0, -2) + emptyAnswer);
+        return Promise.resolve();
+      });
+      const { received, end, unreleased } = await playStream({
+        grants: [engine.port, other.port],
+      });
+      assert.equal(other.requests.length, 1);
+      assert.equal(end, 'finished');
+      assert.equal(received, event(1) + event(2) + event(3) + event(4));
+      assert.equal(unreleased, 0);
+    });
+  }
+
   it('is answered when it falls silent before its first event and no other engine is free', async () => {
     await using engine = await startEngine(pauseBeforeStream);
     const { received, end } = await playStream({ grants: [engine.port] });
