fix(gateway): a request ends before its process, or is refused at once

Callers saw: in a planned stop of an entry, requests that came late in the grace period were passed on and cut with no answer when the process ended, also those that may not be repeated. Requests whose body arrived, or that got their configuration, after the entry had begun to refuse others were passed on too. A pipelined request that had been passed on was cut when the answer before it ended the connection.

Cause: nothing compared a request with the end of its process. An entry admitted by the route's time-out alone, decided when the head arrived, and destroyed what was left; and an answer ended its connection without a look at the requests behind it. The class: work is accepted without the time that its owner still has.

Change: the requests in progress know when their process ends. One that is not expected to end by then (size and engine, or what the route's last requests took, at most its deadline; for one that can't be repeated the longest of them) is refused at once with 503, also while it waits for a slot; the deadline of an upstream ends with the process. What is left is answered: not sent, 503; sent, 504; a stream that has begun is cut. An answer ends its connection only if no request is behind it, and none is taken after that. Event 2210 and burdockrail_requests_ended_by_stop_total tell these ends apart.

The calls of announceShutdown in entryServer.spec name the end now; its checks are as before.

--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -11,14 +11,19 @@
 
 const MAXIMUM_ANSWER_MEMORY_BYTES = 16 * 1024 * 1024;
 
-/** Two open routes: plain requests below `/plain/`, resumable streams elsewhere. */
+const pathPrefixes = { once: '/once/', repeatable: '/plain/', stream: '/' } as const;
+
+/**
+ * Open routes: plain requests below `/plain/` and, those that may not be repeated, below `/once/`;
+ * resumable streams elsewhere.
+ */
 const configuration: RouteConfiguration = {
   version: 1,
-  routes: (['stream', 'repeatable'] as const).map((kind) => {
+  routes: (['stream', 'repeatable', 'once'] as const).map((kind) => {
     return {
       name: kind,
       host: 'a.example',
-      pathPrefix: kind === 'stream' ? '/' : '/plain/',
+      pathPrefix: pathPrefixes[kind],
       kind,
       timeoutMilliseconds: 10_000,
       objectiveMilliseconds: 500,
--- a/packages/gateway/__tests__/entryRequestFixture.ts
+++ b/packages/gateway/__tests__/entryRequestFixture.ts
@@ -3,8 +3,8 @@
 import type { DisposalStack } from '@burdockrail/common/disposalStack.js';
 import type { EntryContext } from '../src/entryContext.js';
 import type { EntryRequest } from '../src/entryRequest.js';
-import { startEntryServer } from '../src/entryServer.js';
-import { createEntrySlots } from '../src/entrySlots.js';
+import { startEntryServer, type EntryServer } from '../src/entryServer.js';
+import { createEntrySlots, type EntrySlots } from '../src/entrySlots.js';
 import type { EntrySettings } from '../src/gatewaySettings.js';
 
 const HOST = '127.0.0.1';
@@ -53,18 +53,33 @@
   } as unknown as EntryRequest;
 }
 
-/** Starts the server of an entry at a free port of this machine, which it returns. */
-export async function listenAtFreePort(
+/** A started server of an entry. */
+export interface ListeningEntry {
+  readonly port: number;
+  readonly server: EntryServer;
+}
+
+/** Starts the server of an entry at a free port of this machine. */
+export async function startAtFreePort(
   disposables: DisposalStack,
   entry: EntryContext,
-  agentPort: number,
-): Promise<number> {
+  slots: EntrySlots,
+): Promise<ListeningEntry> {
   const listener = createServer().listen(0, HOST);
   await once(listener, 'listening');
   const { port } = listener.address() as AddressInfo;
   listener.close();
   await once(listener, 'close');
   const settings = { listen: { host: HOST, port } } as unknown as EntrySettings;
-  disposables.use(await startEntryServer(entry, settings, createEntrySlots(entry, agentPort)));
-  return port;
+  return { port, server: disposables.use(await startEntryServer(entry, settings, slots)) };
+}
+
+/** Starts the server of an entry at a free port of this machine, which it returns. */
+export async function listenAtFreePort(
+  disposables: DisposalStack,
+  entry: EntryContext,
+  agentPort: number,
+): Promise<number> {
+  const slots = createEntrySlots(entry, agentPort);
+  return (await startAtFreePort(disposables, entry, slots)).port;
 }
--- a/packages/gateway/__tests__/entryServer.spec.ts
+++ b/packages/gateway/__tests__/entryServer.spec.ts
@@ -4,10 +4,9 @@
 import { describe, it } from 'node:test';
 import { setTimeout as pause } from 'node:timers/promises';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
-import { startEntryServer, type EntryServer } from '../src/entryServer.js';
-import type { EntrySettings } from '../src/gatewaySettings.js';
 import { createUpstreamConnections } from '../src/upstreamConnections.js';
 import { createEntryContext, createOpenSlots } from './entryContextFixture.js';
+import { startAtFreePort } from './entryRequestFixture.js';
 
 /** Time in which an entry would have answered, in milliseconds. */
 const ANSWER_MILLISECONDS = 500;
@@ -15,6 +14,9 @@
 /** Time for bytes to arrive at a server of this process, in milliseconds. */
 const ARRIVAL_MILLISECONDS = 500;
 
+/** Grace period after which nothing is in progress in these tests, in milliseconds. */
+const GRACE_MILLISECONDS = 60_000;
+
 /** Longest wait for a condition, in milliseconds. */
 const WAIT_MILLISECONDS = 5_000;
 
@@ -57,18 +59,11 @@
     engine.close();
   });
   const connections = disposables.use(createUpstreamConnections('127.0.0.1'));
-  const listener = createServer().listen(0, '127.0.0.1');
-  await once(listener, 'listening');
-  const { port } = listener.address() as AddressInfo;
-  listener.close();
-  await once(listener, 'close');
   const enginePort = (engine.address() as AddressInfo).port;
-  const server: EntryServer = disposables.use(
-    await startEntryServer(
-      createEntryContext(connections, `127.0.0.1:${enginePort}`),
-      { listen: { host: '127.0.0.1', port } } as unknown as EntrySettings,
-      createOpenSlots(enginePort),
-    ),
+  const { port, server } = await startAtFreePort(
+    disposables,
+    createEntryContext(connections, `127.0.0.1:${enginePort}`),
+    createOpenSlots(enginePort),
   );
   const caller = connect({ host: '127.0.0.1', port });
   disposables.defer(() => {
@@ -98,7 +93,7 @@
     const draining = await startDraining(disposables);
     draining.caller.write(requestText('one'));
     await waitUntil('the stream has begun', () => draining.received().includes('data: a'));
-    draining.server.announceShutdown();
+    draining.server.announceShutdown(performance.now() + GRACE_MILLISECONDS);
     draining.server.stopListening();
     assert.equal(draining.isClosed(), false);
     draining.streams[0]?.end();
@@ -112,7 +107,7 @@
     const [firstHalf, secondHalf] = [requestText('one').slice(0, 20), requestText('one').slice(20)];
     draining.caller.write(firstHalf);
     await pause(ARRIVAL_MILLISECONDS);
-    draining.server.announceShutdown();
+    draining.server.announceShutdown(performance.now() + GRACE_MILLISECONDS);
     draining.server.stopListening();
     draining.caller.write(secondHalf);
     await waitUntil('the connection is closed', draining.isClosed);
@@ -128,7 +123,7 @@
     const text = `POST / HTTP/1.1\r\nhost: a.example\r\nx-request: one\r\ncontent-length: ${body.length}\r\n\r\n`;
     draining.caller.write(text.slice(0, 20));
     await pause(ARRIVAL_MILLISECONDS);
-    draining.server.announceShutdown();
+    draining.server.announceShutdown(performance.now() + GRACE_MILLISECONDS);
     draining.server.stopListening();
     draining.caller.write(text.slice(20) + body.slice(1));
     await pause(ANSWER_MILLISECONDS);
@@ -143,7 +138,7 @@
     const draining = await startDraining(disposables);
     draining.caller.write(requestText('one') + requestText('one'));
     await waitUntil('both have begun', () => draining.streams.length === 2);
-    draining.server.announceShutdown();
+    draining.server.announceShutdown(performance.now() + GRACE_MILLISECONDS);
     draining.server.stopListening();
     for (const stream of draining.streams) stream.end();
     await waitUntil('the connection is closed', draining.isClosed);
@@ -156,7 +151,7 @@
     draining.caller.pause();
     draining.caller.write(requestText('one', '/plain/'));
     await pause(ANSWER_MILLISECONDS);
-    draining.server.announceShutdown();
+    draining.server.announceShutdown(performance.now() + GRACE_MILLISECONDS);
     draining.server.stopListening();
     assert.equal(draining.server.inProgress, 1);
     draining.caller.resume();
--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -1,11 +1,21 @@
 import type { Socket } from 'node:net';
 
+/** One request on a caller's connection. */
+export interface ConnectionTurn {
+  /**
+   * Returns whether the answer may end the connection, which no request behind it then uses; call it
+   * when the answer begins.
+   */
+  mayEndConnection(): boolean;
+  /** All bytes of the answer have been written. */
+  finished(): void;
+}
+
 /** Connections of callers, to be closed without cutting off an answer or half a request. */
 export interface CallerConnections {
   add(socket: Socket): void;
-  requestStarted(socket: Socket): void;
-  /** All bytes of the answer have been written. */
-  requestFinished(socket: Socket): void;
+  /** Returns `null` for a request behind an answer that ends the connection: it gets no answer. */
+  requestStarted(socket: Socket): ConnectionTurn | null;
   /** Closes idle connections now, and each other one after its answer. */
   closeWhenIdle(): void;
 }
@@ -13,34 +23,57 @@
 interface ConnectionState {
   /** More than one if the caller sends requests without waiting for answers. */
   requestsInProgress: number;
+  requestsStarted: number;
   /** Bytes received when the connection last became idle; more belong to a request not yet read. */
   idleAtBytes: number;
+  /** True once no further request can be answered. */
+  isEnding: boolean;
 }
 
 /** Creates an empty set of connections. */
 export function createCallerConnections(): CallerConnections {
   const states = new Map<Socket, ConnectionState>();
   let isClosing = false;
+
+  const close = (socket: Socket, state: ConnectionState): void => {
+    state.isEnding = true;
+    socket.destroySoon();
+  };
+
   return {
     add: (socket) => {
-      states.set(socket, { requestsInProgress: 0, idleAtBytes: 0 });
+      states.set(socket, {
+        requestsInProgress: 0,
+        requestsStarted: 0,
+        idleAtBytes: 0,
+        isEnding: false,
+      });
       socket.once('close', () => states.delete(socket));
     },
     requestStarted: (socket) => {
       const state = states.get(socket);
-      if (state !== undefined) state.requestsInProgress += 1;
-    },
-    requestFinished: (socket) => {
-      const state = states.get(socket);
-      if (state === undefined) return;
-      state.requestsInProgress -= 1;
-      state.idleAtBytes = socket.bytesRead;
-      if (isClosing && state.requestsInProgress === 0) socket.destroySoon();
+      if (state === undefined || state.isEnding) return null;
+      state.requestsInProgress += 1;
+      state.requestsStarted += 1;
+      const number = state.requestsStarted;
+      return {
+        mayEndConnection: () => {
+          if (number !== state.requestsStarted) return false;
+          state.isEnding = true;
+          return true;
+        },
+        finished: () => {
+          state.requestsInProgress -= 1;
+          state.idleAtBytes = socket.bytesRead;
+          if (isClosing && state.requestsInProgress === 0) close(socket, state);
+        },
+      };
     },
     closeWhenIdle: () => {
       isClosing = true;
-      for (const [socket, { requestsInProgress, idleAtBytes }] of states)
-        if (requestsInProgress === 0 && socket.bytesRead === idleAtBytes) socket.destroySoon();
+      for (const [socket, state] of states)
+        if (state.requestsInProgress === 0 && socket.bytesRead === state.idleAtBytes)
+          close(socket, state);
     },
   };
 }
--- a/packages/gateway/src/entryHandler.ts
+++ b/packages/gateway/src/entryHandler.ts
@@ -1,12 +1,17 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import { createRequestDurations } from '@burdockrail/limits/requestDurations.js';
 import type { RequestTraits } from '@burdockrail/limits/quarantineState.js';
+import { expectedDurationMilliseconds } from '@burdockrail/limits/slotRequest.js';
 import { createCallerAnswer } from './callerAnswer.js';
 import type { ChangeSignal } from './changeSignal.js';
-import { admitRequest, drainingRefusal, isRefusal, type Refusal } from './entryAdmission.js';
+import type { CallerHeaders } from './dialect.js';
+import { admitRequest, isRefusal, type AdmittedRequest, type Refusal } from './entryAdmission.js';
 import { BodyTooLarge, digestRequest, readBody } from './entryBody.js';
 import { runBuffered } from './entryBuffered.js';
 import type { EntryContext } from './entryContext.js';
+import type { EntryExchanges, OpenExchange } from './entryExchanges.js';
 import { limitsInForce } from './entryLimits.js';
 import { refusalOfQuarantined } from './entryQuarantine.js';
 import { forwardedHeaders, type EntryRequest, type RequestTrace } from './entryRequest.js';
@@ -26,17 +31,28 @@
  */
 const STARTUP_MILLISECONDS = 2_000;
 
-/** Handles the request of a caller; resolves when its answer has been given to the connection. */
-export type EntryHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+/**
+ * Fraction of a route's requests that end within the time expected of another one; all of them if it
+ * can't be repeated.
+ */
+const USUAL_FRACTION = 0.9;
+
+/**
+ * Handles the request of a caller; resolves when its answer has been given to the connection.
+ *
+ * @param endsConnection - called when the answer begins; tells whether it ends the connection.
+ */
+export type EntryHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  endsConnection: () => boolean,
+) => Promise<void>;
 
 /** What the server tells the handler of requests. */
 export interface EntryServerState {
   /** Changes with the cluster view. */
   readonly clusterSignal: Pick<ChangeSignal, 'wait'>;
-  /** True once answers end their connections. */
-  readonly isClosing: boolean;
-  /** True once new requests are refused. */
-  readonly hasStopped: boolean;
+  readonly exchanges: EntryExchanges;
 }
 
 /** Creates the handler of callers' requests. */
@@ -46,10 +62,27 @@
   server: EntryServerState,
 ): EntryHandler {
   const { dialect, time, clusterView, log, random, quarantine, retryBudget } = entry;
+  const { exchanges } = server;
   const requestLog = createEntryRequestLog(entry);
+  const durations = createRequestDurations();
   const startedAt = time.now();
   const maximumKeyAgeMilliseconds = entry.settings.bounds.revocationMilliseconds * KEY_AGE_FRACTION;
 
+  /** Time that a request is expected to take, at most until its deadline, in milliseconds. */
+  const expectedMilliseconds = (
+    { route, service, deadline }: AdmittedRequest,
+    caller: CallerHeaders,
+    now: Milliseconds,
+  ): Milliseconds => {
+    const engine = clusterView.table?.service(service)?.engine ?? null;
+    const fraction = route.kind === 'once' ? 1 : USUAL_FRACTION;
+    const lastingMilliseconds =
+      engine === null
+        ? durations.withinMilliseconds(route.name, fraction)
+        : expectedDurationMilliseconds(caller, engine);
+    return Math.min(deadline - now, lastingMilliseconds ?? Number.POSITIVE_INFINITY);
+  };
+
   const isConfirmed = (): boolean =>
     clusterView.table !== null && time.now() - clusterView.confirmedAt <= maximumKeyAgeMilliseconds;
 
@@ -60,10 +93,9 @@
       await server.clusterSignal.wait(deadline - time.now(), signal);
   };
 
-  return async (request, response) => {
+  return async (request, response, endsConnection) => {
     const arrivedAt = time.now();
-    const arrivedTooLate = server.hasStopped;
-    const answer = createCallerAnswer(response, dialect, () => server.isClosing);
+    const answer = createCallerAnswer(response, dialect, endsConnection);
     const caller = dialect.readCaller(request.headers);
     const trace: RequestTrace = {
       attempts: 0,
@@ -73,6 +105,8 @@
       cause: '',
     };
     const cancellation = new AbortController();
+    const exchange: OpenExchange = { answer, trace, cancellation };
+    const close = exchanges.open(exchange);
     const metadata: RequestMetadata = {
       arrivedAt,
       route: '',
@@ -109,10 +143,6 @@
         time.now(),
       );
       const body = await readBody(request, limitsInForce(clusterView).bodyBytes);
-      if (arrivedTooLate) {
-        refuse(drainingRefusal);
-        return;
-      }
       if (isRefusal(decision)) {
         refuse(decision);
         return;
@@ -130,6 +160,14 @@
         refuse(quarantineRefusal);
         return;
       }
+      const beginRefusal = exchanges.begin(
+        exchange,
+        expectedMilliseconds(decision, caller, time.now()),
+      );
+      if (beginRefusal !== null) {
+        refuse(beginRefusal);
+        return;
+      }
       retryBudget.recordRequest(service, arrivedAt);
       const timer = setTimeout(
         () => {
@@ -153,7 +191,12 @@
         headers: forwardedHeaders(request, dialect),
         body,
         caller,
-        admitted: decision,
+        admitted: {
+          ...decision,
+          get deadline() {
+            return Math.min(deadline, exchanges.endsAt);
+          },
+        },
         arrivedAt,
         elapsedMilliseconds: entry.callerElapsed.estimateElapsedMilliseconds(
           route.name,
@@ -189,6 +232,9 @@
           });
       }
     } finally {
+      close();
+      if (answer.state === 'whole' && trace.attempts > 0)
+        durations.record(metadata.route, time.now() - arrivedAt);
       requestLog.record(caller.requestId, request.url ?? '', answer, trace, metadata);
     }
   };
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -164,8 +164,8 @@
       draining = true;
       const startedAt = time.now();
       const elapsedMilliseconds = (): number => time.now() - startedAt;
-      server?.announceShutdown();
       const timeoutMilliseconds = bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
+      server?.announceShutdown(startedAt + timeoutMilliseconds);
       // A balancer that finds too few entries ready keeps sending, so this one must stop listening.
       await pause(Math.min(BALANCER_UPDATE_MILLISECONDS, timeoutMilliseconds / 2));
       server?.stopListening();
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -1,18 +1,26 @@
 import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
 import type { Socket } from 'node:net';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { createChangeSignal } from './changeSignal.js';
 import { createCallerConnections } from './callerConnections.js';
 import type { EntryContext } from './entryContext.js';
+import { createEntryExchanges } from './entryExchanges.js';
 import { createEntryHandler } from './entryHandler.js';
 import { defaultLimits, limitsInForce } from './entryLimits.js';
 import type { EntrySlots } from './entrySlots.js';
 import type { EntrySettings } from './gatewaySettings.js';
 
+/** Longest time in which the answers at the end of the process are written, in milliseconds. */
+const LAST_ANSWERS_MILLISECONDS = 150;
+
 /** HTTP server for callers' requests. */
 export interface EntryServer extends AsyncDisposable {
-  /** Sends `Connection: close` with every answer from now on. */
-  announceShutdown(): void;
+  /**
+   * Ends connections with their answers from now on, and refuses requests that can't end by a time:
+   * the one at which disposal answers what is left.
+   */
+  announceShutdown(endsAt: Milliseconds): void;
   /** Applies the limits of the configuration in force. */
   applyLimits(): void;
   /** Lets requests that wait for a confirmed configuration look again. */
@@ -20,8 +28,8 @@
   /** Number of requests whose answer has not been written completely. */
   readonly inProgress: number;
   /**
-   * Stops accepting connections, closes each one once it is idle, and refuses new requests, which
-   * might not end within the grace period.
+   * Stops accepting connections, closes each one once it is idle, and refuses requests that have not
+   * begun.
    */
   stopListening(): void;
 }
@@ -41,36 +49,35 @@
   settings: EntrySettings,
   slots: EntrySlots,
 ): Promise<EntryServer> {
-  const { clusterView } = entry;
+  const { clusterView, metrics } = entry;
   const clusterSignal = createChangeSignal();
   const connections = createCallerConnections();
+  const exchanges = createEntryExchanges(entry);
+  const handle = createEntryHandler(entry, slots, { clusterSignal, exchanges });
+  const answered = createChangeSignal();
   let isClosing = false;
-  let hasStopped = false;
   let inProgress = 0;
-  const handle = createEntryHandler(entry, slots, {
-    clusterSignal,
-    get isClosing() {
-      return isClosing;
-    },
-    get hasStopped() {
-      return hasStopped;
-    },
-  });
 
   const server: Server = createServer(
     { maxHeaderSize: defaultLimits.headerBytes, keepAlive: true, noDelay: true },
     (request, response) => {
+      const turn = connections.requestStarted(request.socket);
+      if (turn === null) {
+        metrics.count('burdockrail_requests_behind_close_total');
+        request.resume();
+        return;
+      }
       inProgress += 1;
-      const { socket } = request;
-      connections.requestStarted(socket);
       response.once('finish', () => {
-        connections.requestFinished(socket);
+        turn.finished();
       });
+      const endsConnection = (): boolean => isClosing && turn.mayEndConnection();
       const closed = new Promise<void>((resolve) => {
         response.once('close', resolve);
       });
-      void Promise.all([handle(request, response), closed]).finally(() => {
+      void Promise.all([handle(request, response, endsConnection), closed]).finally(() => {
         inProgress -= 1;
+        answered.notify();
       });
     },
   );
@@ -86,11 +93,18 @@
   server.on('connection', (socket: Socket) => {
     connections.add(socket);
   });
+  /** Waits until the answers have been written; a caller that does not read can't delay the end. */
+  const waitForAnswers = async (): Promise<void> => {
+    const signal = AbortSignal.timeout(LAST_ANSWERS_MILLISECONDS);
+    while (inProgress > 0 && !signal.aborted)
+      await answered.wait(LAST_ANSWERS_MILLISECONDS, signal);
+  };
   server.listen(settings.listen.port, settings.listen.host, 1_024);
   await once(server, 'listening');
   return {
-    announceShutdown: () => {
+    announceShutdown: (endsAt) => {
       isClosing = true;
+      exchanges.announceEnd(endsAt);
     },
     applyLimits,
     notifyClusterChange: () => {
@@ -100,11 +114,14 @@
       return inProgress;
     },
     stopListening: () => {
-      hasStopped = true;
+      exchanges.stopAdmission();
       server.close();
       connections.closeWhenIdle();
     },
     [Symbol.asyncDispose]: async () => {
+      isClosing = true;
+      exchanges.endAll();
+      await waitForAnswers();
       const closed = once(server, 'close');
       // A server that has stopped listening emits `close` only if connections are still open.
       if (server.listening) server.close();
--- a/packages/limits/src/slotRequest.ts
+++ b/packages/limits/src/slotRequest.ts
@@ -36,7 +36,7 @@
 const RANK_STEP = 1e9;
 
 function prefillMilliseconds(
-  { promptTokens }: ClaimWork,
+  { promptTokens }: Pick<ClaimWork, 'promptTokens'>,
   engine: EnginePerformance | null,
 ): number {
   if (engine === null) return 0;
@@ -44,7 +44,10 @@
 }
 
 /** Time for which a request is expected to occupy a slot, in milliseconds. */
-function expectedDurationMilliseconds(work: ClaimWork, engine: EnginePerformance | null): number {
+export function expectedDurationMilliseconds(
+  work: Pick<ClaimWork, 'answerTokens' | 'promptTokens'>,
+  engine: EnginePerformance | null,
+): Milliseconds {
   if (engine === null) return MILLISECONDS_PER_SECOND;
   const fullEngineStep = engine.stepMilliseconds + engine.stepPerRequestMilliseconds * engine.slots;
   const expectedAnswerTokens = work.answerTokens === 0 ? engine.usualAnswer : work.answerTokens;
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -178,6 +178,11 @@
     level: 'info',
     text: 'Another process has taken the place of an upstream that left, and gets requests again.',
   },
+  requestsEndedByStop: {
+    number: 2210,
+    level: 'info',
+    text: 'A stopping entry answered what was in progress: not run, may have run, or a stream that had begun and is cut.',
+  },
   controlLost: {
     number: 4100,
     level: 'warn',
