--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -1,46 +1,26 @@
 import { once } from 'node:events';
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createServer, type Server } from 'node:http';
 import type { Socket } from 'node:net';
-import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
-import type { RequestTraits } from '@burdockrail/limits/quarantineState.js';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { createChangeSignal } from './changeSignal.js';
-import { createCallerAnswer } from './callerAnswer.js';
 import { createCallerConnections } from './callerConnections.js';
-import { admitRequest, drainingRefusal, isRefusal, type Refusal } from './entryAdmission.js';
-import { BodyTooLarge, digestRequest, readBody } from './entryBody.js';
 import type { EntryContext } from './entryContext.js';
-import { createEntryRequestLog, type RequestMetadata } from './entryRequestLog.js';
+import { createEntryExchanges } from './entryExchanges.js';
+import { createEntryHandler } from './entryHandler.js';
+import { defaultLimits, limitsInForce } from './entryLimits.js';
 import type { EntrySlots } from './entrySlots.js';
-import { runBuffered } from './entryBuffered.js';
-import { forwardedHeaders, type EntryRequest, type RequestTrace } from './entryRequest.js';
-import { refusalOfQuarantined } from './entryQuarantine.js';
-import { runStream } from './entryStream.js';
 import type { EntrySettings } from './gatewaySettings.js';
 
-/** Fraction of the revocation time after which unconfirmed keys are rejected. */
-const KEY_AGE_FRACTION = 0.85;
-
-/** Maximum time for which a request waits for a confirmed configuration, in milliseconds. */
-const FIRST_CONFIRMATION_WAIT_MILLISECONDS = 400;
-
-/**
- * Time after process start in which requests wait for a confirmed configuration, in milliseconds:
- * a control group that lost power has a leader by then, and later the delay is unpredictable.
- */
-const STARTUP_MILLISECONDS = 2_000;
-
-/** Limits in force until the first configuration arrives. */
-const DEFAULT_LIMITS = {
-  headerBytes: 16_384,
-  bodyBytes: 4_194_304,
-  headerTimeoutMilliseconds: 3_000,
-  idleTimeoutMilliseconds: 15_000,
-};
+/** Longest time in which the answers at the end of the process are written, in milliseconds. */
+const LAST_ANSWERS_MILLISECONDS = 150;
 
 /** HTTP server for callers' requests. */
 export interface EntryServer extends AsyncDisposable {
-  /** Sends `Connection: close` with every answer from now on. */
-  announceShutdown(): void;
+  /**
+   * Ends connections with their answers from now on, and refuses requests that can't end by a time:
+   * the one at which disposal answers what is left.
+   */
+  announceShutdown(endsAt: Milliseconds): void;
   /** Applies the limits of the configuration in force. */
   applyLimits(): void;
   /** Lets requests that wait for a confirmed configuration look again. */
@@ -48,8 +28,8 @@
   /** Number of requests whose answer has not been written completely. */
   readonly inProgress: number;
   /**
-   * Stops accepting connections, closes each one once it is idle, and refuses new requests, which
-   * might not end within the grace period.
+   * Stops accepting connections, closes each one once it is idle, and refuses requests that have not
+   * begun.
    */
   stopListening(): void;
 }
@@ -69,181 +49,40 @@
   settings: EntrySettings,
   slots: EntrySlots,
 ): Promise<EntryServer> {
-  const { dialect, time, clusterView, log, random, quarantine, retryBudget } = entry;
-  const requestLog = createEntryRequestLog(entry);
-  const startedAt = time.now();
+  const { clusterView, metrics } = entry;
   const clusterSignal = createChangeSignal();
   const connections = createCallerConnections();
+  const exchanges = createEntryExchanges(entry);
+  const handle = createEntryHandler(entry, slots, { clusterSignal, exchanges });
+  const answered = createChangeSignal();
   let isClosing = false;
-  let hasStopped = false;
   let inProgress = 0;
-  const maximumKeyAgeMilliseconds = entry.settings.bounds.revocationMilliseconds * KEY_AGE_FRACTION;
-
-  const limits = (): typeof DEFAULT_LIMITS =>
-    clusterView.table?.configuration.limits ?? DEFAULT_LIMITS;
-
-  const isConfirmed = (): boolean =>
-    clusterView.table !== null && time.now() - clusterView.confirmedAt <= maximumKeyAgeMilliseconds;
-
-  /** Waits until a configuration has arrived and keys can be confirmed, for a bounded time. */
-  const waitForConfirmation = async (signal: AbortSignal): Promise<void> => {
-    const deadline = time.now() + FIRST_CONFIRMATION_WAIT_MILLISECONDS;
-    while (!isConfirmed() && time.now() < deadline && !signal.aborted)
-      await clusterSignal.wait(deadline - time.now(), signal);
-  };
-
-  const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-    const arrivedAt = time.now();
-    const arrivedTooLate = hasStopped;
-    const answer = createCallerAnswer(response, dialect, () => isClosing);
-    const caller = dialect.readCaller(request.headers);
-    const trace: RequestTrace = {
-      attempts: 0,
-      upstreams: [],
-      firstByteMilliseconds: null,
-      longestPauseMilliseconds: 0,
-      cause: '',
-    };
-    const cancellation = new AbortController();
-    const metadata: RequestMetadata = {
-      arrivedAt,
-      route: '',
-      team: '',
-      objective: null,
-      callerLeft: false,
-    };
-    response.once('close', () => {
-      if (answer.state === 'open') {
-        metadata.callerLeft = true;
-        cancellation.abort();
-      }
-    });
-    const refuse = (refusal: Refusal): void => {
-      trace.cause = `${resultName(refusal.code)}: ${refusal.detail}`;
-      answer.refuse(refusal);
-    };
-    try {
-      if (!isConfirmed() && arrivedAt - startedAt < STARTUP_MILLISECONDS)
-        await waitForConfirmation(cancellation.signal);
-      const decision = admitRequest(
-        {
-          table: clusterView.table,
-          confirmedAt: clusterView.confirmedAt,
-          maximumKeyAgeMilliseconds,
-          host: request.headers.host ?? '',
-          target: request.url ?? '/',
-          key: caller.key,
-          requestId: caller.requestId,
-          deadlineMilliseconds: caller.deadlineMilliseconds,
-          arrivedAt,
-          randomDraw: random.next(),
-        },
-        time.now(),
-      );
-      const body = await readBody(request, limits().bodyBytes);
-      if (arrivedTooLate) {
-        refuse(drainingRefusal);
-        return;
-      }
-      if (isRefusal(decision)) {
-        refuse(decision);
-        return;
-      }
-      const { route, service, team, deadline } = decision;
-      metadata.route = route.name;
-      metadata.objective = route.objectiveMilliseconds;
-      metadata.team = team?.name ?? '';
-      const traits: RequestTraits = {
-        content: digestRequest(caller.key, request, body),
-        parts: caller.sharedParts.map((part) => `${caller.model} ${part}`),
-      };
-      const quarantineRefusal = refusalOfQuarantined(quarantine, traits, time.now());
-      if (quarantineRefusal !== null) {
-        refuse(quarantineRefusal);
-        return;
-      }
-      retryBudget.recordRequest(service, arrivedAt);
-      const timer = setTimeout(
-        () => {
-          if (answer.state !== 'open') return;
-          trace.cause = 'deadline';
-          cancellation.abort();
-          if (answer.headersSent) answer.destroyConnection();
-          else
-            refuse({
-              code: ResultCode.DeadlineExceeded,
-              detail: 'no answer before the deadline',
-              retryAfterMilliseconds: null,
-            });
-        },
-        Math.max(0, deadline - time.now()),
-      );
-      const entryRequest: EntryRequest = {
-        id: caller.requestId ?? '',
-        method: request.method ?? 'GET',
-        target: request.url ?? '/',
-        headers: forwardedHeaders(request, dialect),
-        body,
-        caller,
-        admitted: decision,
-        arrivedAt,
-        elapsedMilliseconds: entry.callerElapsed.estimateElapsedMilliseconds(
-          route.name,
-          caller.deadlineMilliseconds,
-        ),
-        traits,
-        answer,
-        signal: cancellation.signal,
-        trace,
-      };
-      try {
-        if (route.kind === 'stream') await runStream(entry, slots, entryRequest);
-        else await runBuffered(entry, entryRequest);
-      } finally {
-        clearTimeout(timer);
-      }
-    } catch (error) {
-      if (error instanceof BodyTooLarge) {
-        refuse({
-          code: ResultCode.BodyTooLarge,
-          detail: 'the request body is too large',
-          retryAfterMilliseconds: null,
-        });
-      } else if (!cancellation.signal.aborted) {
-        log.write('requestFailed', { request: caller.requestId, reason: String(error) });
-        trace.cause = 'internal';
-        if (answer.headersSent) answer.destroyConnection();
-        else
-          refuse({
-            code: ResultCode.InternalError,
-            detail: 'internal',
-            retryAfterMilliseconds: null,
-          });
-      }
-    } finally {
-      requestLog.record(caller.requestId, request.url ?? '', answer, trace, metadata);
-    }
-  };
 
   const server: Server = createServer(
-    { maxHeaderSize: DEFAULT_LIMITS.headerBytes, keepAlive: true, noDelay: true },
+    { maxHeaderSize: defaultLimits.headerBytes, keepAlive: true, noDelay: true },
     (request, response) => {
+      const turn = connections.requestStarted(request.socket);
+      if (turn === null) {
+        metrics.count('burdockrail_requests_behind_close_total');
+        request.resume();
+        return;
+      }
       inProgress += 1;
-      const { socket } = request;
-      connections.requestStarted(socket);
       response.once('finish', () => {
-        connections.requestFinished(socket);
+        turn.finished();
       });
+      const endsConnection = (): boolean => isClosing && turn.mayEndConnection();
       const closed = new Promise<void>((resolve) => {
         response.once('close', resolve);
       });
-      void Promise.all([handle(request, response), closed]).finally(() => {
+      void Promise.all([handle(request, response, endsConnection), closed]).finally(() => {
         inProgress -= 1;
+        answered.notify();
       });
     },
   );
   const applyLimits = (): void => {
-    const { headerTimeoutMilliseconds, idleTimeoutMilliseconds } = limits();
+    const { headerTimeoutMilliseconds, idleTimeoutMilliseconds } = limitsInForce(clusterView);
     server.keepAliveTimeout = idleTimeoutMilliseconds;
     server.headersTimeout = headerTimeoutMilliseconds;
     server.requestTimeout = 0;
@@ -254,11 +93,18 @@
   server.on('connection', (socket: Socket) => {
     connections.add(socket);
   });
+  /** Waits until the answers have been written; a caller that does not read can't delay the end. */
+  const waitForAnswers = async (): Promise<void> => {
+    const signal = AbortSignal.timeout(LAST_ANSWERS_MILLISECONDS);
+    while (inProgress > 0 && !signal.aborted)
+      await answered.wait(LAST_ANSWERS_MILLISECONDS, signal);
+  };
   server.listen(settings.listen.port, settings.listen.host, 1_024);
   await once(server, 'listening');
   return {
-    announceShutdown: () => {
+    announceShutdown: (endsAt) => {
       isClosing = true;
+      exchanges.announceEnd(endsAt);
     },
     applyLimits,
     notifyClusterChange: () => {
@@ -268,11 +114,14 @@
       return inProgress;
     },
     stopListening: () => {
-      hasStopped = true;
+      exchanges.stopAdmission();
       server.close();
       connections.closeWhenIdle();
     },
     [Symbol.asyncDispose]: async () => {
+      isClosing = true;
+      exchanges.endAll();
+      await waitForAnswers();
       const closed = once(server, 'close');
       // A server that has stopped listening emits `close` only if connections are still open.
       if (server.listening) server.close();
