fix(telemetry): a log file on a full disk doesn't end the process

What callers saw: with standard error in a file, the first line that the disk refused ended a process of the daemon, also one that needs no disk.

Cause: the stream of the process emits the failed write as an error that nobody handles. Found when looking for what else a full disk ends.

Change: the log writes to the descriptor itself and counts what is refused; 1008 logLinesLost tells the number as soon as lines are accepted again.

--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -20,6 +20,11 @@
   processStopping: { number: 1001, level: 'info', text: 'The process drains and then exits.' },
   processStopped: { number: 1002, level: 'info', text: 'The process has shut down cleanly.' },
   processFailed: { number: 1003, level: 'error', text: 'The process failed and cannot continue.' },
+  logLinesLost: {
+    number: 1008,
+    level: 'warn',
+    text: 'The output refused lines of the log for a while; they are lost.',
+  },
   drainCutOff: {
     number: 1005,
     level: 'warn',
--- a/packages/telemetry/src/eventLog.ts
+++ b/packages/telemetry/src/eventLog.ts
@@ -1,3 +1,4 @@
+import { writeSync } from 'node:fs';
 import { createConsola } from 'consola';
 import { eventCatalogue, type EventLevel, type EventName } from './eventCatalogue.js';
 
@@ -14,7 +15,7 @@
   readonly process: string;
   readonly format: 'json' | 'pretty';
   readonly level: EventLevel;
-  /** Receives each line; defaults to writing to standard error. */
+  /** Receives each line and may refuse it by throwing; defaults to writing to standard error. */
   readonly write?: (line: string) => void;
 }
 
@@ -26,19 +27,39 @@
   debug: 4,
 };
 
+const STANDARD_ERROR_DESCRIPTOR = 2;
+
+/** Writes without the stream of the process, which ends with its first failed write. */
 function writeToStandardError(line: string): void {
-  process.stderr.write(`${line}\n`);
+  writeSync(STANDARD_ERROR_DESCRIPTOR, `${line}\n`);
 }
 
-/** Creates a log that writes one event per line. */
+/**
+ * Creates a log that writes one event per line.
+ *
+ * @remarks
+ * Lines that the output refuses, such as a file on a full disk, are lost; their number is logged as
+ * soon as the output accepts lines again.
+ */
 export function createEventLog(options: EventLogOptions): EventLog {
   const write = options.write ?? writeToStandardError;
+  let lostLines = 0;
+  const writeLine = (line: string): void => {
+    try {
+      if (lostLines > 0) write(render('logLinesLost', { lines: lostLines }));
+      lostLines = 0;
+      write(line);
+    } catch {
+      // There is no other output that could tell.
+      lostLines += 1;
+    }
+  };
   const consola = createConsola({
     level: consolaLevels[options.level],
     reporters: [
       {
         log: (entry) => {
-          write(String(entry.args[0]));
+          writeLine(String(entry.args[0]));
         },
       },
     ],
@@ -61,9 +82,10 @@
       );
     },
   };
+  const render = renderers[options.format];
   return {
     write: (event, fields = {}) => {
-      consola[eventCatalogue[event].level](renderers[options.format](event, fields));
+      consola[eventCatalogue[event].level](render(event, fields));
     },
   };
 }
