fix(telemetry): a write that fails beside a full buffer doesn't end the log

What callers saw: nothing; operators lost the log of a gateway process for good once a write failed while its buffer was full.

Cause: lines are taken only while the buffer has room, and only a taken line starts the next write; after a failed write none was started.

Change: what is buffered is written also after a failed write; a write that fails loses its lines, so this ends.

--- a/packages/telemetry/src/boundedLineWriter.ts
+++ b/packages/telemetry/src/boundedLineWriter.ts
@@ -53,7 +53,7 @@
       writing = false;
       // A reader that closes must not end this process, so a failed write only counts as a drop.
       if (error !== null) dropped += 1;
-      else if (pending.length > 0) schedule();
+      if (pending.length > 0) schedule();
     });
   };
 
