--- a/packages/proofs/__tests__/fullDisks.spec.ts
+++ b/packages/proofs/__tests__/fullDisks.spec.ts
@@ -66,4 +66,25 @@
     const current = await system.operator.current(leader.advertise);
     assert.equal(current?.revision, revision);
   });
+
+  it('start on a full disk, and take part once it has room', async () => {
+    await using system = await startFormedSystem();
+    const [first = '', second = '', third = ''] = controlNames(system);
+    await system.processes.kill(first);
+    const started = system.processes.start(first);
+    const { pid } = system.processes.process(first);
+    await takeDiskRoom(pid);
+    const daemon = await started;
+    await daemon.waitForEvent('groupStorageFailed');
+    const order = { expectedRevision: 0, orderId: 'full' };
+    assert.equal(
+      (await applyThrough(system, second, fleetWithTeam('full'), order)).kind,
+      'accepted',
+    );
+    await giveDiskRoom(pid);
+    await daemon.waitForEvent('groupStorageRecovered');
+    await system.processes.kill(third);
+    const next = { expectedRevision: 1, orderId: 'room' };
+    assert.equal((await applyThrough(system, first, fleetWithTeam('room'), next)).kind, 'accepted');
+  });
 });
