test(platform, proofs): control processes that start while their disk is full

On both ways in: the process waits, the others take changes meanwhile, and after the disk has room it votes again, as the loss of another replica shows.

The processes now start under the limit.

--- a/packages/faultproxy/src/diskRoom.ts
+++ b/packages/faultproxy/src/diskRoom.ts
@@ -3,6 +3,9 @@
 
 const run = promisify(execFile);
 
+/** Command that starts the program after it without room on its disk. */
+export const fullDiskLauncher: readonly string[] = ['prlimit', '--fsize=0:'];
+
 async function limitFileSize(pid: number, softLimit: string): Promise<void> {
   await run('prlimit', ['--pid', String(pid), `--fsize=${softLimit}:`]);
 }
--- a/packages/harness/src/daemonProcess.ts
+++ b/packages/harness/src/daemonProcess.ts
@@ -63,9 +63,14 @@
   }
 }
 
-/** Starts a daemon. */
-export function startDaemonProcess(settingsPath: string, logPath: string): DaemonProcess {
-  const child = spawn(process.execPath, [daemonProgram, settingsPath], {
+/** Starts a daemon; `launcher` is a command that starts the program after it. */
+export function startDaemonProcess(
+  settingsPath: string,
+  logPath: string,
+  launcher: readonly string[] = [],
+): DaemonProcess {
+  const [command, ...words] = [...launcher, process.execPath, daemonProgram, settingsPath];
+  const child = spawn(command, words, {
     stdio: ['ignore', 'ignore', 'pipe'],
   });
   killChildOnExit(child);
--- a/packages/harness/src/systemProcesses.ts
+++ b/packages/harness/src/systemProcesses.ts
@@ -9,7 +9,8 @@
 export interface SystemProcesses extends AsyncDisposable {
   /** The most recently started daemon of a machine. */
   process(name: string): DaemonProcess;
-  start(name: string): Promise<DaemonProcess>;
+  /** Starts a daemon; `launcher` is a command that starts the program after it. */
+  start(name: string, launcher?: readonly string[]): Promise<DaemonProcess>;
   /** Kills a daemon (SIGKILL). */
   kill(name: string): Promise<void>;
   /** Has a daemon drain and exit (SIGTERM); resolves with its exit code. */
@@ -51,8 +52,8 @@
     if (found === undefined) throw new Error(`no daemon has been started on machine ${name}`);
     return found;
   };
-  const start = async (name: string): Promise<DaemonProcess> => {
-    const started = startDaemonProcess(settingsPath(name), logPath(name));
+  const start = async (name: string, launcher: readonly string[] = []): Promise<DaemonProcess> => {
+    const started = startDaemonProcess(settingsPath(name), logPath(name), launcher);
     processes.set(name, started);
     await started.ready;
     return started;
--- a/packages/proofs/__tests__/fullDisks.spec.ts
+++ b/packages/proofs/__tests__/fullDisks.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { setTimeout as pause } from 'node:timers/promises';
-import { giveDiskRoom, takeDiskRoom } from '@burdockrail/faultproxy/diskRoom.js';
+import { fullDiskLauncher, giveDiskRoom, takeDiskRoom } from '@burdockrail/faultproxy/diskRoom.js';
 import type { System } from '@burdockrail/harness/system.js';
 import { waitForRevision } from '@burdockrail/harness/systemOperation.js';
 import {
@@ -66,4 +66,22 @@
     const current = await system.operator.current(leader.advertise);
     assert.equal(current?.revision, revision);
   });
+
+  it('start on a full disk, and take part once it has room', async () => {
+    await using system = await startFormedSystem();
+    const [first = '', second = '', third = ''] = controlNames(system);
+    await system.processes.kill(first);
+    const daemon = await system.processes.start(first, fullDiskLauncher);
+    await daemon.waitForEvent('groupStorageFailed');
+    const order = { expectedRevision: 0, orderId: 'full' };
+    assert.equal(
+      (await applyThrough(system, second, fleetWithTeam('full'), order)).kind,
+      'accepted',
+    );
+    await giveDiskRoom(daemon.pid);
+    await daemon.waitForEvent('groupStorageRecovered');
+    await system.processes.kill(third);
+    const next = { expectedRevision: 1, orderId: 'room' };
+    assert.equal((await applyThrough(system, first, fleetWithTeam('room'), next)).kind, 'accepted');
+  });
 });
