--- a/packages/proofs/__tests__/fullDisks.spec.ts
+++ b/packages/proofs/__tests__/fullDisks.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { setTimeout as pause } from 'node:timers/promises';
-import { giveDiskRoom, takeDiskRoom } from '@burdockrail/faultproxy/diskRoom.js';
+import { fullDiskLauncher, giveDiskRoom, takeDiskRoom } from '@burdockrail/faultproxy/diskRoom.js';
 import type { System } from '@burdockrail/harness/system.js';
 import { waitForRevision } from '@burdockrail/harness/systemOperation.js';
 import {
@@ -71,17 +71,14 @@
     await using system = await startFormedSystem();
     const [first = '', second = '', third = ''] = controlNames(system);
     await system.processes.kill(first);
-    const started = system.processes.start(first);
-    const { pid } = system.processes.process(first);
-    await takeDiskRoom(pid);
-    const daemon = await started;
+    const daemon = await system.processes.start(first, fullDiskLauncher);
     await daemon.waitForEvent('groupStorageFailed');
     const order = { expectedRevision: 0, orderId: 'full' };
     assert.equal(
       (await applyThrough(system, second, fleetWithTeam('full'), order)).kind,
       'accepted',
     );
-    await giveDiskRoom(pid);
+    await giveDiskRoom(daemon.pid);
     await daemon.waitForEvent('groupStorageRecovered');
     await system.processes.kill(third);
     const next = { expectedRevision: 1, orderId: 'room' };
