fix(gateway, transport): an address that no socket can have fails one attempt, not the process

Cause: the use of an address outside what a socket can have throws at once (Invalid URL, ERR_SOCKET_BAD_PORT) where only a callback is expected to report. An attempt has started its timer by then and has no attempt to abort when that fires; after a lost connection the probe of the upstream rejects unheard. A script that makes one such attempt there ends with 'ReferenceError: Cannot access 'attempt' before initialization' in Timeout._onTimeout of bufferedAttempt. Change: UpstreamConnections.run tells its observer and never throws; a connection to a port that cannot exist is lost like a refused one; the probe proves nothing there.

--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -49,6 +49,7 @@
 
 /** Connection pools of upstreams, without pipelining. */
 export interface UpstreamConnections extends AsyncDisposable {
+  /** Sends a request; never throws, because the observer is told of each failure. */
   run(
     address: string,
     maximumConnections: number,
@@ -149,50 +150,59 @@
           observer.failed(new Error('request aborted by the gateway'));
         });
       };
-      openPool(address, maximumConnections).dispatch(
-        {
-          method: request.method,
-          path: request.path,
-          headers: [...request.headers],
-          body: request.body,
-          // The next request on a connection must not wait behind a stream.
-          blocking: false,
-        },
-        {
-          onRequestStart: (started) => {
-            controller = started;
-            if (isAborted || !observer.mayStart())
-              started.abort(new Error('request aborted by the gateway'));
-            else observer.sent();
-          },
-          onResponseStart: (started, status, headers) => {
-            if (status < 200) return;
-            const raw = (started as unknown as { readonly rawHeaders?: unknown }).rawHeaders;
-            observer.head(status, headers, rawHeaderStrings(raw));
-          },
-          onResponseData: (_controller, bytes) => {
-            if (!isSettled) observer.data(bytes);
-          },
-          onResponseEnd: () => {
-            settle(() => {
-              if (resetVerdict === null) observer.end();
-              else
-                void resetVerdict.then((wasReset) => {
-                  if (wasReset)
-                    observer.failed(
-                      new Error('connection reset during an answer without a length'),
-                    );
-                  else observer.end();
-                });
-            });
+      try {
+        openPool(address, maximumConnections).dispatch(
+          {
+            method: request.method,
+            path: request.path,
+            headers: [...request.headers],
+            body: request.body,
+            // The next request on a connection must not wait behind a stream.
+            blocking: false,
           },
-          onResponseError: (_controller, error) => {
-            settle(() => {
-              observer.failed(error);
-            });
+          {
+            onRequestStart: (started) => {
+              controller = started;
+              if (isAborted || !observer.mayStart())
+                started.abort(new Error('request aborted by the gateway'));
+              else observer.sent();
+            },
+            onResponseStart: (started, status, headers) => {
+              if (status < 200) return;
+              const raw = (started as unknown as { readonly rawHeaders?: unknown }).rawHeaders;
+              observer.head(status, headers, rawHeaderStrings(raw));
+            },
+            onResponseData: (_controller, bytes) => {
+              if (!isSettled) observer.data(bytes);
+            },
+            onResponseEnd: () => {
+              settle(() => {
+                if (resetVerdict === null) observer.end();
+                else
+                  void resetVerdict.then((wasReset) => {
+                    if (wasReset)
+                      observer.failed(
+                        new Error('connection reset during an answer without a length'),
+                      );
+                    else observer.end();
+                  });
+              });
+            },
+            onResponseError: (_controller, error) => {
+              settle(() => {
+                observer.failed(error);
+              });
+            },
           },
-        },
-      );
+        );
+      } catch (error) {
+        // An address that is no URL throws at once, when the caller does not have the attempt yet.
+        queueMicrotask(() => {
+          settle(() => {
+            observer.failed(error instanceof Error ? error : new Error(String(error)));
+          });
+        });
+      }
       signal?.addEventListener('abort', abort, { once: true });
       if (signal?.aborted === true) abort();
       return {
--- a/packages/gateway/src/upstreamProbe.ts
+++ b/packages/gateway/src/upstreamProbe.ts
@@ -1,5 +1,5 @@
 import { connect } from 'node:net';
-import type { Address } from '@burdockrail/protocol/protocolAddress.js';
+import { isPort, type Address } from '@burdockrail/protocol/protocolAddress.js';
 
 /** Time after which a connection that is neither accepted nor refused proves nothing. */
 const PROBE_TIMEOUT_MILLISECONDS = 250;
@@ -15,6 +15,7 @@
   { host, port }: Address,
   localAddress: string,
 ): Promise<boolean> {
+  if (!isPort(port)) return false;
   return new Promise((resolve) => {
     const socket = connect({ host, port, localAddress, timeout: PROBE_TIMEOUT_MILLISECONDS });
     const settle = (isRefused: boolean): void => {
--- a/packages/transport/__tests__/peerConnection.spec.ts
+++ b/packages/transport/__tests__/peerConnection.spec.ts
@@ -36,6 +36,19 @@
 };
 
 describe('a peer connection', () => {
+  it('is lost at once if its port cannot exist', async () => {
+    await using client = createPeerClient({ identity });
+    for (const port of [0, 99_999, -1, Number.NaN, Number.POSITIVE_INFINITY]) {
+      const connection = client.connectionTo({ host: '127.0.0.1', port });
+      await assert.rejects(
+        connection.call('attempt.fence', { attemptId: 'a', agentIncarnation: 'i' }, callOptions),
+        (error: unknown) =>
+          error instanceof ResultError && error.code === ResultCode.ConnectionLost,
+        String(port),
+      );
+    }
+  });
+
   it('answers calls, propagates result codes and streams items in order', async () => {
     await using server = await createPeerServer(loopback, identity, handlers);
     await using client = createPeerClient({ identity });
--- a/packages/transport/src/peerClient.ts
+++ b/packages/transport/src/peerClient.ts
@@ -1,6 +1,7 @@
-import { connect } from 'node:net';
+import { connect, Socket } from 'node:net';
 import {
   formatAddress,
+  isPort,
   type Address,
   type PeerIdentity,
 } from '@burdockrail/protocol/protocolAddress.js';
@@ -47,12 +48,18 @@
   let closedSentBytes = 0;
   let closedReceivedBytes = 0;
 
+  /** A socket to a port that cannot exist is lost at the first write, like a refused one. */
+  const openSocket = ({ host, port }: Address): Socket =>
+    isPort(port)
+      ? connect({
+          host,
+          port,
+          ...(options.localHost === undefined ? {} : { localAddress: options.localHost }),
+        })
+      : new Socket();
+
   const openConnection = (address: Address): PeerConnection => {
-    const socket = connect({
-      host: address.host,
-      port: address.port,
-      ...(options.localHost === undefined ? {} : { localAddress: options.localHost }),
-    });
+    const socket = openSocket(address);
     const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MILLISECONDS);
     socket.once('connect', () => {
       clearTimeout(timer);
