fix(membership): a copy of a heartbeat under another id does not end the holder of the address

Cause: an address went to a record with the same start time as its holder's. The holder was gone from then on, since a tombstone refuses the later heartbeats of its own incarnation. Evidence: before, 'leaves an address to its holder when a copy of its heartbeat comes under another id' failed in membership/upstreamRegistry. Change: two incarnations with a known start cannot have begun at one address in the same millisecond; without starts the later heartbeat wins as before.

--- a/packages/membership/__tests__/upstreamRegistry.spec.ts
+++ b/packages/membership/__tests__/upstreamRegistry.spec.ts
@@ -33,6 +33,18 @@
     );
   });
 
+  it('leaves an address to its holder when a copy of its heartbeat comes under another id', () => {
+    const registry = createUpstreamRegistry();
+    registry.applyRecord(record({}), 0);
+    const copy = record({ id: 'copy', service: 'nowhere', sequence: 2 });
+    assert.equal(registry.applyRecord(copy, 10), false);
+    assert.equal(registry.applyRecord(record({ sequence: 2 }), 20), true);
+    assert.deepEqual(
+      registry.records.map(({ record: { id, state } }) => `${id} ${state}`),
+      ['i-1 ready'],
+    );
+  });
+
   it('does not restore a departed upstream on a delayed heartbeat', () => {
     const registry = createUpstreamRegistry();
     registry.applyRecord(record({ sequence: 3 }), 0);
--- a/packages/membership/src/upstreamRegistry.ts
+++ b/packages/membership/src/upstreamRegistry.ts
@@ -8,6 +8,9 @@
 /** Time for which a gone upstream is kept, so that late heartbeats do not restore it. */
 const TOMBSTONE_RETENTION_MILLISECONDS = 120_000;
 
+/** Start time of an upstream that does not report one. */
+const UNKNOWN_START_TIME = 0;
+
 /** A record in the registry. */
 export interface RegistryRecord {
   readonly record: UpstreamRecord;
@@ -93,7 +96,9 @@
     for (const { record } of [...records.values()]) {
       if (record.id === next.id || record.address !== next.address) continue;
       if (record.state === 'gone') continue;
-      if (record.startedAt > next.startedAt) return false;
+      // Two incarnations with known starts cannot have begun at one address at the same time.
+      const isCopy = record.startedAt === next.startedAt && next.startedAt !== UNKNOWN_START_TIME;
+      if (isCopy || record.startedAt > next.startedAt) return false;
       store({ ...record, state: 'gone' }, heardAt, false, true);
     }
     return true;
