fix: a second signal doesn't end a process that drains

Callers saw: when a process got SIGTERM twice, or in the daemon SIGHUP at any time, all requests in progress were cut with no answer.

Cause: the handler of a stop signal was taken away with the first one, so that the second found the default action; the daemon had none for SIGHUP; and signals that came before the roles had started found none either.

--- a/packages/daemon/src/daemonMain.ts
+++ b/packages/daemon/src/daemonMain.ts
@@ -2,6 +2,7 @@
 import { toResultError } from '@burdockrail/common/outcome.js';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
+import { receiveStopSignal } from '@burdockrail/common/stopSignal.js';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { monotonicClock } from '@burdockrail/common/timeSource.js';
 import type { PeerIdentity, Role } from '@burdockrail/protocol/protocolAddress.js';
@@ -63,17 +64,8 @@
   };
 }
 
-async function awaitSignal(): Promise<string> {
-  return new Promise((resolve) => {
-    for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-      process.once(signal, () => {
-        resolve(signal);
-      });
-    }
-  });
-}
-
 async function serve(settings: Settings, log: EventLog): Promise<void> {
+  const stopSignal = receiveStopSignal(process);
   const context = createContext(settings, log);
   await using client = context.client;
   await using disposables = createDisposalStack();
@@ -108,8 +100,7 @@
     roles: context.identity.roles.join(','),
     connections: client.counters.sentBytes,
   });
-  const signal = await awaitSignal();
-  context.log.write('processStopping', { signal });
+  context.log.write('processStopping', { signal: await stopSignal });
   await drainRoles(roles, settings.drainMilliseconds, context.log);
   stop(context.actors);
 }
