--- a/packages/daemon/__tests__/stopSignal.spec.ts
+++ b/packages/common/__tests__/stopSignal.spec.ts
@@ -7,9 +7,9 @@
 
 /** Waits for a stop signal, then drains for some time. */
 const program = `
-  import { awaitStopSignal } from '${modulePath}';
+  import { receiveStopSignal } from '${modulePath}';
   const keepAlive = setInterval(() => {}, 1_000);
-  const stopping = awaitStopSignal();
+  const stopping = receiveStopSignal(process, () => {});
   console.log('ready');
   console.log(await stopping);
   setTimeout(() => { console.log('drained'); clearInterval(keepAlive); }, 300);
--- a/packages/daemon/__tests__/daemonSignals.spec.ts
+++ b/packages/daemon/__tests__/daemonSignals.spec.ts
@@ -2,71 +2,64 @@
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { describe, it } from 'node:test';
-import { setTimeout as delay } from 'node:timers/promises';
+import { setTimeout as pause } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
-import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 
-const HOST = '127.0.0.1';
+const programPath = fileURLToPath(new URL('../../bin/burdockraild.js', import.meta.url));
 
-const program = fileURLToPath(new URL('../../bin/burdockraild.js', import.meta.url));
+/** A loopback address that no other test uses. */
+const address = { host: '127.59.0.1', port: 7_700 };
 
-/** Time in which a signal without a handler ends a process, in milliseconds. */
-const END_MILLISECONDS = 500;
+const settings = JSON.stringify({
+  name: 'entry',
+  dataCentre: 'one',
+  region: 'north',
+  listen: address,
+  peers: [{ name: 'entry', dataCentre: 'one', roles: ['entry'], address }],
+  entry: { http: { host: address.host, port: 0 } },
+});
 
-async function freePort(): Promise<number> {
-  const listener = createServer().listen(0, HOST);
-  await once(listener, 'listening');
-  const { port } = listener.address() as AddressInfo;
-  listener.close();
-  await once(listener, 'close');
-  return port;
-}
+/** Longest wait for the start of a process, in milliseconds. */
+const START_MILLISECONDS = 10_000;
 
-describe('a daemon', { timeout: 30_000 }, () => {
-  it('goes on serving after a SIGHUP, which tells that settings have changed', async () => {
-    await using disposables = createDisposalStack();
-    const folder = await mkdtemp(join(tmpdir(), 'signals-'));
-    disposables.defer(async () => rm(folder, { recursive: true }));
-    const settingsPath = join(folder, 'settings.yaml');
-    const [listenPort, httpPort] = [await freePort(), await freePort()];
-    const settings = {
-      name: 'entry',
-      dataCentre: 'one',
-      region: 'north',
-      listen: { host: HOST, port: listenPort },
-      peers: [
-        {
-          name: 'entry',
-          dataCentre: 'one',
-          roles: ['entry'],
-          address: { host: HOST, port: listenPort },
-        },
-      ],
-      entry: { http: { host: HOST, port: httpPort } },
-    };
-    await writeFile(settingsPath, JSON.stringify(settings));
-    const child = spawn(process.execPath, [program, settingsPath], {
-      stdio: ['ignore', 'ignore', 'pipe'],
-    });
-    disposables.defer(async () => {
-      if (child.exitCode !== null || child.signalCode !== null) return;
-      child.kill('SIGKILL');
-      await once(child, 'exit');
-    });
+/** Time in which a process has begun to drain and has not ended, in milliseconds. */
+const DRAIN_BEGUN_MILLISECONDS = 300;
+
+/** Starts an entry, sends it signals, and returns how it ended. */
+async function exitAfter(signals: readonly NodeJS.Signals[]): Promise<readonly unknown[]> {
+  const folder = await mkdtemp(join(tmpdir(), 'burdockrail-signals-'));
+  const path = join(folder, 'settings.yaml');
+  await writeFile(path, settings);
+  const child = spawn(process.execPath, [programPath, path], { stdio: 'pipe' });
+  try {
     let output = '';
-    while (!output.includes('processStarted')) {
-      const [bytes] = (await once(child.stderr, 'data')) as [Buffer];
+    child.stderr.on('data', (bytes: Buffer) => {
       output += bytes.toString();
+    });
+    const deadline = performance.now() + START_MILLISECONDS;
+    while (!output.includes('processStarted')) {
+      assert.ok(performance.now() < deadline, `the entry has not started: ${output}`);
+      await pause(20);
+    }
+    const exit = once(child, 'exit');
+    for (const signal of signals) {
+      child.kill(signal);
+      await pause(DRAIN_BEGUN_MILLISECONDS);
     }
-    child.stderr.resume();
-    child.kill('SIGHUP');
-    await delay(END_MILLISECONDS);
-    assert.equal(child.signalCode, null);
-    const response = await fetch(`http://${HOST}:${httpPort}/livez`);
-    assert.equal(response.status, 200);
-  });
+    return (await exit) as readonly unknown[];
+  } finally {
+    child.kill('SIGKILL');
+    await rm(folder, { recursive: true });
+  }
+}
+
+describe('a daemon that drains', () => {
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
+    it(`is not ended at once by another ${signal}`, async () => {
+      assert.deepEqual(await exitAfter(['SIGTERM', signal]), [0, null]);
+    });
+  }
 });
--- a/packages/daemon/src/daemonMain.ts
+++ b/packages/daemon/src/daemonMain.ts
@@ -2,6 +2,7 @@
 import { toResultError } from '@burdockrail/common/outcome.js';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
+import { receiveStopSignal } from '@burdockrail/common/stopSignal.js';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { monotonicClock } from '@burdockrail/common/timeSource.js';
 import type { PeerIdentity, Role } from '@burdockrail/protocol/protocolAddress.js';
@@ -23,7 +24,6 @@
 import type { DaemonContext, DaemonRole } from './daemonRole.js';
 import { createGroupHosts } from './groupHosts.js';
 import { createProcessStatusHandlers } from './processStatus.js';
-import { awaitStopSignal } from './stopSignal.js';
 
 const USAGE = 'usage: burdockraild SETTINGS | --check-settings SETTINGS | --print-defaults\n';
 
@@ -65,6 +65,9 @@
 }
 
 async function serve(settings: Settings, log: EventLog): Promise<void> {
+  const stopSignal = receiveStopSignal(process, () => {
+    log.write('reloadIgnored');
+  });
   const context = createContext(settings, log);
   await using client = context.client;
   await using disposables = createDisposalStack();
@@ -99,8 +102,7 @@
     roles: context.identity.roles.join(','),
     connections: client.counters.sentBytes,
   });
-  const signal = await awaitStopSignal();
-  context.log.write('processStopping', { signal });
+  context.log.write('processStopping', { signal: await stopSignal });
   await drainRoles(roles, settings.drainMilliseconds, context.log);
   stop(context.actors);
 }
--- a/packages/gateway/src/gatewayMain.ts
+++ b/packages/gateway/src/gatewayMain.ts
@@ -3,7 +3,7 @@
 import { createServer } from 'node:http';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
-import { awaitStopSignal } from '@burdockrail/daemon/stopSignal.js';
+import { receiveStopSignal } from '@burdockrail/common/stopSignal.js';
 import type { PeerIdentity, Role } from '@burdockrail/protocol/protocolAddress.js';
 import { createBoundedLineWriter } from '@burdockrail/telemetry/boundedLineWriter.js';
 import { createEventLog } from '@burdockrail/telemetry/eventLog.js';
@@ -126,8 +126,7 @@
     dialect,
     readSeeds: () => options.reloadSettings()?.seeds ?? null,
   };
-  // Before anything listens, because SIGHUP would end the process.
-  process.on('SIGHUP', () => {
+  const stopSignal = receiveStopSignal(process, () => {
     const reloaded = options.reloadSettings();
     log.write('settingsReloaded', { readable: reloaded !== null });
   });
@@ -158,8 +157,7 @@
     disposables.defer(() => {
       clearInterval(vitalsTimer);
     });
-    const signal = await awaitStopSignal();
-    log.write('processStopping', { signal });
+    log.write('processStopping', { signal: await stopSignal });
     await Promise.all(roles.map(async (role) => role.drain()));
   } catch (error) {
     log.write('processFailed', { reason: error instanceof Error ? error.message : String(error) });
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -143,6 +143,11 @@
     level: 'info',
     text: 'The settings file was reloaded.',
   },
+  reloadIgnored: {
+    number: 1009,
+    level: 'info',
+    text: 'The process goes on with the settings that it read at its start, despite SIGHUP.',
+  },
   requestEnded: {
     number: 2200,
     level: 'info',
