fix(daemon): an entry answers what is left when its drain ends

Callers saw: requests in progress at the end of drainMilliseconds were cut with no answer; a request whose body arrived after the drain had begun was passed on, although others were refused; a refusal that was sent before the body had been read could be lost by a reset.

The server closed all connections at the end of its drain, and the drain was looked at when the head arrived.

--- a/packages/daemon/src/entryRole.ts
+++ b/packages/daemon/src/entryRole.ts
@@ -80,7 +80,7 @@
     message: IncomingMessage,
     caller: RequestCaller,
   ): Promise<void> => answerOutcomeQuery(services, currentFleet(), message, caller);
-  const handleExchange = createExchangeHandler({
+  const exchanges = createExchangeHandler({
     context,
     settings,
     endpoints,
@@ -98,7 +98,7 @@
     groups: [],
     start: async () => {
       membership.start();
-      server = disposables.use(await createEntryServer(settings.http, handleExchange));
+      server = disposables.use(await createEntryServer(settings.http, exchanges));
       const { host, port } = server.address;
       context.log.write('entryListening', { address: `${host}:${port}` });
     },
--- a/packages/daemon/src/entryServer.ts
+++ b/packages/daemon/src/entryServer.ts
@@ -4,8 +4,13 @@
 import { setTimeout } from 'node:timers/promises';
 import type { Address } from '@burdockrail/protocol/protocolAddress.js';
 
-/** Handles one HTTP exchange; never rejects. */
-export type ExchangeHandler = (message: IncomingMessage, response: ServerResponse) => Promise<void>;
+/** Handles HTTP exchanges. */
+export interface ExchangeHandler {
+  /** Handles one exchange; never rejects. */
+  handle(message: IncomingMessage, response: ServerResponse): Promise<void>;
+  /** Answers each exchange in progress, because the process ends. */
+  endAll(): void;
+}
 
 /** HTTP server for callers and the platform. */
 export interface EntryServer extends AsyncDisposable {
@@ -26,17 +31,20 @@
  */
 const DRAIN_GRACE_MILLISECONDS = 1_000;
 
+/** Longest time in which the answers at the end of the process are written, in milliseconds. */
+const LAST_ANSWERS_MILLISECONDS = 150;
+
 /** Starts listening and passes each exchange to the handler. */
 export async function createEntryServer(
   listen: Address,
-  handle: ExchangeHandler,
+  handler: ExchangeHandler,
 ): Promise<EntryServer> {
   const exchanges = new Set<Promise<void>>();
   let isDraining = false;
   const server = createServer((message, response) => {
     if (isDraining) response.setHeader('connection', 'close');
     const closed = once(response, 'close').then(() => undefined);
-    const exchange = Promise.all([handle(message, response), closed]).then(() => {
+    const exchange = Promise.all([handler.handle(message, response), closed]).then(() => {
       exchanges.delete(exchange);
     });
     exchanges.add(exchange);
@@ -55,6 +63,10 @@
       while (exchanges.size > 0) await Promise.all(exchanges);
     },
     [Symbol.asyncDispose]: async () => {
+      isDraining = true;
+      handler.endAll();
+      const written = setTimeout(LAST_ANSWERS_MILLISECONDS, undefined, { ref: false });
+      await Promise.race([Promise.all(exchanges), written]);
       const closed = once(server, 'close');
       server.close();
       server.closeAllConnections();
--- a/packages/daemon/src/requestCaller.ts
+++ b/packages/daemon/src/requestCaller.ts
@@ -84,7 +84,7 @@
     },
     abort: (notice) => {
       const { socket } = response;
-      if (response.destroyed || socket === null) return;
+      if (response.destroyed || response.writableEnded || socket === null) return;
       response.write(notice, () => {
         socket.destroySoon();
       });
