fix(gateway): a stopping control process answers its orders

Operators saw: when a control process was stopped while it worked on an order (a configuration, a version of weights) and its leader was late, the connection was closed with no answer, though the order could be in force.

Cause: disposal closed all connections after 300 ms; an operation may take 850 ms. It also closed connections as Node does, which cuts off answers that have ended and are not yet written.

Change: the drain of the role stops listening and waits for the calls in progress, at most 1 s; callers' connections are closed as those of an entry.

--- a/packages/gateway/src/controlRole.ts
+++ b/packages/gateway/src/controlRole.ts
@@ -5,7 +5,7 @@
 import { formGroupOnFirstStart } from './groupFormation.js';
 import { openControlGroup } from './controlGroup.js';
 import { createLeaderClient } from './leaderClient.js';
-import { startControlServer } from './controlServer.js';
+import { startControlServer, type ControlServer } from './controlServer.js';
 import type { GatewayContext, GatewayRole } from './gatewayContext.js';
 import type { ControlSettings } from './gatewaySettings.js';
 
@@ -16,6 +16,7 @@
 export function createControlRole(context: GatewayContext, control: ControlSettings): GatewayRole {
   const disposables = createDisposalStack();
   const stop = new AbortController();
+  let server: ControlServer | null = null;
   return {
     start: async () => {
       const group = disposables.use(
@@ -37,7 +38,7 @@
       disposables.use(
         await createPeerServer(control.internal, context.identity, handlers, context.traffic),
       );
-      disposables.use(await startControlServer(context, control, directory, leaderClient));
+      server = disposables.use(await startControlServer(context, control, directory, leaderClient));
       directory.start();
       const formation = formGroupOnFirstStart(context, group, control.internal, stop.signal);
       disposables.defer(async () => {
@@ -45,7 +46,7 @@
         await formation;
       });
     },
-    drain: async () => Promise.resolve(),
+    drain: async () => server?.drain(),
     [Symbol.asyncDispose]: async () => disposables[Symbol.asyncDispose](),
   };
 }
--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -1,8 +1,11 @@
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
 import { configurationIssue } from '@burdockrail/routing/routeConfiguration.js';
+import { createCallerConnections, type ConnectionTurn } from './callerConnections.js';
+import { createChangeSignal } from './changeSignal.js';
 import type { ControlDirectory } from './controlDirectory.js';
 import type { LeaderClient } from './leaderClient.js';
 import type { ControlCall } from './dialect.js';
@@ -22,7 +25,13 @@
 }
 
 /** HTTP server for upstreams' heartbeats and operators' requests. */
-export type ControlServer = AsyncDisposable;
+export interface ControlServer extends AsyncDisposable {
+  /** Stops listening; resolves when the calls in progress have been answered. */
+  drain(): Promise<void>;
+}
+
+/** Longest wait for calls in progress, in milliseconds; an operation times out before. */
+const DRAIN_MILLISECONDS = 1_000;
 
 async function readBody(request: IncomingMessage): Promise<string> {
   const parts: Buffer[] = [];
@@ -132,10 +141,23 @@
     nameWeights: async (_call, body) => nameWeights(body),
   };
 
-  const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+  const connections = createCallerConnections();
+  const answered = createChangeSignal();
+  let inProgress = 0;
+  let isDraining = false;
+
+  const handle = async (
+    request: IncomingMessage,
+    response: ServerResponse,
+    turn: ConnectionTurn,
+  ): Promise<void> => {
     const call = dialect.controlCall(request.method ?? '', request.url ?? '');
     const send = ({ status, body }: ControlAnswer): void => {
-      response.writeHead(status, { 'content-type': 'application/json' });
+      const endsConnection = isDraining && turn.mayEndConnection();
+      response.writeHead(status, {
+        'content-type': 'application/json',
+        ...(endsConnection ? { connection: 'close' } : {}),
+      });
       response.end(body);
     };
     if (call === null) {
@@ -153,23 +175,51 @@
   };
 
   const server = createServer((request, response) => {
-    handle(request, response).catch((error: unknown) => {
+    const turn = connections.requestStarted(request.socket);
+    if (turn === null) {
+      metrics.count('burdockrail_requests_behind_close_total');
+      request.resume();
+      return;
+    }
+    inProgress += 1;
+    response.once('finish', () => {
+      turn.finished();
+    });
+    response.once('close', () => {
+      inProgress -= 1;
+      answered.notify();
+    });
+    handle(request, response, turn).catch((error: unknown) => {
       // The client may have disconnected while sending the body; then there is nothing to answer.
       log.write('requestFailed', { reason: String(error) });
       response.destroy();
     });
   });
+  // When it closes, Node 20 would cut off answers that have ended but are not yet written.
+  server.closeIdleConnections = () => undefined;
+  server.on('connection', (socket: Socket) => {
+    connections.add(socket);
+  });
   server.listen(control.listen.port, control.listen.host);
   await once(server, 'listening');
+
+  const endCalls = async (): Promise<void> => {
+    server.close();
+    isDraining = true;
+    connections.closeWhenIdle();
+    const signal = AbortSignal.timeout(DRAIN_MILLISECONDS);
+    while (inProgress > 0 && !signal.aborted) await answered.wait(DRAIN_MILLISECONDS, signal);
+  };
+  let drained: Promise<void> | null = null;
+  const drain = async (): Promise<void> => {
+    drained ??= endCalls();
+    return drained;
+  };
   return {
+    drain,
     [Symbol.asyncDispose]: async () => {
-      const closed = once(server, 'close');
-      server.close();
-      server.closeIdleConnections();
-      setTimeout(() => {
-        server.closeAllConnections();
-      }, 300).unref();
-      await closed;
+      await drain();
+      server.closeAllConnections();
     },
   };
 }
