fix(gateway, membership): records that name no upstream are refused, and left out by their readers

What callers saw: a start in the far future took an address for ever, and a number that nobody can have reached made all later heartbeats of the real upstream look old. Cause: a number, name or list was only checked for its type, and readers took every relayed record as it was. A region was looked up by a data centre's name in a plain object. Control processes refuse other heartbeats with the reason; control processes, entries and agents leave out such records of others with a log line (4104, upstreamRecordIgnored) and keep the rest.

--- a/packages/gateway/src/agentWeights.ts
+++ b/packages/gateway/src/agentWeights.ts
@@ -120,12 +120,16 @@
     return origin.client;
   };
 
+  const regionOf = (dataCentre: string): string =>
+    (Object.hasOwn(settings.regions, dataCentre) ? settings.regions[dataCentre] : undefined) ??
+    dataCentre;
+
   const peers = (): readonly ChunkPeer[] =>
     clusterView.directory.entries
       .filter(({ record, silent }) => record.service === agent.service && !silent)
       .map(({ record }) => ({
         agent: agentAddress(record.address, agent.internal.port),
-        region: settings.regions[record.dataCentre] ?? record.dataCentre,
+        region: regionOf(record.dataCentre),
       }))
       .filter((peer) => peer.agent !== self);
 
--- a/packages/gateway/src/clusterView.ts
+++ b/packages/gateway/src/clusterView.ts
@@ -5,6 +5,7 @@
   DirectoryWatchReply,
   CompressedConfiguration,
 } from '@burdockrail/protocol/protocolDirectory.js';
+import { createUpstreamRecordFilter } from './upstreamRecordFilter.js';
 import { createRouteTable, type RouteTable } from '@burdockrail/routing/routeTable.js';
 import type { NamedVersion } from './versionRule.js';
 import type { GatewayContext } from './gatewayContext.js';
@@ -51,6 +52,7 @@
 ): ClusterView {
   const { log, dialect } = context;
   const directory = createDirectoryView();
+  const recordFilter = createUpstreamRecordFilter(log);
   const weights = new Map<string, readonly NamedVersion[]>();
   let table: RouteTable | null = null;
   let confirmedAt = Number.NEGATIVE_INFINITY;
@@ -114,7 +116,7 @@
     apply: (update, askedAt, now) => {
       if (update.configuration !== null) applyConfiguration(update.configuration);
       applyWeights(update, now);
-      directory.apply(update, now);
+      directory.apply({ ...update, records: recordFilter.usable(update.records, Date.now()) }, now);
       if (update.entries > 0) entries = update.entries;
       index = update.entryIndex;
       if (update.confirmedAgeMilliseconds === null) return;
--- a/packages/gateway/src/controlDirectory.ts
+++ b/packages/gateway/src/controlDirectory.ts
@@ -4,6 +4,7 @@
   createUpstreamRegistry,
   type UpstreamRegistry,
 } from '@burdockrail/membership/upstreamRegistry.js';
+import { isHeldModels } from '@burdockrail/membership/upstreamRecordCheck.js';
 import { formatAddress } from '@burdockrail/protocol/protocolAddress.js';
 import type {
   ControlPeer,
@@ -22,6 +23,7 @@
 import { parseAddress } from './controlAddresses.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ControlSettings } from './gatewaySettings.js';
+import { createUpstreamRecordFilter } from './upstreamRecordFilter.js';
 import { namingAge } from './versionRule.js';
 
 /** Missed heartbeats after which an upstream counts as silent. */
@@ -84,6 +86,7 @@
   const namingsKnownSince = new Map<string, Milliseconds>();
   const peerWatches = new Map<string, Promise<void>>();
   const findings = createFindingLog();
+  const recordFilter = createUpstreamRecordFilter(log);
   const silenceLimitMilliseconds =
     MISSED_HEARTBEATS * settings.bounds.heartbeatMilliseconds + HEARTBEAT_GRACE_MILLISECONDS;
 
@@ -172,7 +175,7 @@
       knownControls.set(watch.caller, { dataCentre, seenAt: now });
       group.addContacts([watch.caller]);
     }
-    if (watch.engine !== undefined) {
+    if (watch.engine !== undefined && isHeldModels(watch.engine.models)) {
       const previousRevision = upstreams.latestRevision(false);
       upstreams.setModels(watch.engine.id, watch.engine.models);
       if (upstreams.latestRevision(false) !== previousRevision) changes.notify();
@@ -261,7 +264,8 @@
         peerIncarnation = update.control;
         revision = update.revision;
         knownFindings = update.findingRevision;
-        for (const { record, ageMilliseconds } of update.records) {
+        const records = recordFilter.usable(update.records, Date.now());
+        for (const { record, ageMilliseconds } of records) {
           applyRecord(record, now - ageMilliseconds, address);
         }
         peerEntryCounts.set(address, { count: update.entries, at: now });
--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -2,12 +2,14 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
+import { upstreamRecordIssue } from '@burdockrail/membership/upstreamRecordCheck.js';
 import { configurationIssue } from '@burdockrail/routing/routeConfiguration.js';
 import type { ControlDirectory } from './controlDirectory.js';
 import type { LeaderClient } from './leaderClient.js';
 import type { ControlCall } from './dialect.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ControlSettings } from './gatewaySettings.js';
+import { describeOddId } from './upstreamRecordFilter.js';
 
 /** Maximum size of a request body, in bytes: a configuration with several thousand routes. */
 const MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
@@ -98,17 +100,19 @@
 
   const heartbeat = (id: string, body: string): ControlAnswer => {
     const record = dialect.decodeHeartbeat(id, body);
-    const isNewer = record !== null && directory.recordHeartbeat(record);
+    const issue = record === null ? 'unreadable' : upstreamRecordIssue(record, Date.now());
+    const isNewer = record !== null && issue === null && directory.recordHeartbeat(record);
     if (!isNewer) {
       log.write('heartbeatRefused', {
-        upstream: id,
+        upstream: describeOddId(id),
         readable: record !== null,
         sequence: record?.sequence ?? null,
+        reason: issue ?? 'not newer than the stored record',
       });
     }
-    return record === null
-      ? errorAnswer(400, ResultCode.BadRequest, 'the heartbeat is not valid')
-      : okAnswer;
+    return issue === null
+      ? okAnswer
+      : errorAnswer(400, ResultCode.BadRequest, `the heartbeat is not valid: ${issue}`);
   };
 
   const leave = (id: string, body: string): ControlAnswer => {
--- /dev/null
+++ b/packages/membership/src/upstreamRecordCheck.ts
@@ -0,0 +1,74 @@
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import { isHostAndPort } from '@burdockrail/protocol/protocolAddress.js';
+import type { HeldModel, UpstreamRecord } from '@burdockrail/protocol/protocolDirectory.js';
+
+/** Longest name of an upstream, service, data centre or model, in characters. */
+const LONGEST_NAME_CHARACTERS = 256;
+
+/** Most requests that an upstream can run at once. */
+const MAXIMUM_SLOTS = 1_000_000;
+
+/** Most models that one upstream can hold. */
+const MAXIMUM_MODELS = 1_024;
+
+/** Largest difference between the clocks of two machines, in milliseconds. */
+const MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS = 86_400_000;
+
+const states: ReadonlySet<unknown> = new Set(['ready', 'draining', 'gone']);
+
+/** Text that can be sent as the value of a header. */
+const headerValuePattern = /^[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?$/u;
+
+function isName(value: unknown): value is string {
+  return typeof value === 'string' && value !== '' && value.length <= LONGEST_NAME_CHARACTERS;
+}
+
+function isWholeNumber(value: unknown): value is number {
+  return Number.isSafeInteger(value) && Number(value) >= 0;
+}
+
+function isHeldModel(value: unknown): value is HeldModel {
+  if (typeof value !== 'object' || value === null) return false;
+  const { model, version } = value as Partial<HeldModel>;
+  return isName(model) && isWholeNumber(version);
+}
+
+/** True for a list of models that an upstream can hold. */
+export function isHeldModels(value: unknown): value is readonly HeldModel[] {
+  return Array.isArray(value) && value.length <= MAXIMUM_MODELS && value.every(isHeldModel);
+}
+
+type FieldChecks = { readonly [Field in keyof UpstreamRecord]: (value: unknown) => boolean };
+
+const fieldChecks: FieldChecks = {
+  id: (value) => isName(value) && headerValuePattern.test(value),
+  service: isName,
+  address: isHostAndPort,
+  dataCentre: isName,
+  slots: (value) => isWholeNumber(value) && value <= MAXIMUM_SLOTS,
+  state: (value) => states.has(value),
+  startedAt: isWholeNumber,
+  sequence: isWholeNumber,
+  models: isHeldModels,
+};
+
+/**
+ * Returns why a record names no upstream that can be used; `null` if it names one.
+ *
+ * @remarks
+ * An upstream sends at most one heartbeat a millisecond. Without these limits a start in the future
+ * or a number that nobody can have reached would make all later heartbeats look old.
+ *
+ * @param record - record of any origin and of any shape.
+ * @param wallTime - Unix time in milliseconds.
+ */
+export function upstreamRecordIssue(record: unknown, wallTime: Milliseconds): string | null {
+  if (typeof record !== 'object' || record === null) return 'not a record';
+  const fields = record as Readonly<Record<string, unknown>>;
+  const invalid = Object.entries(fieldChecks).find(([name, isValid]) => !isValid(fields[name]));
+  if (invalid !== undefined) return `${invalid[0]}: out of range`;
+  const { startedAt, sequence } = record as UpstreamRecord;
+  const latestStart = wallTime + MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS;
+  if (startedAt > latestStart) return 'startedAt: in the future';
+  return sequence > latestStart - startedAt ? 'sequence: more than one a millisecond' : null;
+}
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -198,6 +198,11 @@
     level: 'info',
     text: 'A heartbeat named no usable upstream or was older than the stored record.',
   },
+  upstreamRecordIgnored: {
+    number: 4104,
+    level: 'warn',
+    text: 'A relayed record names no upstream that can be used; it is left out.',
+  },
   orderTaken: {
     number: 3100,
     level: 'info',
