fix(gateway): a heartbeat may not be as large as a configuration, and no body is other than UTF-8

Cause: any body up to 16 MiB was read and parsed. A body of 8 million nested lists ends a process that may have 96 MB of heap ('FATAL ERROR: Reached heap limit', measured with JSON.parse alone). Bytes that are not UTF-8 were replaced, so that a configuration would be read back other than it was sent. Change: 64 KiB for all bodies but configurations, answered with 413; 400 for bytes that are not UTF-8.

--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -1,3 +1,4 @@
+import { isUtf8 } from 'node:buffer';
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
@@ -11,8 +12,19 @@
 import type { ControlSettings } from './gatewaySettings.js';
 import { describeOddId } from './upstreamRecordFilter.js';
 
-/** Maximum size of a request body, in bytes: a configuration with several thousand routes. */
-const MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
+/** Maximum size of a body, in bytes: a configuration with several thousand routes. */
+const MAXIMUM_CONFIGURATION_BYTES = 16 * 1024 * 1024;
+
+/** Maximum size of any other body, in bytes: a heartbeat that lists some hundred models. */
+const MAXIMUM_MESSAGE_BYTES = 64 * 1024;
+
+const maximumBodyBytes: Readonly<Record<ControlCall['kind'], number>> = {
+  heartbeat: MAXIMUM_MESSAGE_BYTES,
+  leave: MAXIMUM_MESSAGE_BYTES,
+  putConfiguration: MAXIMUM_CONFIGURATION_BYTES,
+  getConfiguration: MAXIMUM_MESSAGE_BYTES,
+  nameWeights: MAXIMUM_MESSAGE_BYTES,
+};
 
 /** Deflate level; higher levels cost more time than the saved bytes are worth. */
 const COMPRESSION_LEVEL = 3;
@@ -26,16 +38,23 @@
 /** HTTP server for upstreams' heartbeats and operators' requests. */
 export type ControlServer = AsyncDisposable;
 
-async function readBody(request: IncomingMessage): Promise<string> {
+/** Reads a body up to a size in bytes; `null` if it is larger. */
+async function readBody(request: IncomingMessage, maximumBytes: number): Promise<Buffer | null> {
   const parts: Buffer[] = [];
   let size = 0;
-  for await (const part of request) {
+  // The answer to a body that is too large is sent on the same connection.
+  for await (const part of request.iterator({ destroyOnReturn: false })) {
     const bytes = part as Buffer;
     size += bytes.length;
-    if (size > MAXIMUM_BODY_BYTES) throw new Error('the request body is too large');
+    if (size > maximumBytes) return null;
     parts.push(bytes);
   }
-  return Buffer.concat(parts, size).toString('utf8');
+  return Buffer.concat(parts, size);
+}
+
+/** Decodes UTF-8; `null` for other bytes, which would be read back changed. */
+function decodeText(bytes: Buffer): string | null {
+  return isUtf8(bytes) ? bytes.toString('utf8') : null;
 }
 
 /** Starts the server; resolves when it is listening. */
@@ -148,7 +167,17 @@
       return;
     }
     metrics.count('burdockrail_control_calls_total', { call: call.kind });
-    const body = await readBody(request);
+    const bytes = await readBody(request, maximumBodyBytes[call.kind]);
+    if (bytes === null) {
+      response.setHeader('connection', 'close');
+      send(errorAnswer(413, ResultCode.BodyTooLarge, 'the request body is too large'));
+      return;
+    }
+    const body = decodeText(bytes);
+    if (body === null) {
+      send(errorAnswer(400, ResultCode.BadRequest, 'the request body is not UTF-8'));
+      return;
+    }
     const handleCall = handlers[call.kind] as (
       call: ControlCall,
       body: string,
