fix(transport): the property name __proto__ is decoded, not renamed

Cause: the decoder writes properties by assignment and renames '__proto__' to '__proto_', so that a message with such a team, header or model reads otherwise than it was sent. Change: a body with these bytes is decoded into maps, which keep all names, and then into objects by definition of their properties. Other bodies take the way as before. Bodies of 200,000 levels, or that claim more elements or bytes than they have, were rejected before too, and the decoder reads the next body; the case stays as a test.

--- a/packages/transport/__tests__/frameCodec.spec.ts
+++ b/packages/transport/__tests__/frameCodec.spec.ts
@@ -5,7 +5,10 @@
 import fastCheck from 'fast-check';
 import { digestOf } from '@burdockrail/common/digest.js';
 import { frameKeyMap } from '../src/frameKeys.js';
-import { createFrameReader, encodeFrame } from '../src/frameCodec.js';
+import { createFrameReader, decodeBody, encodeFrame } from '../src/frameCodec.js';
+
+/** Memory that a malformed body of some bytes may take, in bytes. */
+const MOST_GROWN_BYTES = 32 * 1024 * 1024;
 
 function isMalformed(error: unknown): boolean {
   return error instanceof ResultError && error.code === ResultCode.MessageMalformed;
@@ -49,6 +52,13 @@
     );
   });
 
+  it('decodes an object with the property name __proto__ without a change of its prototype', () => {
+    const sent: unknown = JSON.parse('{"kind":1,"__proto__":{"index":[{"__proto__":2,"5":[]}]}}');
+    const [received] = createFrameReader().push(encodeFrame(sent));
+    assert.equal(JSON.stringify(received), JSON.stringify(sent));
+    assert.equal(Object.getPrototypeOf(received), Object.prototype);
+  });
+
   it('keeps the integers of property names, because stored logs depend on them', () => {
     assert.equal(frameKeyMap.kind, 1);
     assert.equal(frameKeyMap.leader, Object.keys(frameKeyMap).length);
@@ -65,6 +75,21 @@
     }
   });
 
+  it('rejects bodies that are too deep or claim more elements than they have, and reads the next', () => {
+    const tooDeep = Buffer.alloc(200_000, 0x81);
+    const claimedArray = Buffer.of(0x9a, 0x01, 0xc0, 0x00, 0x00);
+    const claimedMap = Buffer.of(0xba, 0x00, 0xf0, 0x00, 0x00);
+    const claimedBytes = Buffer.of(0x5a, 0x7f, 0xff, 0xff, 0xff);
+    for (const body of [tooDeep, claimedArray, claimedMap, claimedBytes]) {
+      const before = process.memoryUsage().heapTotal;
+      assert.throws(() => decodeBody(body), isMalformed);
+      const grownBytes = process.memoryUsage().heapTotal - before;
+      assert.ok(grownBytes < MOST_GROWN_BYTES, `${grownBytes} bytes for a body of ${body.length}`);
+      const sound = { kind: 1, index: [2] };
+      assert.deepEqual(createFrameReader().push(encodeFrame(sound)), [sound]);
+    }
+  });
+
   it('rejects a frame over the size limit before its body arrives', () => {
     const frame = encodeFrame('x'.repeat(100));
     assert.throws(() => createFrameReader(50).push(frame.subarray(0, 8)), isMalformed);
--- a/packages/transport/src/frameCodec.ts
+++ b/packages/transport/src/frameCodec.ts
@@ -23,6 +23,27 @@
 });
 const decoder = new Decoder({ useRecords: false, keyMap: { ...frameKeyMap } });
 
+/** The other decoder renames the property `__proto__`, which this one keeps in a map. */
+const mapDecoder = new Decoder({ useRecords: false, mapsAsObjects: false });
+
+const PROTOTYPE_NAME = Buffer.from('__proto__');
+
+const namesByKey: ReadonlyMap<unknown, string> = new Map(
+  Object.entries(frameKeyMap).map(([name, key]) => [key, name]),
+);
+
+function toObjects(value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(toObjects);
+  if (!(value instanceof Map)) return value;
+  return Object.fromEntries(
+    [...value].map(([key, field]) => [namesByKey.get(key) ?? String(key), toObjects(field)]),
+  );
+}
+
+function mayHavePrototypeName(body: Uint8Array): boolean {
+  return Buffer.from(body.buffer, body.byteOffset, body.length).includes(PROTOTYPE_NAME);
+}
+
 /** Encodes a value as CBOR. */
 export function encodeBody(value: unknown): Buffer {
   return encoder.encode(value);
@@ -117,7 +138,7 @@
  */
 export function decodeBody(body: Uint8Array): unknown {
   try {
-    return decoder.decode(body);
+    return mayHavePrototypeName(body) ? toObjects(mapDecoder.decode(body)) : decoder.decode(body);
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
     throw new ResultError(ResultCode.MessageMalformed, `invalid CBOR: ${reason}`);
