--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -1,9 +1,11 @@
+import { isUtf8 } from 'node:buffer';
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { readBoundedBody } from '@burdockrail/common/boundedBody.js';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
+import { upstreamRecordIssue } from '@burdockrail/membership/upstreamRecordCheck.js';
 import { configurationIssue } from '@burdockrail/routing/routeConfiguration.js';
 import { createCallerConnections, type ConnectionTurn } from './callerConnections.js';
 import { createChangeSignal } from './changeSignal.js';
@@ -12,9 +14,21 @@
 import type { ControlCall } from './dialect.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { ControlSettings } from './gatewaySettings.js';
+import { describeOddId } from './upstreamRecordFilter.js';
 
-/** Maximum size of a request body, in bytes: a configuration with several thousand routes. */
-const MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
+/** Maximum size of a body, in bytes: a configuration with several thousand routes. */
+const MAXIMUM_CONFIGURATION_BYTES = 16 * 1024 * 1024;
+
+/** Maximum size of any other body, in bytes: a heartbeat that lists some hundred models. */
+const MAXIMUM_MESSAGE_BYTES = 64 * 1024;
+
+const maximumBodyBytes: Readonly<Record<ControlCall['kind'], number>> = {
+  heartbeat: MAXIMUM_MESSAGE_BYTES,
+  leave: MAXIMUM_MESSAGE_BYTES,
+  putConfiguration: MAXIMUM_CONFIGURATION_BYTES,
+  getConfiguration: MAXIMUM_MESSAGE_BYTES,
+  nameWeights: MAXIMUM_MESSAGE_BYTES,
+};
 
 /** Deflate level; higher levels cost more time than the saved bytes are worth. */
 const COMPRESSION_LEVEL = 3;
@@ -31,6 +45,11 @@
   drain(): Promise<void>;
 }
 
+/** Decodes UTF-8; `null` for other bytes, which would be read back changed. */
+function decodeText(bytes: Buffer): string | null {
+  return isUtf8(bytes) ? bytes.toString('utf8') : null;
+}
+
 /** Longest wait for calls in progress, in milliseconds; an operation times out before. */
 const DRAIN_MILLISECONDS = 1_000;
 
@@ -96,17 +115,19 @@
 
   const heartbeat = (id: string, body: string): ControlAnswer => {
     const record = dialect.decodeHeartbeat(id, body);
-    const isNewer = record !== null && directory.recordHeartbeat(record);
+    const issue = record === null ? 'unreadable' : upstreamRecordIssue(record, Date.now());
+    const isNewer = record !== null && issue === null && directory.recordHeartbeat(record);
     if (!isNewer) {
       log.write('heartbeatRefused', {
-        upstream: id,
+        upstream: describeOddId(id),
         readable: record !== null,
         sequence: record?.sequence ?? null,
+        reason: issue ?? 'not newer than the stored record',
       });
     }
-    return record === null
-      ? errorAnswer(400, ResultCode.BadRequest, 'the heartbeat is not valid')
-      : okAnswer;
+    return issue === null
+      ? okAnswer
+      : errorAnswer(400, ResultCode.BadRequest, `the heartbeat is not valid: ${issue}`);
   };
 
   const leave = (id: string, body: string): ControlAnswer => {
@@ -155,12 +176,16 @@
       return;
     }
     metrics.count('burdockrail_control_calls_total', { call: call.kind });
-    const bytes = await readBoundedBody(request, MAXIMUM_BODY_BYTES);
+    const bytes = await readBoundedBody(request, maximumBodyBytes[call.kind]);
     if (bytes === null) {
       send(errorAnswer(413, ResultCode.BodyTooLarge, 'the request body is too large'));
       return;
     }
-    const body = bytes.toString('utf8');
+    const body = decodeText(bytes);
+    if (body === null) {
+      send(errorAnswer(400, ResultCode.BadRequest, 'the request body is not UTF-8'));
+      return;
+    }
     const handleCall = handlers[call.kind] as (
       call: ControlCall,
       body: string,
