--- a/packages/daemon/src/daemonMain.ts
+++ b/packages/daemon/src/daemonMain.ts
@@ -23,7 +23,6 @@
 import type { DaemonContext, DaemonRole } from './daemonRole.js';
 import { createGroupHosts } from './groupHosts.js';
 import { createProcessStatusHandlers } from './processStatus.js';
-import { awaitStopSignal } from './stopSignal.js';
 
 const USAGE = 'usage: burdockraild SETTINGS | --check-settings SETTINGS | --print-defaults\n';
 
@@ -64,6 +63,16 @@
   };
 }
 
+async function awaitSignal(): Promise<string> {
+  return new Promise((resolve) => {
+    for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+      process.once(signal, () => {
+        resolve(signal);
+      });
+    }
+  });
+}
+
 async function serve(settings: Settings, log: EventLog): Promise<void> {
   const context = createContext(settings, log);
   await using client = context.client;
@@ -99,7 +108,7 @@
     roles: context.identity.roles.join(','),
     connections: client.counters.sentBytes,
   });
-  const signal = await awaitStopSignal();
+  const signal = await awaitSignal();
   context.log.write('processStopping', { signal });
   await drainRoles(roles, settings.drainMilliseconds, context.log);
   stop(context.actors);
--- a/packages/gateway/src/gatewayMain.ts
+++ b/packages/gateway/src/gatewayMain.ts
@@ -3,7 +3,6 @@
 import { createServer } from 'node:http';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
-import { awaitStopSignal } from '@burdockrail/daemon/stopSignal.js';
 import type { PeerIdentity, Role } from '@burdockrail/protocol/protocolAddress.js';
 import { createBoundedLineWriter } from '@burdockrail/telemetry/boundedLineWriter.js';
 import { createEventLog } from '@burdockrail/telemetry/eventLog.js';
@@ -82,6 +81,17 @@
   };
 }
 
+async function waitForStopSignal(onReload: () => void): Promise<string> {
+  return new Promise((resolve) => {
+    process.on('SIGHUP', onReload);
+    for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+      process.once(signal, () => {
+        resolve(signal);
+      });
+    }
+  });
+}
+
 /** Runs a gateway process until a stop signal; resolves with the exit code. */
 export async function runGateway(options: GatewayOptions): Promise<number> {
   const { settings, dialect, agentPort } = options;
@@ -126,11 +136,6 @@
     dialect,
     readSeeds: () => options.reloadSettings()?.seeds ?? null,
   };
-  // Before anything listens, because SIGHUP would end the process.
-  process.on('SIGHUP', () => {
-    const reloaded = options.reloadSettings();
-    log.write('settingsReloaded', { readable: reloaded !== null });
-  });
   try {
     await using disposables = createDisposalStack();
     disposables.use(context.client);
@@ -158,7 +163,10 @@
     disposables.defer(() => {
       clearInterval(vitalsTimer);
     });
-    const signal = await awaitStopSignal();
+    const signal = await waitForStopSignal(() => {
+      const reloaded = options.reloadSettings();
+      log.write('settingsReloaded', { readable: reloaded !== null });
+    });
     log.write('processStopping', { signal });
     await Promise.all(roles.map(async (role) => role.drain()));
   } catch (error) {
