fix(daemon, membership): an announcement that names no upstream is refused, not routed by

What callers saw: beside an odd announcement of their service none of 12 requests was served with a load that is nothing (500) or text (503), and one was not with an address that is no address (500), though another upstream was ready. Cause: what peers announce was taken as it came; a load without fields throws wherever the service's capacity is summed up, and text sums to no number. Change: membership/announcementCheck decides what names an upstream. A registrar refuses other announcements and loads; an entry leaves them out of the update of another and applies the rest (4105, announcementIgnored).

--- a/packages/daemon/__tests__/entryFixture.ts
+++ b/packages/daemon/__tests__/entryFixture.ts
@@ -118,11 +118,19 @@
   query: async () => Promise.reject(new ResultError(ResultCode.QuorumUnreachable)),
 };
 
+/** An entry in this process. */
+export interface TestEntry extends AsyncDisposable {
+  readonly url: string;
+  readonly drain: () => Promise<void>;
+  /** Announces an upstream; rejects if the entry does. */
+  readonly announce: (announcement: Announcement) => Promise<void>;
+}
+
 /** Starts an entry in this process with the given upstreams. */
 export async function startEntry(
   announcements: readonly Announcement[],
   groups: GroupClient = createFakeGroups(),
-): Promise<AsyncDisposable & { readonly url: string; readonly drain: () => Promise<void> }> {
+): Promise<TestEntry> {
   let listenAddress = '';
   const settings = settingsSchema.parse({
     name: 'entry',
@@ -165,14 +173,16 @@
   context.configuration.offer({ revision: 1, term: 1, digest: digestOf(document), document });
   const role = disposables.use(createEntryRoleWith(context, { groups }));
   await role.start();
-  const announce = role.handlers.calls?.['membership.announce'];
-  for (const announcement of announcements) {
+  const announce = async (announcement: Announcement): Promise<void> => {
     const peer = { ...identity, name: announcement.agent };
-    await announce?.(announcement, { peer, signal: new AbortController().signal });
-  }
+    const signal = new AbortController().signal;
+    await role.handlers.calls?.['membership.announce']?.(announcement, { peer, signal });
+  };
+  for (const announcement of announcements) await announce(announcement);
   return {
     url: `http://${listenAddress}`,
     drain: async () => role.drain(),
+    announce,
     [Symbol.asyncDispose]: async () => disposables[Symbol.asyncDispose](),
   };
 }
--- a/packages/daemon/src/membership.ts
+++ b/packages/daemon/src/membership.ts
@@ -1,4 +1,11 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { ResultError } from '@burdockrail/common/outcome.js';
+import {
+  announcementIssue,
+  loadUpdateIssue,
+  withoutOddAnnouncements,
+} from '@burdockrail/membership/announcementCheck.js';
 import { createDirectory } from '@burdockrail/membership/directoryState.js';
 import { REGISTRAR_HEARTBEAT_MILLISECONDS } from '@burdockrail/membership/membershipTiming.js';
 import { createRegistrar } from '@burdockrail/membership/registrarState.js';
@@ -154,6 +161,13 @@
     if (urgent) controller.send({ kind: 'tick' });
   };
 
+  /** @throws {@link ResultError} with `BadRequest` if a message of an agent has an issue. */
+  const refuseOdd = (from: string, reason: string | null): void => {
+    if (reason === null) return;
+    context.log.write('announcementIgnored', { from, reason });
+    throw new ResultError(ResultCode.BadRequest, reason);
+  };
+
   const listAnnouncements = (): readonly Announcement[] =>
     directory.all(time.now()).map((view) => view.announcement);
 
@@ -162,13 +176,15 @@
     directory,
     handlers: {
       calls: {
-        'membership.announce': async (announcement) => {
+        'membership.announce': async (announcement, { peer }) => {
+          refuseOdd(peer.name, announcementIssue(announcement));
           onAnnouncementChange(registrar.announce(announcement, time.now()));
           const revision = context.configuration.current?.committed.revision ?? 0;
           return Promise.resolve({ revision });
         },
         'membership.load': async (update, { peer }) => {
           const agentUpdate = { ...update, agent: peer.name };
+          refuseOdd(peer.name, loadUpdateIssue(agentUpdate));
           const known = registrar.load(agentUpdate, peer.incarnation, time.now());
           return Promise.resolve({ known });
         },
@@ -176,8 +192,12 @@
           const announcementId = { agent: peer.name, incarnation: peer.incarnation, sequence };
           return Promise.resolve({ known: registrar.renew(announcementId, time.now()) });
         },
-        'membership.update': async (update) =>
-          Promise.resolve({ counter: directory.applyUpdate(update, time.now()) }),
+        'membership.update': async (update, { peer }) => {
+          const usable = withoutOddAnnouncements(update, (reason) => {
+            context.log.write('announcementIgnored', { from: peer.name, reason });
+          });
+          return Promise.resolve({ counter: directory.applyUpdate(usable, time.now()) });
+        },
         'membership.list': async () => Promise.resolve(listAnnouncements()),
       },
       notifications: {
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -198,6 +198,11 @@
     level: 'info',
     text: 'A heartbeat named no usable upstream or was older than the stored record.',
   },
+  announcementIgnored: {
+    number: 4105,
+    level: 'warn',
+    text: 'An announcement names no upstream that can be used; it is left out.',
+  },
   upstreamRecordIgnored: {
     number: 4104,
     level: 'warn',
