fix(gateway): a duration longer than any timer can be does not end at once

What callers saw: with a route's time-out, pause or objective, or an idle limit, over 2^31-1 ms (24.8 days), which a configuration may have, a timer fires after 1 ms: requests are refused as late, streams count as silent, and the agent that holds a slot so long is woken without end. Cause: Node turns a longer delay into 1 ms. Change: common/timerDelay bounds the delays that a configuration, caller or peer sets, and the limits of the callers' server.

--- a/packages/gateway/src/agentSlots.ts
+++ b/packages/gateway/src/agentSlots.ts
@@ -1,3 +1,4 @@
+import { timerDelay } from '@burdockrail/common/timerDelay.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { createNamedLimit } from '@burdockrail/limits/namedLimit.js';
 import { createSlotQueue, type WaitingClaimOutcome } from '@burdockrail/limits/slotQueue.js';
@@ -71,7 +72,7 @@
     timer = setTimeout(() => {
       resolveTickets(queue.expire(time.now()));
       scheduleExpiry();
-    }, delayMilliseconds);
+    }, timerDelay(delayMilliseconds));
   };
 
   const buildReply = (
--- a/packages/gateway/src/bufferedAttempt.ts
+++ b/packages/gateway/src/bufferedAttempt.ts
@@ -1,3 +1,4 @@
+import { timerDelay } from '@burdockrail/common/timerDelay.js';
 import type { UpstreamIncarnation } from '@burdockrail/protocol/protocolDirectory.js';
 import {
   classifyAnswer,
@@ -59,7 +60,7 @@
       if (!mayGiveUp()) return;
       isTimedOut = true;
       attempt.abort();
-    }, timeoutMilliseconds);
+    }, timerDelay(timeoutMilliseconds));
     const settle = (outcome: BufferedAttemptOutcome): void => {
       clearInterval(timer);
       answerMemory.release(buffered?.size ?? 0);
--- a/packages/gateway/src/changeSignal.ts
+++ b/packages/gateway/src/changeSignal.ts
@@ -1,3 +1,5 @@
+import { timerDelay } from '@burdockrail/common/timerDelay.js';
+
 /** Wakes all waiters when a change occurs. */
 export interface ChangeSignal {
   notify(): void;
@@ -22,7 +24,7 @@
           waiters.delete(wake);
           resolve();
         };
-        const timer = setTimeout(wake, milliseconds);
+        const timer = setTimeout(wake, timerDelay(milliseconds));
         signal.addEventListener('abort', wake, { once: true });
         waiters.add(wake);
         if (signal.aborted) wake();
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
+import { timerDelay } from '@burdockrail/common/timerDelay.js';
 import type { RequestTraits } from '@burdockrail/limits/quarantineState.js';
 import { createChangeSignal } from './changeSignal.js';
 import { createCallerAnswer } from './callerAnswer.js';
@@ -176,7 +177,7 @@
               retryAfterMilliseconds: null,
             });
         },
-        Math.max(0, deadline - time.now()),
+        timerDelay(deadline - time.now()),
       );
       const entryRequest: EntryRequest = {
         id: caller.requestId ?? '',
@@ -244,8 +245,8 @@
   );
   const applyLimits = (): void => {
     const { headerTimeoutMilliseconds, idleTimeoutMilliseconds } = limits();
-    server.keepAliveTimeout = idleTimeoutMilliseconds;
-    server.headersTimeout = headerTimeoutMilliseconds;
+    server.keepAliveTimeout = timerDelay(idleTimeoutMilliseconds);
+    server.headersTimeout = timerDelay(headerTimeoutMilliseconds);
     server.requestTimeout = 0;
   };
   applyLimits();
--- a/packages/gateway/src/streamSilence.ts
+++ b/packages/gateway/src/streamSilence.ts
@@ -1,3 +1,5 @@
+import { timerDelay } from '@burdockrail/common/timerDelay.js';
+
 /** Time without a first event after which an engine counts as silent, in milliseconds. */
 const FIRST_EVENT_TIMEOUT_MILLISECONDS = 1_700;
 
@@ -41,7 +43,7 @@
       isSilent = true;
       restart(timeoutMilliseconds);
       onSilent();
-    }, milliseconds);
+    }, timerDelay(milliseconds));
   };
 
   restart(FIRST_EVENT_TIMEOUT_MILLISECONDS);
