--- a/packages/gateway/src/entryHandler.ts
+++ b/packages/gateway/src/entryHandler.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
+import { timerDelay } from '@burdockrail/common/timerDelay.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { createRequestDurations } from '@burdockrail/limits/requestDurations.js';
 import type { RequestTraits } from '@burdockrail/limits/quarantineState.js';
@@ -182,7 +183,7 @@
               retryAfterMilliseconds: null,
             });
         },
-        Math.max(0, deadline - time.now()),
+        timerDelay(deadline - time.now()),
       );
       const entryRequest: EntryRequest = {
         id: caller.requestId ?? '',
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
 import type { Socket } from 'node:net';
+import { timerDelay } from '@burdockrail/common/timerDelay.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { createChangeSignal } from './changeSignal.js';
 import { createCallerConnections } from './callerConnections.js';
@@ -83,8 +84,8 @@
   );
   const applyLimits = (): void => {
     const { headerTimeoutMilliseconds, idleTimeoutMilliseconds } = limitsInForce(clusterView);
-    server.keepAliveTimeout = idleTimeoutMilliseconds;
-    server.headersTimeout = headerTimeoutMilliseconds;
+    server.keepAliveTimeout = timerDelay(idleTimeoutMilliseconds);
+    server.headersTimeout = timerDelay(headerTimeoutMilliseconds);
     server.requestTimeout = 0;
   };
   applyLimits();
