--- a/packages/proofs/__tests__/fullDisks.spec.ts
+++ b/packages/proofs/__tests__/fullDisks.spec.ts
@@ -37,7 +37,7 @@
 }
 
 describe('control replicas whose disks are full one after another', () => {
-  it('acknowledge changes meanwhile and after, without a restart', async () => {
+  it('acknowledge changes meanwhile and after, without a restart, and keep them', async () => {
     await using system = await startFormedSystem();
     const controls = controlNames(system);
     let revision = 0;
@@ -62,6 +62,8 @@
       );
       assert.ok(running && failures.length >= ROUNDS, `${machine}: ${failures.length} failures`);
     }
+    await Promise.all(controls.map(async (name) => system.processes.kill(name)));
+    await Promise.all(controls.map(async (name) => system.processes.start(name)));
     const leader = await waitForLeader(system, controls, 'fleet');
     const current = await system.operator.current(leader.advertise);
     assert.equal(current?.revision, revision);
