fix(gateway, platform): an odd message that an upstream leaves does not end the upstream

Cause: a body that could not be decoded counted as a leave without a start, which ends whatever incarnation is known.

Change: only an empty body is a leave without a start. A body without a start names the incarnation of an upstream that states none.

--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -5,7 +5,7 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { readBoundedBody } from '@burdockrail/common/boundedBody.js';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
-import { upstreamRecordIssue } from '@burdockrail/membership/upstreamRecordCheck.js';
+import { startIssue, upstreamRecordIssue } from '@burdockrail/membership/upstreamRecordCheck.js';
 import { configurationIssue } from '@burdockrail/routing/routeConfiguration.js';
 import { createCallerConnections, type ConnectionTurn } from './callerConnections.js';
 import { createChangeSignal } from './changeSignal.js';
@@ -131,8 +131,14 @@
   };
 
   const leave = (id: string, body: string): ControlAnswer => {
-    const startedAt = dialect.decodeLeave(body);
+    const message = dialect.decodeLeave(body);
     const current = directory.upstreams.records.find(({ record }) => record.id === id);
+    const issue = message === null ? 'unreadable' : startIssue(message.startedAt, Date.now());
+    if (message === null || issue !== null) {
+      log.write('leaveRefused', { upstream: describeOddId(id), reason: issue });
+      return errorAnswer(400, ResultCode.BadRequest, `the message is not valid: ${issue}`);
+    }
+    const { startedAt } = message;
     const isEarlier =
       startedAt !== null && current !== undefined && startedAt < current.record.startedAt;
     if (!isEarlier) directory.recordLeave(id);
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -116,6 +116,12 @@
   load(order: ModelVersion & { readonly orders: number; readonly fence: number }): WireRequest;
 }
 
+/** An upstream says that it leaves. */
+export interface LeaveMessage {
+  /** Start of the incarnation that leaves, in Unix milliseconds; `null` if it is not stated. */
+  readonly startedAt: number | null;
+}
+
 /**
  * HTTP headers, paths and bodies exchanged with callers, upstreams, operators and engines.
  *
@@ -133,8 +139,8 @@
   controlCall(method: string, path: string): ControlCall | null;
   /** `null` for a heartbeat without a usable upstream. */
   decodeHeartbeat(id: string, body: string): UpstreamRecord | null;
-  /** Start time of the leaving incarnation; `null` if the message does not state it. */
-  decodeLeave(body: string): number | null;
+  /** `null` for a message without a usable upstream. */
+  decodeLeave(body: string): LeaveMessage | null;
   decodeConfiguration(text: string): Outcome<RouteConfiguration>;
   decodeModelVersion(body: string): ModelVersion | null;
   errorBody(code: ResultCode, text: string): string;
--- a/packages/membership/src/upstreamRecordCheck.ts
+++ b/packages/membership/src/upstreamRecordCheck.ts
@@ -52,6 +52,21 @@
   models: isHeldModels,
 };
 
+function latestStart(wallTime: Milliseconds): Milliseconds {
+  return wallTime + MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS;
+}
+
+/**
+ * Returns why an upstream cannot have started at a time; `null` if it can, or if the time is unknown.
+ *
+ * @param startedAt - Unix time in milliseconds.
+ * @param wallTime - Unix time in milliseconds.
+ */
+export function startIssue(startedAt: number | null, wallTime: Milliseconds): string | null {
+  const isInFuture = startedAt !== null && startedAt > latestStart(wallTime);
+  return isInFuture ? 'startedAt: in the future' : null;
+}
+
 /**
  * Returns why a record names no upstream that can be used; `null` if it names one.
  *
@@ -68,7 +83,8 @@
   const invalid = Object.entries(fieldChecks).find(([name, isValid]) => !isValid(fields[name]));
   if (invalid !== undefined) return `${invalid[0]}: out of range`;
   const { startedAt, sequence } = record as UpstreamRecord;
-  const latestStart = wallTime + MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS;
-  if (startedAt > latestStart) return 'startedAt: in the future';
-  return sequence > latestStart - startedAt ? 'sequence: more than one a millisecond' : null;
+  const issue = startIssue(startedAt, wallTime);
+  if (issue !== null) return issue;
+  const isTooMany = sequence > latestStart(wallTime) - startedAt;
+  return isTooMany ? 'sequence: more than one a millisecond' : null;
 }
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -223,6 +223,11 @@
     level: 'info',
     text: 'A heartbeat named no usable upstream or was older than the stored record.',
   },
+  leaveRefused: {
+    number: 4106,
+    level: 'info',
+    text: 'A message that an upstream leaves named no usable incarnation; the upstream stays.',
+  },
   announcementIgnored: {
     number: 4105,
     level: 'warn',
