fix(daemon): SIGHUP no longer ends the process with its requests

What callers saw: no answer and a closed connection when the settings of a daemon are announced as changed by SIGHUP, the usual signal for that.

Cause: without a handler the signal's default ends the process; class: a planned change ends what is in progress. The gateway handles the signal.

Change: the daemon reads the file again and logs whether it could, as the gateway does; the settings apply from the next start.

--- a/packages/daemon/src/daemonMain.ts
+++ b/packages/daemon/src/daemonMain.ts
@@ -73,6 +73,15 @@
   });
 }
 
+/** Reads the settings again on SIGHUP, which would end the process otherwise; a start applies them. */
+function handleReloadSignal(path: string, log: EventLog): void {
+  process.on('SIGHUP', () => {
+    void readSettings(path).then(({ kind }) => {
+      log.write('settingsReloaded', { readable: kind === 'success' });
+    });
+  });
+}
+
 async function serve(settings: Settings, log: EventLog): Promise<void> {
   const context = createContext(settings, log);
   await using client = context.client;
@@ -146,6 +155,7 @@
     return 0;
   }
   const log = createEventLog({ process: settings.value.name, ...settings.value.log });
+  handleReloadSignal(path, log);
   try {
     await serve(settings.value, log);
     log.write('processStopped');
