fix(gateway): a silent upstream keeps a plain request until another has answered it

What callers saw: a refusal, a 5xx or a 502 of the second upstream, although the first, which was silent for 2.5 objectives, would have answered.

Cause: the attempt at a silent upstream was ended once another one might get the request. The class: what is in progress is given up on a suspicion, before something else has replaced it.

Change: bufferedHedge runs the request at both; the first whole answer that is no server error decides and the others are closed. A further attempt starts only while all that run are silent, and takes a retry of the budget and one of the route's attempts as before. Both upstreams work on the request meanwhile; at a busy service that was not measured.

--- a/packages/gateway/__tests__/silentPlainUpstream.spec.ts
+++ b/packages/gateway/__tests__/silentPlainUpstream.spec.ts
@@ -154,4 +154,45 @@
     const { body } = await playRequest([first.address, second.address], true);
     assert.equal(body, 'late');
   });
+
+  it('is answered by it when the other upstream fails', async () => {
+    await using first = await startUpstream(answerLate);
+    await using second = await startUpstream((response) => {
+      response.statusCode = 500;
+      sendAnswer(response, 'failed');
+    });
+    const { body } = await playRequest([first.address, second.address], true);
+    assert.equal(body, 'late');
+  });
+
+  it('is answered by it when the other upstream breaks off', async () => {
+    await using first = await startUpstream(answerLate);
+    await using second = await startUpstream((response) => {
+      response.destroy();
+    });
+    const { body } = await playRequest([first.address, second.address], true);
+    assert.equal(body, 'late');
+  });
+
+  it('is answered by it when the other upstream falls silent too', async () => {
+    await using first = await startUpstream(answerLate);
+    await using second = await startUpstream(() => undefined);
+    const { body } = await playRequest([first.address, second.address], true);
+    assert.equal(body, 'late');
+    assert.equal(second.requests, 1);
+  });
+
+  it('is sent to no more upstreams than its attempts', async () => {
+    await using first = await startUpstream(answerLate);
+    await using second = await startUpstream((response) => {
+      response.statusCode = 503;
+      sendAnswer(response, 'full');
+    });
+    await using third = await startUpstream((response) => {
+      sendAnswer(response, 'third');
+    });
+    const { body } = await playRequest([first.address, second.address, third.address], true);
+    assert.equal(body, 'late');
+    assert.equal(third.requests, 0);
+  });
 });
--- a/packages/gateway/src/bufferedAttempt.ts
+++ b/packages/gateway/src/bufferedAttempt.ts
@@ -22,18 +22,22 @@
   size: number;
 }
 
-/**
- * Sends a request to one upstream and buffers its complete answer.
- *
- * @param mayGiveUp - called after each `timeoutMilliseconds` without a complete answer; `false` lets
- * the attempt go on.
- */
+/** What happens while an attempt takes longer than an answer usually does. */
+export interface SilenceOptions {
+  readonly silenceMilliseconds: number;
+  /** Called after each `silenceMilliseconds` without a complete answer. */
+  readonly onSilent: () => void;
+  /** Aborts the attempt. */
+  readonly abandoned: AbortSignal;
+}
+
+/** Sends a request to one upstream and buffers its complete answer. */
 export async function attemptBuffered(
   entry: EntryContext,
   request: EntryRequest,
   upstream: UpstreamIncarnation & { readonly address: string },
   timeoutMilliseconds: number,
-  mayGiveUp: () => boolean = () => true,
+  silence?: SilenceOptions,
 ): Promise<BufferedAttemptOutcome> {
   const { connections, dialect, time, upstreams, limits, departures, rests, answerMemory } = entry;
   const { admitted, signal } = request;
@@ -55,13 +59,21 @@
     let isOverLimit = false;
     let isLeaving = false;
     let isResting = false;
-    const timer = setInterval(() => {
-      if (!mayGiveUp()) return;
+    const timer = setTimeout(() => {
       isTimedOut = true;
       attempt.abort();
     }, timeoutMilliseconds);
+    const silenceTimer =
+      silence === undefined
+        ? undefined
+        : setInterval(silence.onSilent, silence.silenceMilliseconds);
+    const abandon = (): void => {
+      attempt.abort();
+    };
+    silence?.abandoned.addEventListener('abort', abandon, { once: true });
     const settle = (outcome: BufferedAttemptOutcome): void => {
-      clearInterval(timer);
+      clearTimeout(timer);
+      clearInterval(silenceTimer);
       answerMemory.release(buffered?.size ?? 0);
       resolve(outcome);
     };
--- a/packages/gateway/src/entryBuffered.ts
+++ b/packages/gateway/src/entryBuffered.ts
@@ -2,18 +2,19 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import type { UpstreamRecord } from '@burdockrail/protocol/protocolDirectory.js';
 import { chooseUpstream, type UpstreamCandidate } from '@burdockrail/routing/upstreamChoice.js';
-import type { BufferedAttemptOutcome } from './attemptOutcome.js';
+import type { BufferedAttemptOutcome, NotRun } from './attemptOutcome.js';
+import { runHedged, type HedgedAttempt } from './bufferedHedge.js';
 import type { EntryContext } from './entryContext.js';
 import type { Refusal } from './entryAdmission.js';
 import type { EntryRequest } from './entryRequest.js';
-import { attemptBuffered } from './bufferedAttempt.js';
+import { attemptBuffered, type SilenceOptions } from './bufferedAttempt.js';
 import { restingRefusal } from './upstreamRests.js';
 
 /** Minimum remaining time for starting an attempt, in milliseconds: a local round trip. */
 const MINIMUM_ATTEMPT_MILLISECONDS = 8;
 
-/** Attempt timeout of a repeatable request, in multiples of the route's latency objective. */
-const ATTEMPT_TIMEOUT_OBJECTIVES = 2.5;
+/** Time after which an upstream counts as silent, in multiples of the route's latency objective. */
+const SILENCE_OBJECTIVES = 2.5;
 
 /** Retry delay when upstreams are at capacity, in milliseconds: the duration of a short request. */
 const OVERLOADED_RETRY_AFTER_MILLISECONDS = 60;
@@ -40,7 +41,7 @@
   if (request.signal.aborted) {
     // The caller left or the deadline passed; that counts against the upstream only if it was slow.
     const { objectiveMilliseconds } = request.admitted.route;
-    const isSilent = now - sentAt > objectiveMilliseconds * ATTEMPT_TIMEOUT_OBJECTIVES;
+    const isSilent = now - sentAt > objectiveMilliseconds * SILENCE_OBJECTIVES;
     if (isSilent) entry.upstreams.recordVerdict(id, 'silent', now);
     return;
   }
@@ -96,6 +97,17 @@
   };
 }
 
+/** Attempts that have ended. */
+interface AttemptTally {
+  sent: number;
+  /** Retries taken from the shared budget. */
+  paidRetries: number;
+  mayHaveRun: boolean;
+  lastOutcome: BufferedAttemptOutcome | null;
+  /** The last server error of an upstream, sent to the caller if no other upstream answers. */
+  failureAnswer: Extract<BufferedAttemptOutcome, { readonly kind: 'answered' }> | null;
+}
+
 /**
  * Executes a request whose answer is buffered and forwarded once it is complete.
  *
@@ -110,19 +122,22 @@
   const { route, service } = admitted;
   const isRepeatable = route.kind === 'repeatable';
   const tried = new Set<string>();
-  let sentCount = 0;
-  let paidRetries = 0;
-  let mayHaveRun = false;
-  let lastOutcome: BufferedAttemptOutcome | null = null;
+  const attempts: AttemptTally = {
+    sent: 0,
+    paidRetries: 0,
+    mayHaveRun: false,
+    lastOutcome: null,
+    failureAnswer: null,
+  };
   let limitedMilliseconds: number | null = null;
   let restMilliseconds: number | null = null;
-  let failureAnswer: Extract<BufferedAttemptOutcome, { readonly kind: 'answered' }> | null = null;
 
-  const canAttempt = (): boolean =>
+  /** True if another attempt may be made besides those that ended and the given number in progress. */
+  const canAttempt = (inProgress: number): boolean =>
     !signal.aborted &&
-    sentCount < route.attempts &&
-    (isRepeatable || !mayHaveRun) &&
-    (sentCount === 0 || quarantine.mayRetry(request.traits, time.now())) &&
+    attempts.sent + inProgress < route.attempts &&
+    (isRepeatable || (!attempts.mayHaveRun && inProgress === 0)) &&
+    (attempts.sent + inProgress === 0 || quarantine.mayRetry(request.traits, time.now())) &&
     admitted.deadline - time.now() > MINIMUM_ATTEMPT_MILLISECONDS;
 
   /**
@@ -130,9 +145,9 @@
    * not to be sent leaves its retry to the next.
    */
   const takeRetry = (earlierAttempts: number): boolean => {
-    if (earlierAttempts <= paidRetries) return true;
+    if (earlierAttempts <= attempts.paidRetries) return true;
     if (!retryBudget.trySpend(service, clusterView.entries, time.now())) return false;
-    paidRetries = earlierAttempts;
+    attempts.paidRetries = earlierAttempts;
     return true;
   };
 
@@ -171,68 +186,95 @@
     }
   };
 
-  /** The upstream that gets the request next, if it was chosen to replace a silent one; or empty. */
-  const successors: UpstreamRecord[] = [];
-  /** True if a silent upstream may be given up: another one and a retry are at hand. */
-  const hasSuccessor = (): boolean => {
-    const successor = successors.pop() ?? chooseNext();
-    if (successor === null) return false;
-    successors.push(successor);
-    return takeRetry(sentCount + 1);
+  /** An upstream that was chosen but not sent the request, since no retry was left. */
+  let reserved: UpstreamRecord | null = null;
+  const chooseSuccessor = (inProgress: number): UpstreamRecord | null => {
+    if (!canAttempt(inProgress)) return null;
+    const successor = reserved ?? chooseNext();
+    reserved = successor;
+    if (successor === null || !takeRetry(attempts.sent + inProgress)) return null;
+    reserved = null;
+    return successor;
   };
 
-  while (canAttempt()) {
-    const next = successors.pop() ?? chooseNext();
-    if (next === null) break;
-    const { id, address, startedAt } = next;
-    const now = time.now();
-    if (!takeRetry(sentCount)) break;
-    const remainingMilliseconds = admitted.deadline - now;
-    const canFailOver = isRepeatable && sentCount + 1 < route.attempts;
-    const attemptTimeoutMilliseconds = route.objectiveMilliseconds * ATTEMPT_TIMEOUT_OBJECTIVES;
-    upstreams.requestStarted(id);
-    trace.attempts += 1;
-    trace.upstreams.push(id);
-    const timeoutMilliseconds = canFailOver
-      ? Math.min(remainingMilliseconds, attemptTimeoutMilliseconds)
-      : remainingMilliseconds;
-    const outcome = await attemptBuffered(
-      entry,
-      request,
-      { id, address, startedAt },
-      timeoutMilliseconds,
-      () => !canFailOver || hasSuccessor(),
-    );
-    upstreams.requestEnded(id);
-    recordVerdict(entry, request, id, outcome, now);
-    lastOutcome = outcome;
+  const logEnd = (
+    upstream: string,
+    outcome: 'notRun' | 'unknown',
+    end: Pick<NotRun, 'verdict' | 'sent' | 'reason'>,
+  ): void => {
+    log.write('attemptEnded', { request: request.id, upstream, outcome, ...end });
+  };
+
+  const recordEnd = (
+    { upstream: { id }, sentAt }: HedgedAttempt,
+    outcome: BufferedAttemptOutcome,
+  ): void => {
+    recordVerdict(entry, request, id, outcome, sentAt);
+    attempts.lastOutcome = outcome;
     if (outcome.kind === 'answered') {
-      const isFailure = outcome.status >= SERVER_ERROR_STATUS;
       quarantine.recordCompletion(request.traits, time.now());
-      if (isFailure) failureAnswer = outcome;
-      if (!isFailure || !isRepeatable) {
-        answer.sendBuffered(outcome.status, outcome.rawHeaders, outcome.body);
-        return;
-      }
-      sentCount += 1;
-      mayHaveRun = true;
-      continue;
+      if (outcome.status >= SERVER_ERROR_STATUS) attempts.failureAnswer = outcome;
+      attempts.sent += 1;
+      attempts.mayHaveRun = true;
+      return;
     }
-    log.write('attemptEnded', {
-      request: request.id,
-      upstream: id,
-      outcome: outcome.kind,
-      verdict: outcome.verdict,
-      sent: outcome.kind === 'unknown' || outcome.sent,
-      reason: outcome.reason,
-    });
-    if (outcome.kind === 'unknown' || outcome.sent) sentCount += 1;
-    if (outcome.kind === 'unknown') mayHaveRun = true;
-    if (outcome.kind === 'unknown' && outcome.verdict === 'broken' && !signal.aborted) {
+    const { kind, verdict, reason } = outcome;
+    const sent = kind === 'unknown' || outcome.sent;
+    logEnd(id, kind, { verdict, sent, reason });
+    if (sent) attempts.sent += 1;
+    if (kind !== 'unknown') return;
+    attempts.mayHaveRun = true;
+    if (verdict === 'broken' && !signal.aborted)
       quarantine.recordConnectionLoss(request.traits, id);
-    }
+  };
+
+  /** Records an attempt that was given up because another upstream has answered. */
+  const recordGivenUp = ({ upstream: { id }, isSilent }: HedgedAttempt): void => {
+    if (!isSilent) return;
+    upstreams.recordVerdict(id, 'silent', time.now());
+    logEnd(id, 'unknown', {
+      verdict: 'silent',
+      sent: true,
+      reason: 'no answer in time, another upstream has answered',
+    });
+  };
+
+  const run = async (
+    { id, address, startedAt }: UpstreamRecord,
+    silence: SilenceOptions,
+  ): Promise<BufferedAttemptOutcome> => {
+    upstreams.requestStarted(id);
+    trace.attempts += 1;
+    trace.upstreams.push(id);
+    const remainingMilliseconds = admitted.deadline - time.now();
+    const upstream = { id, address, startedAt };
+    return attemptBuffered(entry, request, upstream, remainingMilliseconds, silence).finally(() => {
+      upstreams.requestEnded(id);
+    });
+  };
+
+  for (;;) {
+    const first = chooseSuccessor(0);
+    if (first === null) break;
+    const outcome = await runHedged(first, {
+      time,
+      silenceMilliseconds: Math.max(
+        MINIMUM_ATTEMPT_MILLISECONDS,
+        route.objectiveMilliseconds * SILENCE_OBJECTIVES,
+      ),
+      run,
+      chooseSuccessor,
+      decides: (ended) =>
+        ended.kind === 'answered' && (!isRepeatable || ended.status < SERVER_ERROR_STATUS),
+      ended: recordEnd,
+      givenUp: recordGivenUp,
+    });
+    if (outcome?.kind !== 'answered') continue;
+    answer.sendBuffered(outcome.status, outcome.rawHeaders, outcome.body);
+    return;
   }
   if (signal.aborted) return;
+  const { lastOutcome, mayHaveRun, failureAnswer } = attempts;
   if (failureAnswer !== null) {
     answer.sendBuffered(failureAnswer.status, failureAnswer.rawHeaders, failureAnswer.body);
     return;
