fix(gateway): an answer without an event no longer ends a stream that another engine still runs

What callers saw: a stream that ends as complete although events are missing, after its engine fell silent and the one that should go on answered with a length or chunks and nothing else.

Cause: the handover took any complete answer for the decision. The same class: a run in progress is given up before another has replaced it.

Change: an empty end of one run counts once no other run is left, and not after a further event. A stream whose engine is silent for good and whose rest is empty now lasts to its deadline.

--- a/packages/gateway/__tests__/silentUpstream.spec.ts
+++ b/packages/gateway/__tests__/silentUpstream.spec.ts
@@ -104,6 +104,23 @@
     });
   }
 
+  it('is complete when the next engine states that no event follows and it breaks off', async () => {
+    await using engine = await startEngine(async (socket) => {
+      socket.write(signedHead + event(1) + event(2));
+      await delay(SILENCE_MILLISECONDS);
+      socket.destroy();
+    });
+    await using other = await startEngine(async (socket) => {
+      socket.end(signedHead.slice(0, -2) + emptyAnswers['with a length']);
+      return Promise.resolve();
+    });
+    const { received, end, unreleased } = await playStream({ grants: [engine.port, other.port] });
+    assert.equal(other.requests.length, 1);
+    assert.equal(end, 'finished');
+    assert.equal(received, event(1) + event(2));
+    assert.equal(unreleased, 0);
+  });
+
   it('is answered when it falls silent before its first event and no other engine is free', async () => {
     await using engine = await startEngine(pauseBeforeStream);
     const { received, end } = await playStream({ grants: [engine.port] });
--- a/packages/gateway/src/streamHandover.ts
+++ b/packages/gateway/src/streamHandover.ts
@@ -44,7 +44,7 @@
  *
  * @remarks
  * A silent engine is given up only for an event of another, since it may go on at any time and the
- * other may refuse, fail or fall silent too.
+ * other may refuse, fail, fall silent too or state that no event follows.
  *
  * @returns the last stream that ended.
  */
@@ -54,6 +54,8 @@
 ): Promise<EndedStream> {
   const live = new Set<LiveStream>();
   let isClaiming = false;
+  /** A resumed stream that ended without an event; it counts unless another goes on. */
+  let emptyEnd: EndedStream | null = null;
 
   return new Promise((resolve, reject) => {
     const describe = ({ slot, events, running }: LiveStream): Omit<EndedStream, 'outcome'> => ({
@@ -98,6 +100,7 @@
         event: (bytes, id) => {
           if (!options.isNew(id)) return true;
           giveUpOthers(stream);
+          emptyEnd = null;
           stream.events += 1;
           return options.caller.event(bytes, id);
         },
@@ -110,10 +113,19 @@
       running.outcome
         .then((outcome) => {
           if (!live.has(stream)) return;
+          const ended = { ...describe(stream), outcome };
+          if (outcome.kind === 'complete' && stream.events === 0 && live.size > 1) {
+            live.delete(stream);
+            emptyEnd = ended;
+            options.givenUp(ended);
+            return;
+          }
           if (outcome.kind === 'complete') giveUpOthers(stream);
           live.delete(stream);
-          if (live.size === 0) resolve({ ...describe(stream), outcome });
-          else if (outcome.kind !== 'complete') options.ended({ ...describe(stream), outcome });
+          const isLast = live.size === 0 && (emptyEnd === null || outcome.kind === 'complete');
+          if (isLast) resolve(ended);
+          else if (outcome.kind !== 'complete') options.ended({ ...ended, outcome });
+          if (live.size === 0 && emptyEnd !== null) resolve(emptyEnd);
         })
         .catch(fail);
     };
