fix(gateway, transport): a late claim no longer ends what else waits on its agent's connection

What callers saw: a refusal for want of an engine, though an agent would have granted a slot; and slots that stay taken until their requests' deadlines, since agents never learned that a claim was given up.

Cause: a claim that was answered late closed the connection to its agent, and with it all other calls. The withdrawal that follows was written to the connection just closed, as the client knew of the close only one turn of the event loop later. The class: what others wait for is ended on a suspicion.

Change: the connection is retired. New messages, the withdrawal too, go over another one, as the old one may be dead without a reset; it closes with its last call. The client takes no connection that has been destroyed either. slotClaimClient.spec asserts 'retired' where it asserted 'destroyed', as strictly.

--- a/packages/gateway/__tests__/entrySlots.spec.ts
+++ b/packages/gateway/__tests__/entrySlots.spec.ts
@@ -22,7 +22,7 @@
 function createClaim(call: () => Promise<never>, untilAllowed = 0) {
   const known = { record, silent: false, heardAt: 0 };
   const context = {
-    client: { connectionTo: () => ({ call, destroy: () => undefined }), notify: () => undefined },
+    client: { connectionTo: () => ({ call, retire: () => undefined }), notify: () => undefined },
     time: monotonicClock,
     random: createSeededRandom(1),
     log: { write: () => undefined },
--- a/packages/gateway/__tests__/restingUpstreamsFixture.ts
+++ b/packages/gateway/__tests__/restingUpstreamsFixture.ts
@@ -152,7 +152,7 @@
     clusterView,
     upstreams: createEntryUpstreams(clusterView, base.departures),
     client: {
-      connectionTo: () => ({ call, destroy: () => undefined }),
+      connectionTo: () => ({ call, retire: () => undefined }),
       notify: (_address: unknown, kind: string, message: unknown) => {
         if (kind === 'place.release') slots.released += 1;
         if (kind === 'place.rest') slots.rests.push(message as EngineRest);
--- a/packages/gateway/__tests__/slotClaimClient.spec.ts
+++ b/packages/gateway/__tests__/slotClaimClient.spec.ts
@@ -27,7 +27,7 @@
 function createClient(call: () => Promise<SlotReply>) {
   const messages: string[] = [];
   const client = {
-    connectionTo: () => ({ call, destroy: () => messages.push('destroyed') }),
+    connectionTo: () => ({ call, retire: () => messages.push('retired') }),
     notify: (_agent: unknown, kind: string, message: object) =>
       messages.push(`${kind} ${JSON.stringify(message)}`),
   };
@@ -69,7 +69,7 @@
       Promise.reject(new Error('timed out')),
     );
     assert.equal(await claim(), null);
-    assert.deepEqual(messages, ['destroyed', 'place.withdraw {"requestId":"r"}']);
+    assert.deepEqual(messages, ['retired', 'place.withdraw {"requestId":"r"}']);
     assert.equal(claimClient.isSilent(agent, monotonicClock.now()), true);
     assert.equal(claimClient.isSilent(agent, monotonicClock.now() + 1_100), false);
   });
--- a/packages/gateway/__tests__/twoUpstreamEntry.ts
+++ b/packages/gateway/__tests__/twoUpstreamEntry.ts
@@ -168,7 +168,7 @@
     departures,
     upstreams: createEntryUpstreams(view, departures),
     client: {
-      connectionTo: () => ({ call, destroy: ignore }),
+      connectionTo: () => ({ call, retire: ignore }),
       notify: ignore,
     } as unknown as EntryContext['client'],
   });
--- a/packages/gateway/src/slotClaimClient.ts
+++ b/packages/gateway/src/slotClaimClient.ts
@@ -106,7 +106,8 @@
       return reply;
     } catch (error) {
       if (!signal.aborted) {
-        connection.destroy();
+        // It may be dead, which nothing else shows, or carry answers that others wait for.
+        connection.retire();
         extendBackoff(name);
         const reason = `no answer: ${String(error)}`;
         log.write('placeRefused', { request: request.id, agent: name, reason });
--- a/packages/transport/__tests__/peerConnection.spec.ts
+++ b/packages/transport/__tests__/peerConnection.spec.ts
@@ -84,4 +84,36 @@
     await using restarted = await createPeerServer(server.address, identity, handlers);
     assert.equal((await client.connectionTo(restarted.address).peer).name, 'a');
   });
+
+  it('closes after its last call once it is retired, and gets no new one', async () => {
+    await using server = await createPeerServer(loopback, identity, handlers);
+    await using client = createPeerClient({ identity });
+    const connection = client.connectionTo(server.address);
+    let isClosed = false;
+    void connection.closed.then(() => {
+      isClosed = true;
+    });
+    const pending = connection.call('configuration.current', {}, { timeoutMilliseconds: 200 });
+    connection.retire();
+    const fenceRequest = { attemptId: 'one', agentIncarnation: 'i' };
+    const next = client.connectionTo(server.address);
+    assert.notEqual(next, connection);
+    await next.call('attempt.fence', fenceRequest, callOptions);
+    assert.equal(isClosed, false);
+    await assert.rejects(
+      pending,
+      (error: unknown) => error instanceof ResultError && error.code === ResultCode.CallTimedOut,
+    );
+    await connection.closed;
+    assert.equal(client.connectionTo(server.address), next);
+  });
+
+  it('gets no notification once it is destroyed', async () => {
+    await using server = await createPeerServer(loopback, identity, handlers);
+    await using client = createPeerClient({ identity });
+    const connection = client.connectionTo(server.address);
+    await connection.peer;
+    connection.destroy();
+    assert.notEqual(client.connectionTo(server.address), connection);
+  });
 });
--- a/packages/transport/src/peerClient.ts
+++ b/packages/transport/src/peerClient.ts
@@ -16,7 +16,7 @@
 /** Time after which a connection attempt is aborted, in milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
 
-/** Connections to other processes, one per address, opened on first use and again after a loss. */
+/** Connections to other processes; new messages to an address use one, opened when there is none. */
 export interface PeerClient extends AsyncDisposable {
   /** Returns the connection to an address, and opens one if there is none. */
   connectionTo(address: Address): PeerConnection;
@@ -44,6 +44,7 @@
 
 export function createPeerClient(options: PeerClientOptions): PeerClient {
   const connections = new Map<string, PeerConnection>();
+  const openConnections = new Set<PeerConnection>();
   let closedSentBytes = 0;
   let closedReceivedBytes = 0;
 
@@ -71,12 +72,14 @@
   const connectionTo = (address: Address): PeerConnection => {
     const key = formatAddress(address);
     const existing = connections.get(key);
-    if (existing !== undefined) return existing;
+    if (existing !== undefined && !existing.isRetired) return existing;
     const connection = openConnection(address);
     connections.set(key, connection);
+    openConnections.add(connection);
     void connection.closed.then(() => {
       closedSentBytes += connection.counters.sentBytes;
       closedReceivedBytes += connection.counters.receivedBytes;
+      openConnections.delete(connection);
       if (connections.get(key) === connection) connections.delete(key);
     });
     return connection;
@@ -90,15 +93,15 @@
     get counters() {
       let sentBytes = closedSentBytes;
       let receivedBytes = closedReceivedBytes;
-      for (const connection of connections.values()) {
+      for (const connection of openConnections) {
         sentBytes += connection.counters.sentBytes;
         receivedBytes += connection.counters.receivedBytes;
       }
       return { sentBytes, receivedBytes };
     },
     [Symbol.asyncDispose]: async () => {
-      for (const connection of connections.values()) connection.destroy();
-      await Promise.all([...connections.values()].map((connection) => connection.closed));
+      for (const connection of openConnections) connection.destroy();
+      await Promise.all([...openConnections].map((connection) => connection.closed));
     },
   };
 }
--- a/packages/transport/src/peerConnection.ts
+++ b/packages/transport/src/peerConnection.ts
@@ -48,6 +48,10 @@
     options: Partial<CallOptions>,
   ): AsyncIterable<PeerStreams[Kind]['item']>;
   notify<Kind extends NotificationKind>(kind: Kind, message: PeerNotifications[Kind]): void;
+  /** True once its client opens another connection for new messages. */
+  readonly isRetired: boolean;
+  /** Leaves the connection to the calls and streams in progress, after which it closes. */
+  retire(): void;
   /** Closes the connection immediately. */
   destroy(): void;
 }
@@ -79,6 +83,7 @@
   const openStreams = new Map<number, ItemQueue>();
   const activeHandlers = new Map<number, AbortController>();
   let nextId = 1;
+  let isRetired = false;
   let peerIdentity: PeerIdentity | null = null;
   let resolvePeer: (peer: PeerIdentity) => void = () => undefined;
   let rejectPeer: (error: Error) => void = () => undefined;
@@ -95,6 +100,11 @@
     return socket.write(bytes);
   };
 
+  const closeIfUnused = (): void => {
+    const inProgress = pendingCalls.size + openStreams.size + activeHandlers.size;
+    if (isRetired && inProgress === 0) socket.destroy();
+  };
+
   const contextFor = (controller: AbortController): PeerContext => ({
     peer: peerIdentity ?? { name: 'unknown', incarnation: '', dataCentre: '', roles: [] },
     signal: controller.signal,
@@ -116,6 +126,7 @@
       sendError(id, kind, error);
     } finally {
       activeHandlers.delete(id);
+      closeIfUnused();
     }
   };
 
@@ -138,6 +149,7 @@
       sendError(id, kind, error);
     } finally {
       activeHandlers.delete(id);
+      closeIfUnused();
     }
   };
 
@@ -218,6 +230,7 @@
         pendingCalls.delete(id);
         clearTimeout(timer);
         options.signal?.removeEventListener('abort', onAbort);
+        closeIfUnused();
       };
       const fail = (error: ResultError): void => {
         cleanUp();
@@ -277,6 +290,7 @@
       clearTimeout(timer);
       options.signal?.removeEventListener('abort', onAbort);
       if (!isComplete) send([FrameKind.Cancel, id], kind);
+      closeIfUnused();
     }
   }
 
@@ -291,6 +305,13 @@
     notify: (kind, message) => {
       send([FrameKind.Notification, toWireKind(kind), message], kind);
     },
+    get isRetired() {
+      return isRetired || socket.destroyed;
+    },
+    retire: () => {
+      isRetired = true;
+      closeIfUnused();
+    },
     destroy: () => {
       socket.destroy();
     },
