--- a/packages/gateway/__tests__/longDurations.spec.ts
+++ b/packages/gateway/__tests__/longDurations.spec.ts
@@ -45,9 +45,12 @@
     const request = createPlayedRequest({ id: 'a', route: {}, headers: ['x-request', 'a'] });
     const upstream = { id: 'u', startedAt: 1, address };
     let offers = 0;
-    const outcome = await attemptBuffered(entry, request, upstream, LONG_MILLISECONDS, () => {
-      offers += 1;
-      return true;
+    const outcome = await attemptBuffered(entry, request, upstream, LONG_MILLISECONDS, {
+      silenceMilliseconds: LONG_MILLISECONDS,
+      onSilent: () => {
+        offers += 1;
+      },
+      abandoned: new AbortController().signal,
     });
     server.close();
     server.closeAllConnections();
