fix(daemon): an engine's load report that is no load counts as no answer

Cause: the report was announced as it came; a registrar now refuses such an announcement whole, so that the agent's last state would stay in force until its lease ends.

--- a/packages/daemon/src/engineMonitor.ts
+++ b/packages/daemon/src/engineMonitor.ts
@@ -1,3 +1,6 @@
+import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { ResultError } from '@burdockrail/common/outcome.js';
+import { isLoadReport } from '@burdockrail/membership/announcementCheck.js';
 import type { LoadReport } from '@burdockrail/protocol/protocolMembership.js';
 import type { EngineClient, EngineLoad } from './engineClient.js';
 import { createCachedPrefixes } from './enginePrefixes.js';
@@ -43,6 +46,7 @@
   const poll = async (): Promise<void> => {
     try {
       const load = await engine.getLoad();
+      if (!isLoadReport(load)) throw new ResultError(ResultCode.UpstreamFailed, 'odd load');
       const events = await engine.getEvents(nextEventNumber);
       // Event numbers that start again mean that the engine restarted with an empty cache.
       if (events.next < nextEventNumber) prefixes.clear();
--- a/packages/membership/src/announcementCheck.ts
+++ b/packages/membership/src/announcementCheck.ts
@@ -28,7 +28,8 @@
   return typeof value === 'number' && value >= 0 && value <= Number.MAX_SAFE_INTEGER;
 }
 
-function isLoad(value: unknown): value is LoadReport {
+/** True for a load by which requests can be routed. */
+export function isLoadReport(value: unknown): value is LoadReport {
   if (!isFields(value)) return false;
   return [value.running, value.waiting, value.capacity, value.cacheUse].every(isAmount);
 }
@@ -65,7 +66,7 @@
   state: (value) => value === 'present' || value === 'leaving',
   serving: isOptional(isServing),
   ready: (value) => typeof value === 'boolean',
-  load: isOptional(isLoad),
+  load: isOptional(isLoadReport),
   prefixes: isTextList,
   rollout: isOptional(isRollout),
 };
@@ -73,7 +74,7 @@
 const loadUpdateChecks: FieldChecks<LoadUpdate> = {
   agent: isText,
   sequence: isCount,
-  load: isOptional(isLoad),
+  load: isOptional(isLoadReport),
   heldChunks: isOptional(isCount),
   prefixes: isTextList,
 };
