fix(gateway, platform): a departure that cannot be read removes no upstream

Cause: an unreadable departure counted as one without a start time, which always removes the upstream. Evidence: before, 'does not remove an upstream' failed in gateway/oddBody with 'u left'. Change: a departure has no body or one that can be read; any other is answered 400 with a log line.

--- a/packages/gateway/__tests__/oddBody.spec.ts
+++ b/packages/gateway/__tests__/oddBody.spec.ts
@@ -12,6 +12,12 @@
 const HOST = '127.0.0.1';
 const MEBIBYTE = 1024 * 1024;
 
+const callsByMethod: Readonly<Record<string, object>> = {
+  PUT: { kind: 'heartbeat', id: 'u' },
+  POST: { kind: 'putConfiguration' },
+  DELETE: { kind: 'leave', id: 'u' },
+};
+
 const ignore = (): void => undefined;
 
 async function freePort(): Promise<number> {
@@ -39,8 +45,8 @@
   });
   const context = {
     dialect: {
-      controlCall: (method: string) =>
-        method === 'PUT' ? { kind: 'heartbeat', id: 'u' } : { kind: 'putConfiguration' },
+      controlCall: (method: string) => callsByMethod[method] ?? null,
+      decodeLeave: (body: string) => (body === '' ? { startedAt: null } : null),
       decodeHeartbeat: (_id: string, body: string) => record(body.slice(0, 8)),
       decodeConfiguration: (body: string) => {
         taken.push(body.slice(0, 8));
@@ -53,6 +59,8 @@
     metrics: { count: ignore },
   };
   const directory = {
+    upstreams: { records: [] },
+    recordLeave: (id: string) => taken.push(`${id} left`),
     recordHeartbeat: ({ service }: UpstreamRecord) => taken.push(service) > 0,
   };
   const server = await startControlServer(
@@ -78,6 +86,16 @@
     assert.deepEqual(taken, ['till']);
   });
 
+  it('does not remove an upstream', async () => {
+    const taken: string[] = [];
+    await using server = await startServer(taken);
+    const odd = await fetch(server.url, { method: 'DELETE', body: '{"born":' });
+    assert.deepEqual(taken, []);
+    assert.equal(odd.status, 400);
+    assert.equal((await fetch(server.url, { method: 'DELETE' })).status, 200);
+    assert.deepEqual(taken, ['u left']);
+  });
+
   it('is refused when it is not UTF-8, since it would be read back changed', async () => {
     const taken: string[] = [];
     await using server = await startServer(taken);
--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -135,7 +135,13 @@
   };
 
   const leave = (id: string, body: string): ControlAnswer => {
-    const startedAt = dialect.decodeLeave(body);
+    const departure = dialect.decodeLeave(body);
+    if (departure === null) {
+      const reason = 'unreadable departure';
+      log.write('heartbeatRefused', { upstream: describeOddId(id), readable: false, reason });
+      return errorAnswer(400, ResultCode.BadRequest, reason);
+    }
+    const { startedAt } = departure;
     const current = directory.upstreams.records.find(({ record }) => record.id === id);
     const isEarlier =
       startedAt !== null && current !== undefined && startedAt < current.record.startedAt;
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -75,6 +75,12 @@
   readonly version: number;
 }
 
+/** Message of an upstream that leaves. */
+export interface Departure {
+  /** Start of the leaving incarnation in Unix milliseconds; `null` if not stated. */
+  readonly startedAt: number | null;
+}
+
 /** Status that an engine reports about itself. */
 export interface EngineReport {
   /** Start of the engine in Unix milliseconds; 0 if not reported. */
@@ -133,8 +139,8 @@
   controlCall(method: string, path: string): ControlCall | null;
   /** `null` for a heartbeat without a usable upstream. */
   decodeHeartbeat(id: string, body: string): UpstreamRecord | null;
-  /** Start time of the leaving incarnation; `null` if the message does not state it. */
-  decodeLeave(body: string): number | null;
+  /** `null` for a message that no upstream can have sent. */
+  decodeLeave(body: string): Departure | null;
   decodeConfiguration(text: string): Outcome<RouteConfiguration>;
   decodeModelVersion(body: string): ModelVersion | null;
   errorBody(code: ResultCode, text: string): string;
