fix(gateway): a plain request is not sent to an upstream that drains since it was chosen

Cause: an upstream that was chosen beside a silent one and got nothing, since the retry budget was spent, stayed reserved for the request and was used without another look once a retry was left.

Change: a reserved upstream is used only while it is among the candidates.

Found in review by reading; not seen in a run of the product.

--- a/packages/gateway/__tests__/silentPlainUpstream.spec.ts
+++ b/packages/gateway/__tests__/silentPlainUpstream.spec.ts
@@ -58,6 +58,8 @@
   addresses: readonly string[],
   retryIsAllowed: boolean,
   changes: Partial<EntryContext> = {},
+  /** True for an upstream that gets no new requests, such as a draining one. */
+  isLeaving: (address: string) => boolean = () => false,
 ): Promise<{ readonly body: string; readonly refused: boolean }> {
   await using connections = createUpstreamConnections('127.0.0.1');
   const base = createEntryContext(connections, '', {
@@ -83,7 +85,10 @@
   const entry = {
     ...base,
     settings: { ...base.settings, dataCentre: 'north' },
-    upstreams: { ...base.upstreams, candidates: () => candidates },
+    upstreams: {
+      ...base.upstreams,
+      candidates: () => candidates.filter(({ id }) => !isLeaving(id)),
+    },
     clusterView: {
       weightsOf: () => [],
       table: base.clusterView.table,
@@ -195,4 +200,29 @@
     assert.equal(body, 'late');
     assert.equal(third.requests, 0);
   });
+
+  it('is not sent to an upstream that has begun to drain since no retry was left for it', async () => {
+    await using first = await startUpstream(answerLate);
+    await using second = await startUpstream((response) => {
+      sendAnswer(response, 'second');
+    });
+    let isDraining = false;
+    const retryBudget = {
+      trySpend: () => {
+        const isAllowed = isDraining;
+        isDraining = true;
+        return isAllowed;
+      },
+      recordRequest: () => undefined,
+    };
+    const addresses = [first.address, second.address];
+    const { body } = await playRequest(
+      addresses,
+      true,
+      { retryBudget },
+      (address) => isDraining && address === second.address,
+    );
+    assert.equal(second.requests, 0);
+    assert.equal(body, 'late');
+  });
 });
--- a/packages/gateway/src/entryBuffered.ts
+++ b/packages/gateway/src/entryBuffered.ts
@@ -188,9 +188,12 @@
 
   /** An upstream that was chosen but not sent the request, since no retry was left. */
   let reserved: UpstreamRecord | null = null;
+  /** Returns it unless it has begun to drain, to rest or is gone since. */
+  const usableReserved = (): UpstreamRecord | null =>
+    availableUpstreams(time.now()).some(({ id }) => id === reserved?.id) ? reserved : null;
   const chooseSuccessor = (inProgress: number): UpstreamRecord | null => {
     if (!canAttempt(inProgress)) return null;
-    const successor = reserved ?? chooseNext();
+    const successor = usableReserved() ?? chooseNext();
     reserved = successor;
     if (successor === null || !takeRetry(attempts.sent + inProgress)) return null;
     reserved = null;
