fix(gateway): a request behind another one ends when its caller leaves

Callers saw nothing; upstreams went on with requests whose caller had left (GONE), and the entry counted them as in progress for good, so that a drain waited for its longest time.

Cause: Node emits the close of a connection only at the response that is being written. One behind it on the same connection hears nothing, so its work isn't cancelled and its turn never ends. The control server counts its calls in the same way.

Callers that don't pipeline are not affected.

Change: callerConnections knows the open responses of a connection and reports its close to those that have no socket yet.

Other specs of the package were not run.

--- a/packages/gateway/__tests__/stoppingEntryFixture.ts
+++ b/packages/gateway/__tests__/stoppingEntryFixture.ts
@@ -66,6 +66,9 @@
   });
   return {
     send: (text: string) => socket.write(text),
+    leave: () => {
+      socket.destroy();
+    },
     received: () => received,
     statuses: () => [...received.matchAll(/HTTP\/1\.1 (\d+) /gu)].map(([, status]) => status),
     closed: async () => waitUntil('the connection is closed', () => isClosed),
--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
 /** One request on a caller's connection. */
@@ -15,7 +16,7 @@
 export interface CallerConnections {
   add(socket: Socket): void;
   /** Returns `null` for a request behind an answer that ends the connection: it gets no answer. */
-  requestStarted(socket: Socket): ConnectionTurn | null;
+  requestStarted(socket: Socket, response: ServerResponse): ConnectionTurn | null;
   /** Closes idle connections now, and each other one after its answer. */
   closeWhenIdle(): void;
 }
@@ -24,6 +25,7 @@
   /** More than one if the caller sends requests without waiting for answers. */
   requestsInProgress: number;
   requestsStarted: number;
+  readonly openResponses: Set<ServerResponse>;
   /** Bytes received when the connection last became idle; more belong to a request not yet read. */
   idleAtBytes: number;
   /** True once no further request can be answered. */
@@ -42,17 +44,25 @@
 
   return {
     add: (socket) => {
+      const openResponses = new Set<ServerResponse>();
       states.set(socket, {
         requestsInProgress: 0,
         requestsStarted: 0,
+        openResponses,
         idleAtBytes: 0,
         isEnding: false,
       });
-      socket.once('close', () => states.delete(socket));
+      socket.once('close', () => {
+        states.delete(socket);
+        // Node reports the close only to the response that is being written, not to those behind it.
+        for (const response of openResponses) if (response.socket === null) response.emit('close');
+      });
     },
-    requestStarted: (socket) => {
+    requestStarted: (socket, response) => {
       const state = states.get(socket);
       if (state === undefined || state.isEnding) return null;
+      state.openResponses.add(response);
+      response.once('close', () => state.openResponses.delete(response));
       state.requestsInProgress += 1;
       state.requestsStarted += 1;
       const number = state.requestsStarted;
--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -200,7 +200,7 @@
   };
 
   const server = createServer((request, response) => {
-    const turn = connections.requestStarted(request.socket);
+    const turn = connections.requestStarted(request.socket, response);
     if (turn === null) {
       metrics.count('burdockrail_requests_behind_close_total');
       request.resume();
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -62,7 +62,7 @@
   const server: Server = createServer(
     { maxHeaderSize: defaultLimits.headerBytes, keepAlive: true, noDelay: true },
     (request, response) => {
-      const turn = connections.requestStarted(request.socket);
+      const turn = connections.requestStarted(request.socket, response);
       if (turn === null) {
         metrics.count('burdockrail_requests_behind_close_total');
         request.resume();
