test(membership): a copy of a heartbeat that comes first shuts out the sound upstream

A registry that hears a copy under another id first (same address, same start) refuses the sound upstream from then on, also when the copy has been silent for long: silent records are never dropped, and isCopy compares starts only. Seen: applyRecord false instead of true, 10 passed, 1 failed. Not mended: that a silent holder gives way would let a copy end a sound upstream that is only silent.

--- a/packages/membership/__tests__/upstreamRegistry.spec.ts
+++ b/packages/membership/__tests__/upstreamRegistry.spec.ts
@@ -45,6 +45,13 @@
     );
   });
 
+  it('gives an address back to its holder once a copy that came first has fallen silent', () => {
+    const registry = createUpstreamRegistry();
+    registry.applyRecord(record({ id: 'copy', service: 'nowhere' }), 0);
+    registry.sweep(1_000, 5_000);
+    assert.equal(registry.applyRecord(record({ sequence: 2 }), 5_010), true);
+  });
+
   it('does not restore a departed upstream on a delayed heartbeat', () => {
     const registry = createUpstreamRegistry();
     registry.applyRecord(record({ sequence: 3 }), 0);
