test(membership): a number that no upstream can have reached shuts out the sound one

An odd heartbeat under a sound upstream's id with a number of 50,000,000 is taken, and the sound one's later heartbeats look old (trial on the registry: applyRecord true for the odd, false for the next sound one). Not mended: how far clocks may differ is not mine to decide.

--- a/packages/membership/__tests__/upstreamRecordCheck.spec.ts
+++ b/packages/membership/__tests__/upstreamRecordCheck.spec.ts
@@ -38,6 +38,10 @@
   const unusable: readonly (readonly [string, Readonly<Record<string, unknown>>])[] = [
     ['a start in the far future', { startedAt: Number.MAX_SAFE_INTEGER }],
     ['a number that nobody can have reached', { sequence: 1_000_000_000_000 }],
+    [
+      'a number that it cannot have reached in the minute since its start',
+      { startedAt: WALL_TIME - 60_000, sequence: 50_000_000 },
+    ],
     ['an infinite number', { sequence: Number.POSITIVE_INFINITY }],
     ['slots by the quadrillion', { slots: Number.MAX_SAFE_INTEGER }],
     ['a service of a megabyte', { service: 's'.repeat(1_000_000) }],
