fix(membership): a number that no upstream can have reached shuts out nobody

Callers saw: after a heartbeat of another writer under a sound upstream's id, with a number far above those that the upstream can have sent, its own heartbeats look old and it is followed no more.

Evidence: membership/upstreamRecordCheck, 'a number that it cannot have reached in the minute since its start': null instead of a reason.

--- a/packages/membership/src/upstreamRecordCheck.ts
+++ b/packages/membership/src/upstreamRecordCheck.ts
@@ -14,6 +14,9 @@
 /** Largest difference between the clocks of two machines, in milliseconds. */
 const MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS = 86_400_000;
 
+/** Heartbeats that an upstream may have sent whatever its clock says: a day of one a second. */
+const MAXIMUM_HEARTBEATS_BEFORE_START = 86_400;
+
 const states: ReadonlySet<unknown> = new Set(['ready', 'draining', 'gone']);
 
 /** Text that can be sent as the value of a header. */
@@ -85,6 +88,6 @@
   const { startedAt, sequence } = record as UpstreamRecord;
   const issue = startIssue(startedAt, wallTime);
   if (issue !== null) return issue;
-  const isTooMany = sequence > latestStart(wallTime) - startedAt;
-  return isTooMany ? 'sequence: more than one a millisecond' : null;
+  const possibleHeartbeats = Math.max(0, wallTime - startedAt) + MAXIMUM_HEARTBEATS_BEFORE_START;
+  return sequence > possibleHeartbeats ? 'sequence: more than one a millisecond' : null;
 }
