fix(gateway, membership): a heartbeat of a service that nothing names takes no address

Callers saw: after one heartbeat with a service that the configuration does not name, the address of a sound upstream and a later start, no request was served: the sound upstream counted as gone, and its own heartbeats were refused.

Cause: an address belongs to the incarnation that started last, whoever says so.

Change: control processes compare services with the latest configuration. A record of a service that it does not name takes no address from an upstream that sends heartbeats, and gives way to one that is named. A silent holder gives way as before, since addresses are used again.

--- a/packages/gateway/src/controlDirectory.ts
+++ b/packages/gateway/src/controlDirectory.ts
@@ -18,6 +18,7 @@
 } from '@burdockrail/protocol/protocolDirectory.js';
 import type { PeerHandlers } from '@burdockrail/transport/peerHandlers.js';
 import { createChangeSignal } from './changeSignal.js';
+import { createConfiguredServices } from './configuredServices.js';
 import type { ControlGroup } from './controlGroup.js';
 import { createFindingLog } from './findingLog.js';
 import { parseAddress } from './controlAddresses.js';
@@ -87,6 +88,7 @@
   const peerWatches = new Map<string, Promise<void>>();
   const findings = createFindingLog();
   const recordFilter = createUpstreamRecordFilter(log);
+  const isNamedService = createConfiguredServices(context.dialect, () => group.state.configuration);
   const silenceLimitMilliseconds =
     MISSED_HEARTBEATS * settings.bounds.heartbeatMilliseconds + HEARTBEAT_GRACE_MILLISECONDS;
 
@@ -105,7 +107,7 @@
 
   const applyRecord = (record: UpstreamRecord, heardAt: Milliseconds, source: string): boolean => {
     const previousRevision = upstreams.latestRevision(false);
-    const isNewer = upstreams.applyRecord(record, heardAt);
+    const isNewer = upstreams.applyRecord(record, heardAt, isNamedService);
     if (upstreams.latestRevision(false) !== previousRevision) logUpstreamChange(record, source);
     if (isNewer) changes.notify();
     return isNewer;
--- a/packages/membership/src/upstreamRegistry.ts
+++ b/packages/membership/src/upstreamRegistry.ts
@@ -26,8 +26,16 @@
 /** Records of the upstreams that announced themselves to any control process. */
 export interface UpstreamRegistry {
   readonly revision: number;
-  /** Applies a heartbeat or forwarded record; returns whether it was newer than the current one. */
-  applyRecord(record: UpstreamRecord, heardAt: Milliseconds): boolean;
+  /**
+   * Applies a heartbeat or forwarded record; returns whether it was newer than the current one.
+   *
+   * @param isNamed - tells whether the configuration names a service.
+   */
+  applyRecord(
+    record: UpstreamRecord,
+    heardAt: Milliseconds,
+    isNamed?: (service: string) => boolean,
+  ): boolean;
   /** Sets the models that an engine holds, as reported by the agent on its VM. */
   setModels(id: string, models: readonly HeldModel[]): void;
   /** Marks an upstream as gone after it announced its departure. */
@@ -65,7 +73,8 @@
  * @remarks
  * Of two records of one upstream, the later incarnation wins, and within an incarnation the higher
  * sequence. An address belongs to the incarnation that started last, so a delayed heartbeat cannot
- * restore the previous holder of a reused address.
+ * restore the previous holder of a reused address. A record of a service that the configuration does
+ * not name may come from anybody, so it takes no address from an upstream that sends heartbeats.
  */
 export function createUpstreamRegistry(): UpstreamRegistry {
   const records = new Map<string, RegistryRecord>();
@@ -92,13 +101,21 @@
     });
   };
 
-  const endPreviousHolders = (next: UpstreamRecord, heardAt: Milliseconds): boolean => {
-    for (const { record } of [...records.values()]) {
+  const endPreviousHolders = (
+    next: UpstreamRecord,
+    heardAt: Milliseconds,
+    isNamed: (service: string) => boolean,
+  ): boolean => {
+    const isNextNamed = isNamed(next.service);
+    for (const { record, silent } of [...records.values()]) {
       if (record.id === next.id || record.address !== next.address) continue;
       if (record.state === 'gone') continue;
+      const isHolderNamed = isNamed(record.service);
+      if (isHolderNamed && !isNextNamed && !silent) return false;
       // Two incarnations with known starts cannot have begun at one address at the same time.
       const isCopy = record.startedAt === next.startedAt && next.startedAt !== UNKNOWN_START_TIME;
-      if (isCopy || record.startedAt > next.startedAt) return false;
+      const isEarlier = isCopy || record.startedAt > next.startedAt;
+      if (isEarlier && (isHolderNamed || !isNextNamed)) return false;
       store({ ...record, state: 'gone' }, heardAt, false, true);
     }
     return true;
@@ -112,7 +129,7 @@
     get records() {
       return [...records.values()];
     },
-    applyRecord: (record, heardAt) => {
+    applyRecord: (record, heardAt, isNamed = () => true) => {
       const current = records.get(record.id);
       if (current !== undefined && !isNewer(record, current.record)) {
         const isRepeated =
@@ -122,7 +139,7 @@
           records.set(record.id, { ...current, heardAt });
         return false;
       }
-      if (record.state !== 'gone' && !endPreviousHolders(record, heardAt)) return false;
+      if (record.state !== 'gone' && !endPreviousHolders(record, heardAt, isNamed)) return false;
       const wasSilent = current?.silent ?? false;
       const isRoutingChange =
         current === undefined ||
