--- a/packages/gateway/__tests__/entryRequestFixture.ts
+++ b/packages/gateway/__tests__/entryRequestFixture.ts
@@ -1,11 +1,10 @@
-import { once } from 'node:events';
-import { createServer, type AddressInfo } from 'node:net';
 import type { DisposalStack } from '@burdockrail/common/disposalStack.js';
 import type { EntryContext } from '../src/entryContext.js';
 import type { EntryRequest } from '../src/entryRequest.js';
 import { startEntryServer, type EntryServer } from '../src/entryServer.js';
 import { createEntrySlots, type EntrySlots } from '../src/entrySlots.js';
 import type { EntrySettings } from '../src/gatewaySettings.js';
+import { findFreePort } from './freePort.js';
 
 const HOST = '127.0.0.1';
 
@@ -65,11 +64,7 @@
   entry: EntryContext,
   slots: EntrySlots,
 ): Promise<ListeningEntry> {
-  const listener = createServer().listen(0, HOST);
-  await once(listener, 'listening');
-  const { port } = listener.address() as AddressInfo;
-  listener.close();
-  await once(listener, 'close');
+  const port = await findFreePort(HOST);
   const settings = { listen: { host: HOST, port } } as unknown as EntrySettings;
   return { port, server: disposables.use(await startEntryServer(entry, settings, slots)) };
 }
--- a/packages/gateway/__tests__/oddBody.spec.ts
+++ b/packages/gateway/__tests__/oddBody.spec.ts
@@ -1,6 +1,4 @@
 import assert from 'node:assert/strict';
-import { once } from 'node:events';
-import { createServer, type AddressInfo } from 'node:net';
 import { describe, it } from 'node:test';
 import type { UpstreamRecord } from '@burdockrail/protocol/protocolDirectory.js';
 import type { ControlDirectory } from '../src/controlDirectory.js';
@@ -8,6 +6,7 @@
 import type { GatewayContext } from '../src/gatewayContext.js';
 import type { ControlSettings } from '../src/gatewaySettings.js';
 import type { LeaderClient } from '../src/leaderClient.js';
+import { findFreePort } from './freePort.js';
 
 const HOST = '127.0.0.1';
 const MEBIBYTE = 1024 * 1024;
@@ -20,18 +19,9 @@
 
 const ignore = (): void => undefined;
 
-async function freePort(): Promise<number> {
-  const listener = createServer().listen(0, HOST);
-  await once(listener, 'listening');
-  const { port } = listener.address() as AddressInfo;
-  listener.close();
-  await once(listener, 'close');
-  return port;
-}
-
 /** A control server that reads each body as the service of a heartbeat, and the services it took. */
 async function startServer(taken: string[]): Promise<AsyncDisposable & { readonly url: string }> {
-  const port = await freePort();
+  const port = await findFreePort(HOST);
   const record = (service: string): UpstreamRecord => ({
     id: 'u',
     service,
--- a/packages/gateway/__tests__/oddLeave.spec.ts
+++ b/packages/gateway/__tests__/oddLeave.spec.ts
@@ -1,6 +1,4 @@
 import assert from 'node:assert/strict';
-import { once } from 'node:events';
-import { createServer, type AddressInfo } from 'node:net';
 import { describe, it } from 'node:test';
 import type { ControlDirectory } from '../src/controlDirectory.js';
 import { startControlServer } from '../src/controlServer.js';
@@ -8,23 +6,15 @@
 import type { GatewayContext } from '../src/gatewayContext.js';
 import type { ControlSettings } from '../src/gatewaySettings.js';
 import type { LeaderClient } from '../src/leaderClient.js';
+import { findFreePort } from './freePort.js';
 
 const HOST = '127.0.0.1';
 const STARTED_AT = 1_000;
 const YEAR_MILLISECONDS = 31_536_000_000;
 
-async function freePort(): Promise<number> {
-  const listener = createServer().listen(0, HOST);
-  await once(listener, 'listening');
-  const { port } = listener.address() as AddressInfo;
-  listener.close();
-  await once(listener, 'close');
-  return port;
-}
-
 /** Sends a message that an upstream leaves; resolves with the status and whether it has left. */
 async function sendLeave(message: LeaveMessage | null): Promise<readonly [number, boolean]> {
-  const port = await freePort();
+  const port = await findFreePort(HOST);
   const left: string[] = [];
   const context = {
     dialect: {
