feat(gateway, limits, telemetry): spent, allowed and refused retries can be seen

- Gauges burdockrail_retry_budget_spent, _allowed and _requests by service, the counter burdockrail_retries_total by service and outcome.
- Events retryRefused (2211), once a request, and entriesCounted (4107).
- The two copies of the code that takes a retry are one (requestRetries).

No logic changes.

--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -1,4 +1,5 @@
 import { createByteBudget } from '@burdockrail/limits/byteBudget.js';
+import type { SharedRetryBudget } from '@burdockrail/limits/sharedRetryBudget.js';
 import type { RouteConfiguration } from '@burdockrail/routing/routeConfiguration.js';
 import { createRouteTable } from '@burdockrail/routing/routeTable.js';
 import type { UpstreamCandidate } from '@burdockrail/routing/upstreamChoice.js';
@@ -57,6 +58,16 @@
   failureRate: 0,
 };
 
+/** A budget that gives each retry, or not, as a function says. */
+export function createRetryBudget(trySpend: () => boolean): SharedRetryBudget {
+  return {
+    services: [],
+    usage: () => ({ requests: 0, spent: 0, allowed: 0 }),
+    recordRequest: () => undefined,
+    trySpend,
+  };
+}
+
 /**
  * Everything of an entry but its connections, without faults or limits; plain requests go to
  * `plainAddress`.
@@ -85,7 +96,7 @@
     metrics: { count: ignore, histogram: () => ({ record: ignore }) },
     settings: { bounds: { versionMilliseconds: 8_000, revocationMilliseconds: 60_000 } },
     clusterView,
-    retryBudget: { trySpend: () => true, recordRequest: ignore },
+    retryBudget: createRetryBudget(() => true),
     callerElapsed: { estimateElapsedMilliseconds: () => 0 },
     upstreams: {
       recordLoad: ignore,
--- a/packages/gateway/__tests__/restingUpstreamsFixture.ts
+++ b/packages/gateway/__tests__/restingUpstreamsFixture.ts
@@ -11,7 +11,7 @@
 import type { EntryContext } from '../src/entryContext.js';
 import { createEntryUpstreams } from '../src/entryUpstreams.js';
 import { createUpstreamConnections } from '../src/upstreamConnections.js';
-import { createEntryContext } from './entryContextFixture.js';
+import { createEntryContext, createRetryBudget } from './entryContextFixture.js';
 import { listenAtFreePort } from './entryRequestFixture.js';
 
 const HOST = '127.0.0.1';
@@ -158,14 +158,11 @@
         if (kind === 'place.rest') slots.rests.push(message as EngineRest);
       },
     } as unknown as EntryContext['client'],
-    retryBudget: {
-      recordRequest: () => undefined,
-      trySpend: () => {
-        if (retries === maximumRetries) return false;
-        retries += 1;
-        return true;
-      },
-    },
+    retryBudget: createRetryBudget(() => {
+      if (retries === maximumRetries) return false;
+      retries += 1;
+      return true;
+    }),
     settings: { ...base.settings, dataCentre: 'north' },
   });
   const port = await listenAtFreePort(disposables, entry, AGENT_PORT);
--- a/packages/gateway/__tests__/silentPlainUpstream.spec.ts
+++ b/packages/gateway/__tests__/silentPlainUpstream.spec.ts
@@ -7,7 +7,7 @@
 import type { EntryContext } from '../src/entryContext.js';
 import { runBuffered } from '../src/entryBuffered.js';
 import { createUpstreamConnections } from '../src/upstreamConnections.js';
-import { createEntryContext } from './entryContextFixture.js';
+import { createEntryContext, createRetryBudget } from './entryContextFixture.js';
 import { createPlayedRequest } from './entryRequestFixture.js';
 
 const REQUEST_ID = 'request-1';
@@ -63,10 +63,7 @@
 ): Promise<{ readonly body: string; readonly refused: boolean }> {
   await using connections = createUpstreamConnections('127.0.0.1');
   const base = createEntryContext(connections, '', {
-    retryBudget: {
-      trySpend: () => retryIsAllowed,
-      recordRequest: () => undefined,
-    },
+    retryBudget: createRetryBudget(() => retryIsAllowed),
     ...changes,
   });
   const candidates = addresses.map((address, index): UpstreamCandidate => {
@@ -207,14 +204,11 @@
       sendAnswer(response, 'second');
     });
     let isDraining = false;
-    const retryBudget = {
-      trySpend: () => {
-        const isAllowed = isDraining;
-        isDraining = true;
-        return isAllowed;
-      },
-      recordRequest: () => undefined,
-    };
+    const retryBudget = createRetryBudget(() => {
+      const isAllowed = isDraining;
+      isDraining = true;
+      return isAllowed;
+    });
     const addresses = [first.address, second.address];
     const { body } = await playRequest(
       addresses,
--- a/packages/gateway/__tests__/silentUpstream.spec.ts
+++ b/packages/gateway/__tests__/silentUpstream.spec.ts
@@ -3,7 +3,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { describe, it } from 'node:test';
 import { createUpstreamConnections } from '../src/upstreamConnections.js';
-import { createEntryContext } from './entryContextFixture.js';
+import { createEntryContext, createRetryBudget } from './entryContextFixture.js';
 import {
   FIRST_SILENCE_MILLISECONDS,
   SILENCE_MILLISECONDS,
@@ -29,7 +29,7 @@
   it('is not cut when the retry budget is spent', async () => {
     await using engine = await startEngine(pauseWithinStream);
     await using other = await startEngine(pauseWithinStream);
-    const retryBudget = { trySpend: () => false, recordRequest: () => undefined };
+    const retryBudget = createRetryBudget(() => false);
     const { received, end, unreleased } = await playStream({
       grants: [engine.port, other.port, other.port],
       changes: { retryBudget },
--- a/packages/gateway/src/clusterView.ts
+++ b/packages/gateway/src/clusterView.ts
@@ -117,7 +117,14 @@
       if (update.configuration !== null) applyConfiguration(update.configuration);
       applyWeights(update, now);
       directory.apply({ ...update, records: recordFilter.usable(update.records, Date.now()) }, now);
-      if (update.entries > 0) entries = update.entries;
+      if (update.entries > 0 && update.entries !== entries) {
+        log.write('entriesCounted', {
+          control: update.control,
+          entries: update.entries,
+          former: entries,
+        });
+        entries = update.entries;
+      }
       index = update.entryIndex;
       if (update.confirmedAgeMilliseconds === null) return;
       confirmedAt = Math.max(confirmedAt, askedAt - update.confirmedAgeMilliseconds);
--- a/packages/gateway/src/entryBuffered.ts
+++ b/packages/gateway/src/entryBuffered.ts
@@ -8,6 +8,7 @@
 import type { Refusal } from './entryAdmission.js';
 import type { EntryRequest } from './entryRequest.js';
 import { attemptBuffered, type SilenceOptions } from './bufferedAttempt.js';
+import { createRequestRetries } from './requestRetries.js';
 import { restingRefusal } from './upstreamRests.js';
 
 /** Minimum remaining time for starting an attempt, in milliseconds: a local round trip. */
@@ -100,8 +101,6 @@
 /** Attempts that have ended. */
 interface AttemptTally {
   sent: number;
-  /** Retries taken from the shared budget. */
-  paidRetries: number;
   mayHaveRun: boolean;
   lastOutcome: BufferedAttemptOutcome | null;
   /** The last server error of an upstream, sent to the caller if no other upstream answers. */
@@ -116,15 +115,14 @@
  * shows, that it was not executed.
  */
 export async function runBuffered(entry: EntryContext, request: EntryRequest): Promise<void> {
-  const { time, random, upstreams, clusterView, retryBudget, quarantine, limits, rests, log } =
-    entry;
+  const { time, random, upstreams, clusterView, quarantine, limits, rests, log } = entry;
   const { admitted, answer, signal, trace } = request;
   const { route, service } = admitted;
   const isRepeatable = route.kind === 'repeatable';
   const tried = new Set<string>();
+  const retries = createRequestRetries(entry, request);
   const attempts: AttemptTally = {
     sent: 0,
-    paidRetries: 0,
     mayHaveRun: false,
     lastOutcome: null,
     failureAnswer: null,
@@ -140,17 +138,6 @@
     (attempts.sent + inProgress === 0 || quarantine.mayRetry(request.traits, time.now())) &&
     admitted.deadline - time.now() > MINIMUM_ATTEMPT_MILLISECONDS;
 
-  /**
-   * Takes a retry from the shared budget for an attempt after a number of others; one that turned out
-   * not to be sent leaves its retry to the next.
-   */
-  const takeRetry = (earlierAttempts: number): boolean => {
-    if (earlierAttempts <= attempts.paidRetries) return true;
-    if (!retryBudget.trySpend(service, clusterView.entries, time.now())) return false;
-    attempts.paidRetries = earlierAttempts;
-    return true;
-  };
-
   const shortestRestMilliseconds = (now: Milliseconds): Milliseconds | null =>
     rests.shortestRestMilliseconds(
       clusterView.directory.ready(service).map(({ record }) => record),
@@ -195,7 +182,7 @@
     if (!canAttempt(inProgress)) return null;
     const successor = usableReserved() ?? chooseNext();
     reserved = successor;
-    if (successor === null || !takeRetry(attempts.sent + inProgress)) return null;
+    if (successor === null || !retries.take(attempts.sent + inProgress)) return null;
     reserved = null;
     return successor;
   };
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -9,6 +9,7 @@
 import { createClusterView } from './clusterView.js';
 import type { EntryContext } from './entryContext.js';
 import { createEntryQuarantine } from './entryQuarantine.js';
+import { retryBudgetFamilies } from './retryMetrics.js';
 import { createEntrySlots } from './entrySlots.js';
 import { startEntryServer, type EntryServer } from './entryServer.js';
 import { createEntryUpstreams } from './entryUpstreams.js';
@@ -147,6 +148,7 @@
         'Age of committed knowledge.',
         () => (time.now() - clusterView.confirmedAt) / 1_000,
       );
+      metrics.registerFamilies(() => retryBudgetFamilies(entry));
       const cleanupTimer = setInterval(() => {
         upstreams.retain();
         limits.retain(new Set(clusterView.directory.entries.map(({ record }) => record.id)));
--- a/packages/gateway/src/entryStream.ts
+++ b/packages/gateway/src/entryStream.ts
@@ -7,6 +7,7 @@
 import { refusalOfQuarantined } from './entryQuarantine.js';
 import type { EntrySlots, GrantedSlot } from './entrySlots.js';
 import type { EntryRequest } from './entryRequest.js';
+import { createRequestRetries } from './requestRetries.js';
 import { startStream, type RunningStream, type StreamObserver } from './streamAttempt.js';
 import { runWithHandover, type EndedStream, type IncompleteStream } from './streamHandover.js';
 import { createStreamProgress } from './streamProgress.js';
@@ -37,8 +38,6 @@
 /** Attempts that have ended. */
 interface AttemptTally {
   sent: number;
-  /** Retries taken from the shared budget. */
-  paidRetries: number;
   /** Engines that were lost. */
   losses: number;
   mayHaveRun: boolean;
@@ -51,16 +50,16 @@
   slots: EntrySlots,
   request: EntryRequest,
 ): Promise<void> {
-  const { time, clusterView, retryBudget, upstreams, quarantine, log } = entry;
+  const { time, clusterView, upstreams, quarantine, log } = entry;
   const { admitted, answer, signal, trace } = request;
   const { route, service } = admitted;
   const triedEngines = new Set<string>();
   const sentAt = new Map<string, Milliseconds>();
   const progress = createStreamProgress(request, time);
+  const retries = createRequestRetries(entry, request);
   const engine = clusterView.table?.service(service)?.engine ?? null;
   const attempts: AttemptTally = {
     sent: 0,
-    paidRetries: 0,
     losses: 0,
     mayHaveRun: false,
     lastReason: '',
@@ -170,17 +169,8 @@
     return outcome.kind === 'granted' ? outcome.slot : null;
   };
 
-  /** Takes a retry from the shared budget; one that turned out not to be sent leaves its to the next. */
-  const takeRetry = (inProgress: number): boolean => {
-    const earlierAttempts = attempts.sent + inProgress;
-    if (earlierAttempts <= attempts.paidRetries) return true;
-    if (!retryBudget.trySpend(service, clusterView.entries, time.now())) return false;
-    attempts.paidRetries = earlierAttempts;
-    return true;
-  };
-
   while (canAttempt(0)) {
-    if (!takeRetry(0)) break;
+    if (!retries.take(attempts.sent)) break;
     const outcome = await slots.claim(request, triedEngines, slack(0));
     if (outcome.kind !== 'granted') {
       if (signal.aborted) return;
@@ -218,7 +208,7 @@
     const ended = await runWithHandover(slot, {
       start,
       claimSuccessor,
-      maySendAgain: () => canAttempt(1) && takeRetry(1),
+      maySendAgain: () => canAttempt(1) && retries.take(attempts.sent + 1),
       isNew: (id) => progress.isNew(id),
       caller: progress.caller,
       ended: recordEnd,
--- a/packages/limits/src/sharedRetryBudget.ts
+++ b/packages/limits/src/sharedRetryBudget.ts
@@ -9,8 +9,19 @@
   readonly windowMilliseconds: number;
 }
 
+/** What one entry has spent of its share in the last window, and what it is based on. */
+export interface RetryUsage {
+  readonly requests: number;
+  readonly spent: number;
+  /** Retries that this entry may send in a window, as of now. */
+  readonly allowed: number;
+}
+
 /** One entry's share of the retries to each service. */
 export interface SharedRetryBudget {
+  /** Services that have had requests or retries. */
+  readonly services: readonly string[];
+  usage(service: string, entries: number, now: Milliseconds): RetryUsage;
   /** Counts a caller's request for a service. */
   recordRequest(service: string, now: Milliseconds): void;
   /** Takes one retry; returns false when this entry's share is exhausted. */
@@ -50,16 +61,24 @@
     dropBefore(window.retries, cutoff);
     return window;
   };
+  const usage = (service: string, entries: number, now: Milliseconds): RetryUsage => {
+    const { arrivals, retries } = currentWindow(service, now);
+    const entrySlack = allowance.slack / Math.max(1, entries);
+    const allowed = ALLOWANCE_SHARE * (allowance.ratio * arrivals.length + entrySlack);
+    return { requests: arrivals.length, spent: retries.length, allowed };
+  };
   return {
+    get services() {
+      return [...windows.keys()];
+    },
+    usage,
     recordRequest: (service, now) => {
       currentWindow(service, now).arrivals.push(now);
     },
     trySpend: (service, entries, now) => {
-      const { arrivals, retries } = currentWindow(service, now);
-      const entrySlack = allowance.slack / Math.max(1, entries);
-      const maximumRetries = ALLOWANCE_SHARE * (allowance.ratio * arrivals.length + entrySlack);
-      if (retries.length + 1 > maximumRetries) return false;
-      retries.push(now);
+      const { spent, allowed } = usage(service, entries, now);
+      if (spent + 1 > allowed) return false;
+      currentWindow(service, now).retries.push(now);
       return true;
     },
   };
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -203,6 +203,11 @@
     level: 'info',
     text: 'A stopping entry answered what was in progress: not run, may have run, or a stream that had begun and is cut.',
   },
+  retryRefused: {
+    number: 2211,
+    level: 'info',
+    text: 'A request was sent to no further upstream, because this entry has no retries left.',
+  },
   controlLost: {
     number: 4100,
     level: 'warn',
@@ -238,6 +243,11 @@
     level: 'warn',
     text: 'A relayed record names no upstream that can be used; it is left out.',
   },
+  entriesCounted: {
+    number: 4107,
+    level: 'info',
+    text: 'A control process reports another number of entries, among which limits are divided.',
+  },
   orderTaken: {
     number: 3100,
     level: 'info',
