fix(limits, gateway): an entry that starts again spends no slack twice in a window

Callers' requests were repeated beyond the shared allowance (BUDGET) while upstreams refused and entries were killed and started again.

Cause: the retry budget is in memory, and each lifetime of an entry began with its whole share of the slack, though what the former one had spent still counts in the window of the upstreams. Class: a limit that is shared over processes is renewed by a restart.

Change: an entry leaves its share of the slack alone for one window after its start. The share that depends on requests counts new ones only, so it is there at once.

--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -74,7 +74,7 @@
     limits,
     departures,
     rests,
-    retryBudget: createSharedRetryBudget(bounds.retries),
+    retryBudget: createSharedRetryBudget(bounds.retries, time.now()),
     quarantine,
     answerMemory: createByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES),
     callerElapsed: createCallerElapsedEstimator(),
--- a/packages/limits/src/sharedRetryBudget.ts
+++ b/packages/limits/src/sharedRetryBudget.ts
@@ -50,8 +50,16 @@
  * Keeps retries a fixed share of the load when a failure affects many requests at once. Each
  * entry's budget depends on its own requests and an equal share of the slack, so the sum stays
  * below the allowance without messages between entries.
+ *
+ * An entry that has started again doesn't know what it spent before, so it leaves its share of the
+ * slack alone for a window. What depends on requests needs no such wait, as it counts new ones only.
+ *
+ * @param startedAt - start of the process.
  */
-export function createSharedRetryBudget(allowance: RetryAllowance): SharedRetryBudget {
+export function createSharedRetryBudget(
+  allowance: RetryAllowance,
+  startedAt: Milliseconds,
+): SharedRetryBudget {
   const windows = new Map<string, ServiceWindow>();
   const currentWindow = (service: string, now: Milliseconds): ServiceWindow => {
     const window = windows.get(service) ?? { arrivals: [], retries: [] };
@@ -63,7 +71,8 @@
   };
   const usage = (service: string, entries: number, now: Milliseconds): RetryUsage => {
     const { arrivals, retries } = currentWindow(service, now);
-    const entrySlack = allowance.slack / Math.max(1, entries);
+    const isFirstWindow = now - startedAt < allowance.windowMilliseconds;
+    const entrySlack = isFirstWindow ? 0 : allowance.slack / Math.max(1, entries);
     const allowed = ALLOWANCE_SHARE * (allowance.ratio * arrivals.length + entrySlack);
     return { requests: arrivals.length, spent: retries.length, allowed };
   };
