fix(limits, gateway, protocol): parts of a cut deployment don't divide the whole slack of retries each

Callers' requests were repeated beyond the shared allowance (BUDGET) while upstreams failed and a data centre was cut off.

Cause: an entry's share of the slack was slack / entries, with the number of entries that its control process knew. A control process that reaches no other counts its own watchers only, so both sides of a cut divided the whole slack. Class: a shared limit is divided by a local view of how many share it.

Change: each member of the control group divides an equal part among the entries that watch it, whatever it knows of the others, so the sum stays the same however they are cut off. An entry uses the smallest share of the last window, loses it after 3 s without contact, when its control process stops counting it, and holds nothing until it has been counted for a window (which also covers a new start). What depends on requests counts an entry's own ones.

--- /dev/null
+++ b/packages/gateway/__tests__/cutOffControls.spec.ts
@@ -0,0 +1,95 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { SHARE_HELD_MILLISECONDS } from '@burdockrail/limits/slackShare.js';
+import { createSharedRetryBudget } from '@burdockrail/limits/sharedRetryBudget.js';
+import type {
+  DirectoryWatch,
+  DirectoryWatchReply,
+} from '@burdockrail/protocol/protocolDirectory.js';
+import { createControlDirectory } from '../src/controlDirectory.js';
+import type { ControlGroup } from '../src/controlGroup.js';
+import type { GatewayContext } from '../src/gatewayContext.js';
+import type { ControlSettings } from '../src/gatewaySettings.js';
+
+const CONTROLS: readonly string[] = ['10.0.1.1:1', '10.0.2.1:1', '10.0.3.1:1'];
+const ENTRIES_PER_CONTROL = 5;
+const WATCH_INTERVAL_MILLISECONDS = 500;
+
+const allowance = { ratio: 0.2, slack: 200, windowMilliseconds: 10_000 };
+
+const watch: DirectoryWatch = {
+  control: '',
+  revision: 0,
+  configurationVersion: 0,
+  waitMilliseconds: 0,
+  relay: false,
+  caller: '',
+  role: 'entry',
+  findingRevision: 0,
+  findings: [],
+};
+
+/** A control process that reaches no other one; `now` is its time in milliseconds. */
+function createCutOffControl(
+  address: string,
+  members: readonly string[],
+  now: () => number,
+): { answer(entry: string): Promise<DirectoryWatchReply> } {
+  const [host = '', port = ''] = address.split(':');
+  const context = {
+    settings: { dataCentre: host, seeds: [], bounds: { heartbeatMilliseconds: 300 } },
+    time: { now },
+    log: { write: () => undefined },
+    identity: { incarnation: address },
+    dialect: {},
+  } as unknown as GatewayContext;
+  const group = {
+    members,
+    state: { weights: [], configuration: null },
+    host: { replica: { groupId: 'g' }, confirmedAgeMilliseconds: 0 },
+  } as unknown as ControlGroup;
+  const settings = { internal: { host, port: Number(port) } } as unknown as ControlSettings;
+  const { handlers } = createControlDirectory(context, settings, group);
+  return {
+    answer: async (entry) => {
+      const call = handlers.calls?.['directory.watch'];
+      assert.ok(call !== undefined);
+      const peer = { name: entry, dataCentre: host };
+      const connection = { peer, signal: new AbortController().signal };
+      return call(watch, connection as unknown as Parameters<typeof call>[1]);
+    },
+  };
+}
+
+describe('control processes that do not reach each other', () => {
+  it('divide no more retries among their entries than all entries together may send', async () => {
+    let now = 0;
+    const controls = CONTROLS.map((address) => createCutOffControl(address, CONTROLS, () => now));
+    const entries = controls.flatMap((control, controlIndex) =>
+      Array.from({ length: ENTRIES_PER_CONTROL }, (_value, index) => {
+        const budget = createSharedRetryBudget(allowance);
+        return { name: `entry-${controlIndex}-${index}`, control, budget };
+      }),
+    );
+    const end = allowance.windowMilliseconds + SHARE_HELD_MILLISECONDS;
+    for (; now <= end; now += WATCH_INTERVAL_MILLISECONDS) {
+      for (const { name, control, budget } of entries) {
+        const { entryShares, control: incarnation } = await control.answer(name);
+        budget.recordShares(entryShares, incarnation, now);
+      }
+    }
+    const spent = entries.map(({ budget }) => {
+      let retries = 0;
+      while (budget.trySpend('till', now)) retries += 1;
+      return retries;
+    });
+    const sum = spent.reduce((total, retries) => total + retries, 0);
+    assert.ok(sum <= allowance.slack, `${sum} retries, ${allowance.slack} are allowed`);
+    assert.ok(sum >= 0.5 * allowance.slack, `only ${sum} retries`);
+  });
+
+  it('divide nothing while they are no members of the group', async () => {
+    const control = createCutOffControl('10.0.4.1:1', CONTROLS, () => 0);
+    assert.equal((await control.answer('entry')).entryShares, null);
+  });
+});
--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -62,7 +62,8 @@
 export function createRetryBudget(trySpend: () => boolean): SharedRetryBudget {
   return {
     services: [],
-    usage: () => ({ requests: 0, spent: 0, allowed: 0 }),
+    usage: () => ({ requests: 0, spent: 0, allowed: 0, slackPart: 0 }),
+    recordShares: () => undefined,
     recordRequest: () => undefined,
     trySpend,
   };
--- a/packages/gateway/src/controlDirectory.ts
+++ b/packages/gateway/src/controlDirectory.ts
@@ -4,6 +4,7 @@
   createUpstreamRegistry,
   type UpstreamRegistry,
 } from '@burdockrail/membership/upstreamRegistry.js';
+import { SHARE_HELD_MILLISECONDS } from '@burdockrail/limits/slackShare.js';
 import { isHeldModels } from '@burdockrail/membership/upstreamRecordCheck.js';
 import { formatAddress } from '@burdockrail/protocol/protocolAddress.js';
 import type {
@@ -48,9 +49,6 @@
 /** Delay after a failed call to another control process, in milliseconds. */
 const PEER_RETRY_DELAY_MILLISECONDS = 200;
 
-/** Time for which an entry counts as active after its last watch, in milliseconds. */
-const ENTRY_ACTIVE_MILLISECONDS = 3_000;
-
 /** Upstream directory of a control process, which answers the watches of other processes. */
 export interface ControlDirectory extends AsyncDisposable {
   readonly upstreams: UpstreamRegistry;
@@ -126,18 +124,25 @@
     });
 
   const countOwnEntries = (now: Milliseconds): number =>
-    [...entriesSeenAt.values()].filter((at) => now - at < ENTRY_ACTIVE_MILLISECONDS).length;
+    [...entriesSeenAt.values()].filter((at) => now - at < SHARE_HELD_MILLISECONDS).length;
 
   const countAllEntries = (now: Milliseconds): number => {
     const peers = [...peerEntryCounts.values()].filter(
-      ({ at }) => now - at < ENTRY_ACTIVE_MILLISECONDS,
+      ({ at }) => now - at < SHARE_HELD_MILLISECONDS,
     );
     return countOwnEntries(now) + peers.reduce((sum, { count }) => sum + count, 0);
   };
 
+  /**
+   * Each member of the group divides an equal part among the entries that watch it. Members don't
+   * need to reach each other for that, and the sum stays the same however they are cut off.
+   */
+  const entryShares = (now: Milliseconds): number | null =>
+    group.members.includes(self) ? group.members.length * Math.max(1, countOwnEntries(now)) : null;
+
   /** Place of an entry among all: control processes number their watchers one after the other. */
   const entryIndex = (name: string, now: Milliseconds): number => {
-    const isActive = (at: Milliseconds): boolean => now - at < ENTRY_ACTIVE_MILLISECONDS;
+    const isActive = (at: Milliseconds): boolean => now - at < SHARE_HELD_MILLISECONDS;
     const precedingPeers = [...peerEntryCounts]
       .filter(([address, { at }]) => address < self && isActive(at))
       .reduce((sum, [, { count }]) => sum + count, 0);
@@ -227,6 +232,7 @@
       confirmedAgeMilliseconds: confirmedAge(),
       controls: controlPeers(),
       entries: watch.relay ? countOwnEntries(now) : countAllEntries(now),
+      entryShares: entryShares(now),
       entryIndex: watch.role === 'entry' ? entryIndex(watcher.name, now) : 0,
       findingRevision: findings.revision,
       findings: findings.since(knownFindings),
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -74,7 +74,7 @@
     limits,
     departures,
     rests,
-    retryBudget: createSharedRetryBudget(bounds.retries, time.now()),
+    retryBudget: createSharedRetryBudget(bounds.retries),
     quarantine,
     answerMemory: createByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES),
     callerElapsed: createCallerElapsedEstimator(),
@@ -91,6 +91,7 @@
       onUpdate: (update, askedAt) => {
         const now = time.now();
         clusterView.apply(update, askedAt, now);
+        entry.retryBudget.recordShares(update.entryShares, update.control, askedAt);
         server?.notifyClusterChange();
         quarantine.applyFindings(update.findings, update.control, now);
         quarantine.detectCrashes(now);
--- a/packages/gateway/src/requestRetries.ts
+++ b/packages/gateway/src/requestRetries.ts
@@ -12,7 +12,7 @@
 
 /** Creates the retries of a request that has taken none. */
 export function createRequestRetries(entry: EntryContext, request: EntryRequest): RequestRetries {
-  const { time, clusterView, retryBudget, metrics, log } = entry;
+  const { time, retryBudget, metrics, log } = entry;
   const { service } = request.admitted;
   let taken = 0;
   let isRefused = false;
@@ -21,8 +21,7 @@
     // A request asks again while its upstream stays silent.
     if (isRefused) return;
     isRefused = true;
-    const { entries } = clusterView;
-    const { requests, spent, allowed } = retryBudget.usage(service, entries, time.now());
+    const { requests, spent, allowed, slackPart } = retryBudget.usage(service, time.now());
     metrics.count('burdockrail_retries_total', { service, outcome: 'refused' });
     log.write('retryRefused', {
       request: request.id,
@@ -30,14 +29,14 @@
       spent,
       allowed: Math.floor(allowed),
       requests,
-      entries,
+      slackPart,
     });
   };
 
   return {
     take: (earlierAttempts) => {
       if (earlierAttempts <= taken) return true;
-      if (!retryBudget.trySpend(service, clusterView.entries, time.now())) {
+      if (!retryBudget.trySpend(service, time.now())) {
         recordRefusal();
         return false;
       }
--- a/packages/limits/src/sharedRetryBudget.ts
+++ b/packages/limits/src/sharedRetryBudget.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import { createSlackShare, type SlackShare } from './slackShare.js';
 
 /** Retries that all entries together may send to one service. */
 export interface RetryAllowance {
@@ -15,17 +16,21 @@
   readonly spent: number;
   /** Retries that this entry may send in a window, as of now. */
   readonly allowed: number;
+  /** Part of the slack of all entries that this one holds, from 0 to 1. */
+  readonly slackPart: number;
 }
 
 /** One entry's share of the retries to each service. */
 export interface SharedRetryBudget {
   /** Services that have had requests or retries. */
   readonly services: readonly string[];
-  usage(service: string, entries: number, now: Milliseconds): RetryUsage;
+  usage(service: string, now: Milliseconds): RetryUsage;
+  /** Records into how many shares the slack is divided; see {@link SlackShare}. */
+  recordShares(...record: Parameters<SlackShare['record']>): void;
   /** Counts a caller's request for a service. */
   recordRequest(service: string, now: Milliseconds): void;
   /** Takes one retry; returns false when this entry's share is exhausted. */
-  trySpend(service: string, entries: number, now: Milliseconds): boolean;
+  trySpend(service: string, now: Milliseconds): boolean;
 }
 
 /**
@@ -48,19 +53,13 @@
  *
  * @remarks
  * Keeps retries a fixed share of the load when a failure affects many requests at once. Each
- * entry's budget depends on its own requests and an equal share of the slack, so the sum stays
- * below the allowance without messages between entries.
- *
- * An entry that has started again doesn't know what it spent before, so it leaves its share of the
- * slack alone for a window. What depends on requests needs no such wait, as it counts new ones only.
- *
- * @param startedAt - start of the process.
+ * entry's budget depends on its own requests and its share of the slack, so the sum stays below the
+ * allowance without messages between entries. What depends on requests counts those of this process
+ * only, so it is right whatever the entry knows of others.
  */
-export function createSharedRetryBudget(
-  allowance: RetryAllowance,
-  startedAt: Milliseconds,
-): SharedRetryBudget {
+export function createSharedRetryBudget(allowance: RetryAllowance): SharedRetryBudget {
   const windows = new Map<string, ServiceWindow>();
+  const slackShare = createSlackShare(allowance.windowMilliseconds);
   const currentWindow = (service: string, now: Milliseconds): ServiceWindow => {
     const window = windows.get(service) ?? { arrivals: [], retries: [] };
     windows.set(service, window);
@@ -69,23 +68,26 @@
     dropBefore(window.retries, cutoff);
     return window;
   };
-  const usage = (service: string, entries: number, now: Milliseconds): RetryUsage => {
+  const usage = (service: string, now: Milliseconds): RetryUsage => {
     const { arrivals, retries } = currentWindow(service, now);
-    const isFirstWindow = now - startedAt < allowance.windowMilliseconds;
-    const entrySlack = isFirstWindow ? 0 : allowance.slack / Math.max(1, entries);
-    const allowed = ALLOWANCE_SHARE * (allowance.ratio * arrivals.length + entrySlack);
-    return { requests: arrivals.length, spent: retries.length, allowed };
+    const slackPart = slackShare.part(now);
+    const allowed =
+      ALLOWANCE_SHARE * (allowance.ratio * arrivals.length + allowance.slack * slackPart);
+    return { requests: arrivals.length, spent: retries.length, allowed, slackPart };
   };
   return {
     get services() {
       return [...windows.keys()];
     },
     usage,
+    recordShares: (shares, control, askedAt) => {
+      slackShare.record(shares, control, askedAt);
+    },
     recordRequest: (service, now) => {
       currentWindow(service, now).arrivals.push(now);
     },
-    trySpend: (service, entries, now) => {
-      const { spent, allowed } = usage(service, entries, now);
+    trySpend: (service, now) => {
+      const { spent, allowed } = usage(service, now);
       if (spent + 1 > allowed) return false;
       currentWindow(service, now).retries.push(now);
       return true;
--- a/packages/membership/__tests__/upstreamRegistry.spec.ts
+++ b/packages/membership/__tests__/upstreamRegistry.spec.ts
@@ -126,6 +126,7 @@
     confirmedAgeMilliseconds: 0,
     controls: [],
     entries: 1,
+    entryShares: 1,
     entryIndex: 0,
     findingRevision: 0,
     findings: [],
--- a/packages/protocol/src/protocolDirectory.ts
+++ b/packages/protocol/src/protocolDirectory.ts
@@ -114,6 +114,11 @@
   readonly controls: readonly ControlPeer[];
   /** Number of entries that watch any control process, as known to this one. */
   readonly entries: number;
+  /**
+   * Number of equal shares of what all entries may spend together, of which each entry that watches
+   * this process holds one; `null` if this process has nothing to divide.
+   */
+  readonly entryShares: number | null;
   /** Place of the caller among these entries, from 0; 0 for a caller that is no entry. */
   readonly entryIndex: number;
   /** Revision of the newest finding of this process; it counts from the process's start. */
