feat(limits): entries use 0.8 of the shared retries

Entries used 0.7 of the allowance because their shares did not add up to it while they counted each other differently. Since they do, in any window (limits/slackShare), so the margin is left for one thing: retries that are held up on their way and arrive in one window though they were sent in a longer one. 0.8 allows for a quarter of a window.

--- a/packages/limits/src/sharedRetryBudget.ts
+++ b/packages/limits/src/sharedRetryBudget.ts
@@ -34,10 +34,10 @@
 }
 
 /**
- * Share of the allowance that entries use; the rest is a margin because they do not see each
- * other's windows.
+ * Share of the allowance that entries use. Retries that are held up on their way may arrive in one
+ * window though they were sent in a longer one; the rest allows for a quarter of a window.
  */
-const ALLOWANCE_SHARE = 0.7;
+const ALLOWANCE_SHARE = 0.8;
 
 interface ServiceWindow {
   readonly arrivals: Milliseconds[];
