fix(membership): of two ids with one address and start the silent one gives way

Cause: two incarnations cannot have begun at one address at the same time, so the first id heard kept the address, also while it was silent. It was left so because a copy would otherwise have ended an upstream that is only silent.

Change: a silent holder with the same start gives way but is not ended, so whichever of the two falls silent loses the address, and may get it back.

'gives an address back to an upstream that was silent while a copy came' covers the other order.

--- a/packages/membership/__tests__/upstreamRegistry.spec.ts
+++ b/packages/membership/__tests__/upstreamRegistry.spec.ts
@@ -52,6 +52,21 @@
     assert.equal(registry.applyRecord(record({ sequence: 2 }), 5_010), true);
   });
 
+  it('gives an address back to an upstream that was silent while a copy came', () => {
+    const registry = createUpstreamRegistry();
+    registry.applyRecord(record({ sequence: 1 }), 0);
+    registry.sweep(1_000, 5_000);
+    registry.applyRecord(record({ id: 'copy' }), 5_010);
+    assert.equal(registry.applyRecord(record({ sequence: 2 }), 5_020), false);
+    registry.sweep(1_000, 10_000);
+    assert.equal(registry.applyRecord(record({ sequence: 3 }), 10_010), true);
+    const usable = registry.records.filter(({ silent }) => !silent);
+    assert.deepEqual(
+      usable.map(({ record: { id, state } }) => `${id} ${state}`),
+      ['i-1 ready'],
+    );
+  });
+
   it('does not restore a departed upstream on a delayed heartbeat', () => {
     const registry = createUpstreamRegistry();
     registry.applyRecord(record({ sequence: 3 }), 0);
--- a/packages/membership/src/upstreamRegistry.ts
+++ b/packages/membership/src/upstreamRegistry.ts
@@ -114,6 +114,8 @@
       if (isHolderNamed && !isNextNamed && !silent) return false;
       // Two incarnations with known starts cannot have begun at one address at the same time.
       const isCopy = record.startedAt === next.startedAt && next.startedAt !== UNKNOWN_START_TIME;
+      // Either may be the copy, so the silent one gives way but may return.
+      if (isCopy && silent) continue;
       const isEarlier = isCopy || record.startedAt > next.startedAt;
       if (isEarlier && (isHolderNamed || !isNextNamed)) return false;
       store({ ...record, state: 'gone' }, heardAt, false, true);
