fix(daemon, limits): refused non-repeatable requests take retries, and each service has its own

What upstreams saw on the other way in: while all of them refused, each non-repeatable request reached four of them, since a claim session may release its claim four times and asked for no retry. A service could also be sent the retries that requests for another one had earned.

Cause: the budget was asked on the repeatable path only, and was one for all services. Class: a limit that one of several paths goes round.

Evidence: daemon/retryBudget.spec 'bounds the attempts of non-repeatable requests that upstreams refuse' failed with 160 attempts for 40 requests.

Change: a claimed request adds to the budget of its service, and each attempt after one that was sent takes a retry; without one the request is refused as not run. limits/retryBudget counts by service ('of one service is not spent on another').

--- a/packages/daemon/src/requestClaimed.ts
+++ b/packages/daemon/src/requestClaimed.ts
@@ -117,7 +117,19 @@
   services: EntryServices,
   request: IdentifiedRequest,
 ): Promise<RequestResult> {
+  const { retryBudget } = services;
+  const service = request.service.name;
   const upstreamsByAttempt = new Map<string, UpstreamView>();
+  let sentAttempts = 0;
+  let takenRetries = 0;
+  /** Takes a retry for an attempt after others that were sent; false when none is left. */
+  const takeRetry = (): boolean => {
+    if (sentAttempts <= takenRetries) return true;
+    if (!retryBudget.trySpend(service)) return false;
+    takenRetries = sentAttempts;
+    return true;
+  };
+  retryBudget.recordRequest(service);
   const answer = await runClaimSession(
     {
       home: request.service.home,
@@ -127,7 +139,7 @@
       timeoutMilliseconds: Math.max(0, request.deadlineAt - services.time.now()),
       choose: (excluded) => {
         const upstream = chooseUpstream(services, request, new Set(excluded));
-        if (upstream === undefined) return null;
+        if (upstream === undefined || !takeRetry()) return null;
         const attempt = createClaimedAttempt(upstream);
         upstreamsByAttempt.set(attempt.attemptId, upstream);
         return attempt;
@@ -135,7 +147,9 @@
       run: async (attempt) => {
         const upstream = upstreamsByAttempt.get(attempt.attemptId);
         if (upstream === undefined) throw new Error('attempt not chosen by this session');
-        return runAttempt(services, request, attempt, upstream);
+        const result = await runAttempt(services, request, attempt, upstream);
+        if (result.kind === 'answered' || result.failure.sent) sentAttempts += 1;
+        return result;
       },
     },
     createClaimRequest(request),
--- a/packages/daemon/src/requestRepeatable.ts
+++ b/packages/daemon/src/requestRepeatable.ts
@@ -51,7 +51,7 @@
   if (services.time.now() >= request.deadlineAt) {
     return refusal(ResultCode.DeadlineExceeded, progress.run);
   }
-  if (progress.attempts === 0 || services.retryBudget.trySpend()) return null;
+  if (progress.attempts === 0 || services.retryBudget.trySpend(request.service.name)) return null;
   const { detail } = progress.lastFailure ?? {};
   return refusal(ResultCode.RetryBudgetSpent, progress.run, detail === undefined ? {} : { detail });
 }
@@ -146,7 +146,7 @@
   services: EntryServices,
   request: IdentifiedRequest,
 ): Promise<RequestResult> {
-  services.retryBudget.recordRequest();
+  services.retryBudget.recordRequest(request.service.name);
   let progress: RepeatableProgress = { excluded: new Set(), attempts: 0, run: 'not-run' };
   for (;;) {
     const upstream = chooseUpstream(services, request, progress.excluded);
--- a/packages/limits/src/retryBudget.ts
+++ b/packages/limits/src/retryBudget.ts
@@ -1,29 +1,32 @@
-/** Retries that each new request adds to the budget. */
+/** Retries that each new request adds to the budget of its service. */
 const RETRIES_PER_REQUEST = 0.15;
 
-/** Retries available before the first request. */
+/** Retries to a service available before its first request. */
 const INITIAL_RETRIES = 3;
 
-/** Most retries that can accumulate. */
+/** Most retries to a service that can accumulate. */
 const MAXIMUM_RETRIES = 20;
 
-/** Limits retries to a share of the requests, so that failures do not multiply the load. */
+/** Limits retries to a share of the requests of each service, so that failures do not multiply its load. */
 export interface RetryBudget {
   /** Adds the retries earned by one new request. */
-  recordRequest(): void;
-  /** Takes one retry; returns false when the budget is exhausted. */
-  trySpend(): boolean;
+  recordRequest(service: string): void;
+  /** Takes one retry; returns false when the budget of the service is exhausted. */
+  trySpend(service: string): boolean;
 }
 
 export function createRetryBudget(): RetryBudget {
-  let retries = INITIAL_RETRIES;
+  const retriesByService = new Map<string, number>();
+  const retriesOf = (service: string): number => retriesByService.get(service) ?? INITIAL_RETRIES;
   return {
-    recordRequest: () => {
-      retries = Math.min(MAXIMUM_RETRIES, retries + RETRIES_PER_REQUEST);
+    recordRequest: (service) => {
+      const retries = Math.min(MAXIMUM_RETRIES, retriesOf(service) + RETRIES_PER_REQUEST);
+      retriesByService.set(service, retries);
     },
-    trySpend: () => {
+    trySpend: (service) => {
+      const retries = retriesOf(service);
       if (retries < 1) return false;
-      retries -= 1;
+      retriesByService.set(service, retries - 1);
       return true;
     },
   };
