fix(gateway, routing): failing engines are left out only while half of the engines are sound

Cause: a failing engine was left out as long as any other was not. With nearly all failing, the few that were just tried again got the requests of all, and were full.

Change: failing engines are left out only while at least half of the engines of the service are not. Otherwise the order counts failures as load, no more.

--- a/packages/gateway/src/entrySlots.ts
+++ b/packages/gateway/src/entrySlots.ts
@@ -22,6 +22,12 @@
 /** Time for which an engine that reported no weights is skipped, in milliseconds. */
 const UNLOADED_MILLISECONDS = 300;
 
+/**
+ * Share of the engines that must not be failing for the others to be left out; fewer could not take
+ * the load of all.
+ */
+const MINIMUM_SOUND_SHARE = 0.5;
+
 /** A request slot at an engine, to be released after use. */
 export interface GrantedSlot {
   readonly engine: string;
@@ -174,8 +180,9 @@
           !triedEngines.has(record.id) && !departures.isLeaving(record) && !isResting(record, now),
       );
     const sound = ready.filter(({ record }) => !upstreams.isFailing(record.id, now));
+    const isMostlySound = sound.length >= ready.length * MINIMUM_SOUND_SHARE;
     const order = orderEngines(
-      (sound.length > 0 ? sound : ready).map((engine) => engineView(engine, now)),
+      (isMostlySound ? sound : ready).map((engine) => engineView(engine, now)),
       entry.settings.dataCentre,
     );
     return order.map((id) => ({
--- a/packages/routing/src/upstreamHealthTracker.ts
+++ b/packages/routing/src/upstreamHealthTracker.ts
@@ -22,7 +22,10 @@
   recordAttempt(id: string, verdict: AttemptVerdict, now: Milliseconds): void;
   /** True while an upstream is not chosen because of its latest results. */
   isSuspended(id: string, now: Milliseconds): boolean;
-  /** True while it is suspended because it answered most of its latest requests with errors. */
+  /**
+   * True for a time after it answered most of its latest requests with errors; that doesn't suspend
+   * it, since it would be too much if all fail.
+   */
   isFailing(id: string, now: Milliseconds): boolean;
   /** Weighted share of the latest attempts that failed, from 0 to 1; it fades with time. */
   failureRate(id: string, now: Milliseconds): number;
@@ -37,7 +40,7 @@
   /** Consecutive attempts that were broken or silent. */
   readonly consecutiveUnanswered: number;
   readonly suspendedUntil: Milliseconds;
-  /** Consecutive suspensions for errors, without a good answer between. */
+  /** Times in a row that it counted as failing, without a good answer between. */
   readonly consecutiveFailing: number;
   readonly failingUntil: Milliseconds;
 }
@@ -54,10 +57,10 @@
 /** Half-life of the failure rate, in milliseconds, so that an upstream that is avoided is tried again. */
 const FAILURE_HALF_LIFE_MILLISECONDS = 2_000;
 
-/** Failure rate above which an upstream is suspended for its errors. */
+/** Failure rate above which an upstream counts as failing. */
 const FAILING_RATE = 0.5;
 
-/** First suspension of an upstream for its errors, in milliseconds; it doubles each time. */
+/** First time for which an upstream counts as failing, in milliseconds; it doubles each time. */
 const FIRST_FAILING_MILLISECONDS = 1_000;
 
 /** Longest suspension before an upstream is tried again, in milliseconds. */
@@ -105,10 +108,10 @@
 }
 
 /**
- * Suspends an upstream that mostly fails, or fails when it is tried again; errors that arrive
- * meanwhile extend nothing.
+ * Marks an upstream that mostly fails, or fails when it is tried again; errors that arrive meanwhile
+ * extend nothing.
  */
-function suspendIfFailing(health: UpstreamHealth, now: Milliseconds): UpstreamHealth {
+function markIfFailing(health: UpstreamHealth, now: Milliseconds): UpstreamHealth {
   const isFailing = health.failureRate > FAILING_RATE || health.consecutiveFailing > 0;
   if (!isFailing || now < health.failingUntil) return health;
   const duration = Math.min(
@@ -131,7 +134,7 @@
     consecutiveFailing: 0,
   }),
   failed: (health, now) =>
-    suspendIfFailing({ ...updateFailureRate(health, true, now), consecutiveUnanswered: 0 }, now),
+    markIfFailing({ ...updateFailureRate(health, true, now), consecutiveUnanswered: 0 }, now),
   full: (health, now) => ({
     ...health,
     suspendedUntil: now + FULL_UPSTREAM_SUSPENSION_MILLISECONDS,
@@ -153,8 +156,7 @@
     recordAttempt: (id, verdict, now) => {
       healthById.set(id, rulesByVerdict[verdict](healthOf(id), now));
     },
-    isSuspended: (id, now) =>
-      now < Math.max(healthOf(id).suspendedUntil, healthOf(id).failingUntil),
+    isSuspended: (id, now) => now < healthOf(id).suspendedUntil,
     isFailing: (id, now) => now < healthOf(id).failingUntil,
     failureRate: (id, now) => fadedFailureRate(healthOf(id), now),
     retain: (ids) => {
