--- a/packages/routing/src/upstreamHealthTracker.ts
+++ b/packages/routing/src/upstreamHealthTracker.ts
@@ -23,8 +23,8 @@
   /** True while an upstream is not chosen because of its latest results. */
   isSuspended(id: string, now: Milliseconds): boolean;
   /**
-   * True for a time after it answered most of its latest requests with errors; that doesn't suspend
-   * it, since it would be too much if all fail.
+   * True for a time after an upstream answered most of its latest requests with errors. It is not
+   * suspended: only who knows all upstreams can tell whether the others suffice.
    */
   isFailing(id: string, now: Milliseconds): boolean;
   /** Weighted share of the latest attempts that failed, from 0 to 1; it fades with time. */
