--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -151,6 +151,7 @@
   }
 
   const start = (name) => {
+    if (isEnding) return;
     const { role, path } = files.get(name);
     const [program, ...words] = commands[role];
     const child = spawn(program === 'node' ? process.execPath : program, words, {
--- a/review/lib/record.mjs
+++ b/review/lib/record.mjs
@@ -20,19 +20,30 @@
   const record = createRecord(folder);
   const isTroubled = process.env.TROUBLE !== '0';
   const disposals = [];
-  let code = 2;
+  let isEnding = false;
+  const end = async (code) => {
+    if (isEnding) return;
+    isEnding = true;
+    for (const dispose of disposals.reverse()) await dispose();
+    const verdicts = ['the rule held', 'the rule was broken', 'the case could not run'];
+    record.add(verdicts[code]);
+    record.write();
+    console.log(verdicts[code]);
+    process.exit(code);
+  };
+  const fail = (error) => {
+    const text = error instanceof Error ? error.stack : String(error);
+    record.add(`the case could not run: ${text}`);
+    return end(2);
+  };
+  for (const event of ['uncaughtException', 'unhandledRejection', 'SIGTERM', 'SIGINT'])
+    process.once(event, fail);
   try {
     record.add(isTroubled ? 'with the disruption' : 'without the disruption');
     const breaks = await play(record, isTroubled, disposals);
     for (const line of breaks) record.add(`BROKEN ${line}`);
-    code = breaks.length > 0 ? 1 : 0;
+    await end(breaks.length > 0 ? 1 : 0);
   } catch (error) {
-    record.add(`the case could not run: ${error instanceof Error ? error.stack : String(error)}`);
+    await fail(error);
   }
-  for (const dispose of disposals.reverse()) await dispose();
-  const verdicts = ['the rule held', 'the rule was broken', 'the case could not run'];
-  record.add(verdicts[code]);
-  record.write();
-  console.log(verdicts[code]);
-  process.exit(code);
 }
