--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -17,7 +17,7 @@
 const LINGER_MILLISECONDS = 8000;
 /** Time for which the lost control process stays down. */
 const DOWN_MILLISECONDS = 5000;
-const INTERVAL_MILLISECONDS = 40;
+const INTERVAL_MILLISECONDS = 20;
 const WORK_MILLISECONDS = 30;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (record, isTroubled, disposals) => {
