--- a/review/lib/endless.mjs
+++ b/review/lib/endless.mjs
@@ -56,6 +56,7 @@
   const { controls, fronts, ended } = deployment;
   const runners = [];
   const troubled = new Set();
+  const troubledRunners = new Set();
   let troubledSince = Number.POSITIVE_INFINITY;
   let linkFreeAt = 0;
 
@@ -85,7 +86,10 @@
     const first = Number(request.headers['last-event-id'] ?? 0) + 1;
     const elapsed = performance.now() - troubledSince;
     const isEndless = elapsed > 0 && endless(troubled.size, elapsed, runners.indexOf(runner) + 1);
-    if (isEndless) troubled.add(requestId);
+    if (isEndless) {
+      troubled.add(requestId);
+      troubledRunners.add(runner.id);
+    }
     record.add(`run ${requestId} ${runner.id}${isEndless ? ' without end' : ''}`);
     await pause(FIRST_EVENT_MILLISECONDS);
     if (isEndless) {
@@ -239,12 +243,10 @@
   for (const runner of runners)
     for (const { requestId } of runner.arrivals)
       ranAt.set(requestId, [...(ranAt.get(requestId) ?? []), runner.id]);
-  // Passed on from a kept channel, to runners that gave this request no endless answer, and closed.
+  // Passed on from a kept channel, only to runners that are in no trouble at all, and closed.
+  const isSound = (id) => ranAt.has(id) && !ranAt.get(id).some((name) => troubledRunners.has(name));
   const lost = answers
-    .filter(
-      ({ id, status, isKept, hasLeft }) =>
-        status === 0 && isKept && !hasLeft && ranAt.has(id) && !troubled.has(id),
-    )
+    .filter(({ id, status, isKept, hasLeft }) => status === 0 && isKept && !hasLeft && isSound(id))
     .map(
       ({ id, front }) =>
         `${id}: front-${front + 1} passed it on from a kept channel to ${ranAt.get(id).join()}, and closed without an answer`,
