--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -13,7 +13,7 @@
 import { readBody, SEAL, startRunner } from '../lib/runner.mjs';
 import { runCase } from '../lib/record.mjs';
 
-const RUNNERS = 4;
+const RUNNERS = 9;
 const PIECES = 96;
 const PIECE_BYTES = 24576;
 const LAYERS = 16;
