--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -14,12 +14,15 @@
 
 const RUNNERS = 6;
 /** Share of the runners that spoil answers, and share of their answers that they spoil. */
-const SPOILING_RUNNERS = 3;
-const SPOILT_SHARE = 0.03;
+const SPOILING_RUNNERS = 2;
+const SPOILT_SHARE = 0.02;
+/** Length of one disruption, and the pause to the next. */
+const SPOILING_MILLISECONDS = 5500;
+const PAUSE_MILLISECONDS = 2000;
 const EVENTS = 6;
 const EVENT_MILLISECONDS = 20;
 const SECONDS = 60;
-const INTERVAL_MILLISECONDS = 25;
+const INTERVAL_MILLISECONDS = 12;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (record, isTroubled, disposals) => {
   const net = await findNetwork();
@@ -115,7 +118,8 @@
   const pending = [];
   const startedAt = performance.now();
   for (let index = 0; performance.now() - startedAt < SECONDS * 1000; index += 1) {
-    isSpoiling = isTroubled && performance.now() - startedAt > 3_000;
+    const phase = (performance.now() - startedAt) % (SPOILING_MILLISECONDS + PAUSE_MILLISECONDS);
+    isSpoiling = isTroubled && phase > PAUSE_MILLISECONDS;
     pending.push(send(index));
     await pause(INTERVAL_MILLISECONDS);
   }
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -14,10 +14,10 @@
 const DRAIN_MILLISECONDS = 2000;
 const CONTACT_MILLISECONDS = 3000;
 /** Time from the ack for which the leaving runner still serves. */
-const LINGER_MILLISECONDS = 8000;
+const LINGER_MILLISECONDS = 3500;
 /** Time for which the lost control process stays down. */
-const DOWN_MILLISECONDS = 5000;
-const INTERVAL_MILLISECONDS = 20;
+const DOWN_MILLISECONDS = 3500;
+const INTERVAL_MILLISECONDS = 10;
 const WORK_MILLISECONDS = 30;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (record, isTroubled, disposals) => {
