--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -26,7 +26,7 @@
 /** Pieces that turn bad: 0.06 of them. */
 const ROTTEN_PIECES = 5;
 /** Pieces that the agent has read back, one after the other, when its machine freezes. */
-const FREEZE_AT_PIECES = 90;
+const FREEZE_AT_PIECES = 70;
 /** Time without a piece being read back after which the agent begins anew. */
 const PASS_GAP_MILLISECONDS = 200;
 
