fix: memory of gathered bytes follows their number, not that of their parts

Callers saw: one error answer without end, in chunks of one byte, ended an entry (heap out of memory); all requests in that process were closed without an answer. The same held for any body of 1 MB in single bytes, also a caller's. Cause: each part was kept as an object of its own that pins the buffer of its read; the limit counted bytes only. Change: common/byteCollector copies parts into blocks and reserves them from the memory that all answers share (byteBudget moves to common). Error answers, buffered answers and readBoundedBody use it.

--- a/packages/daemon/src/requestAccept.ts
+++ b/packages/daemon/src/requestAccept.ts
@@ -87,7 +87,7 @@
   const url = new URL(message.url ?? '/', 'http://entry');
   const readTarget = targetReaders[url.pathname.split('/')[1] ?? ''];
   if (readTarget === undefined) return failure(ResultCode.UnknownService);
-  const body = await readBoundedBody(message, settings.maximumBodyBytes);
+  const body = await readBoundedBody(message, { maximumBytes: settings.maximumBodyBytes });
   if (body === null) return failure(ResultCode.BodyTooLarge);
   const target = readTarget(url, body);
   if (target.kind === 'failure') return target;
--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -1,4 +1,4 @@
-import { createByteBudget } from '@burdockrail/limits/byteBudget.js';
+import { createByteBudget } from '@burdockrail/common/byteBudget.js';
 import type { SharedRetryBudget } from '@burdockrail/limits/sharedRetryBudget.js';
 import type { RouteConfiguration } from '@burdockrail/routing/routeConfiguration.js';
 import { createRouteTable } from '@burdockrail/routing/routeTable.js';
--- /dev/null
+++ b/packages/gateway/__tests__/singleByteChunks.spec.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import { describe, it } from 'node:test';
+import { attemptBuffered } from '../src/bufferedAttempt.js';
+import { startStream } from '../src/streamAttempt.js';
+import { createUpstreamConnections } from '../src/upstreamConnections.js';
+import { createEntryContext, createSlot, ignoringObserver } from './entryContextFixture.js';
+import { createPlayedRequest } from './entryRequestFixture.js';
+import { startRawUpstream, type RawUpstream } from './rawUpstream.js';
+import { peakGrowth } from './retainedMemory.js';
+
+const MEBIBYTE = 1024 * 1024;
+
+/**
+ * Growth of the memory up to which an answer counts as bounded, in bytes: the limit of 1 MiB with
+ * the buffers of a connection at both ends, since this process is also the upstream.
+ */
+const MAXIMUM_GROWTH_BYTES = 12 * MEBIBYTE;
+
+/** What an upstream repeats until the connection is closed: chunks of one byte. */
+const chunks = Buffer.from('1\r\nx\r\n'.repeat(4_096));
+
+const answerHead = (status: string): string =>
+  `HTTP/1.1 ${status}\r\nx-request: r\r\nx-signed: yes\r\ntransfer-encoding: chunked\r\n\r\n`;
+
+/** Starts an upstream whose answers have no end; it writes no faster than the bytes are read. */
+async function startEndlessUpstream(status: string): Promise<RawUpstream> {
+  return startRawUpstream(({ socket }) => {
+    const send = (): void => {
+      if (!socket.destroyed) socket.write(chunks, send);
+    };
+    socket.write(answerHead(status), send);
+  });
+}
+
+const route = { pauseMilliseconds: 100, resumable: true };
+
+describe('bytes without end in chunks of one byte', { timeout: 60_000 }, () => {
+  // An entry ran out of memory by keeping an object for each byte of one error answer.
+  it('take memory for no more than the size limit of an error answer', async () => {
+    await using disposables = createDisposalStack();
+    const upstream = disposables.use(await startEndlessUpstream('500 Internal Server Error'));
+    const connections = disposables.use(createUpstreamConnections('127.0.0.1'));
+    const entry = createEntryContext(connections, '');
+    const request = createPlayedRequest({ id: 'r', route });
+    const slot = createSlot('engine-1', upstream.port);
+    const { outcome } = startStream(entry, request, slot, null, ignoringObserver);
+    const growth = await peakGrowth(outcome);
+    assert.equal((await outcome).kind, 'broken');
+    assert.ok(growth < MAXIMUM_GROWTH_BYTES, `${growth} bytes`);
+  });
+
+  it('take memory for no more than the size limit of a buffered answer', async () => {
+    await using disposables = createDisposalStack();
+    const upstream = disposables.use(await startEndlessUpstream('200 OK'));
+    const connections = disposables.use(createUpstreamConnections('127.0.0.1'));
+    const entry = createEntryContext(connections, '');
+    const address = `127.0.0.1:${upstream.port}`;
+    const request = createPlayedRequest({ id: 'r', route });
+    const attempt = attemptBuffered(entry, request, { id: 'u', startedAt: 1, address }, 20_000);
+    const growth = await peakGrowth(attempt);
+    assert.equal((await attempt).kind, 'unknown');
+    assert.ok(growth < 8 * MEBIBYTE + MAXIMUM_GROWTH_BYTES, `${growth} bytes`);
+  });
+});
--- a/packages/gateway/__tests__/troubledUpstreams.spec.ts
+++ b/packages/gateway/__tests__/troubledUpstreams.spec.ts
@@ -3,7 +3,7 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { describe, it } from 'node:test';
 import { setTimeout as pause } from 'node:timers/promises';
-import { createByteBudget } from '@burdockrail/limits/byteBudget.js';
+import { createByteBudget } from '@burdockrail/common/byteBudget.js';
 import { attemptBuffered } from '../src/bufferedAttempt.js';
 import type { EntryContext } from '../src/entryContext.js';
 import type { EntryRequest } from '../src/entryRequest.js';
--- a/packages/gateway/src/bufferedAttempt.ts
+++ b/packages/gateway/src/bufferedAttempt.ts
@@ -1,3 +1,4 @@
+import { createByteCollector, type ByteCollector } from '@burdockrail/common/byteCollector.js';
 import { timerDelay } from '@burdockrail/common/timerDelay.js';
 import type { UpstreamIncarnation } from '@burdockrail/protocol/protocolDirectory.js';
 import {
@@ -19,8 +20,7 @@
   readonly status: number;
   readonly headers: AnswerHeaders;
   readonly rawHeaders: readonly string[];
-  readonly parts: Buffer[];
-  size: number;
+  readonly body: ByteCollector;
 }
 
 /** What happens while an attempt takes longer than an answer usually does. */
@@ -75,7 +75,7 @@
     const settle = (outcome: BufferedAttemptOutcome): void => {
       clearTimeout(timer);
       clearInterval(silenceTimer);
-      answerMemory.release(buffered?.size ?? 0);
+      buffered?.body.close();
       resolve(outcome);
     };
     const attempt = connections.run(
@@ -107,27 +107,28 @@
           }
           limits.recordAnswer(upstream.id, answerHeaders);
           rests.recordAnswer(upstream, status, answerHeaders, time.now());
-          buffered = { status, headers: answerHeaders, rawHeaders, parts: [], size: 0 };
+          buffered = {
+            status,
+            headers: answerHeaders,
+            rawHeaders,
+            body: createByteCollector({
+              maximumBytes: MAXIMUM_BUFFERED_BYTES,
+              budget: answerMemory,
+            }),
+          };
         },
         data: (bytes) => {
-          if (buffered === null) return;
-          const isTooLarge = buffered.size + bytes.length > MAXIMUM_BUFFERED_BYTES;
-          if (isTooLarge || !answerMemory.tryReserve(bytes.length)) {
-            isOverLimit = true;
-            attempt.abort();
-            return;
-          }
-          buffered.parts.push(bytes);
-          buffered.size += bytes.length;
+          if (buffered === null || buffered.body.add(bytes)) return;
+          isOverLimit = true;
+          attempt.abort();
         },
         end: () => {
           if (buffered === null) {
             settle({ kind: 'unknown', verdict: 'broken', reason: 'no answer' });
             return;
           }
-          const { status, headers, rawHeaders, parts, size } = buffered;
-          const body = Buffer.concat(parts, size);
-          settle(classifyAnswer(request.id, status, headers, rawHeaders, body));
+          const { status, headers, rawHeaders, body } = buffered;
+          settle(classifyAnswer(request.id, status, headers, rawHeaders, body.take()));
         },
         failed: (error) => {
           if (isLeaving || isResting) {
--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -182,7 +182,9 @@
       return;
     }
     metrics.count('burdockrail_control_calls_total', { call: call.kind });
-    const bytes = await readBoundedBody(request, maximumBodyBytes[call.kind]);
+    const bytes = await readBoundedBody(request, {
+      maximumBytes: maximumBodyBytes[call.kind],
+    });
     if (bytes === null) {
       send(errorAnswer(413, ResultCode.BodyTooLarge, 'the request body is too large'));
       return;
--- a/packages/gateway/src/entryBody.ts
+++ b/packages/gateway/src/entryBody.ts
@@ -11,7 +11,7 @@
   const hasBody =
     headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
   if (!hasBody) return null;
-  const bytes = await readBoundedBody(request, limit);
+  const bytes = await readBoundedBody(request, { maximumBytes: limit });
   if (bytes === null) throw new BodyTooLarge(method);
   return bytes;
 }
--- a/packages/gateway/src/entryContext.ts
+++ b/packages/gateway/src/entryContext.ts
@@ -1,4 +1,4 @@
-import type { ByteBudget } from '@burdockrail/limits/byteBudget.js';
+import type { ByteBudget } from '@burdockrail/common/byteBudget.js';
 import type { CallerElapsedEstimator } from '@burdockrail/limits/callerElapsedEstimator.js';
 import type { SharedRetryBudget } from '@burdockrail/limits/sharedRetryBudget.js';
 import type { ClusterView } from './clusterView.js';
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
-import { createByteBudget } from '@burdockrail/limits/byteBudget.js';
+import { createByteBudget } from '@burdockrail/common/byteBudget.js';
 import { createCallerElapsedEstimator } from '@burdockrail/limits/callerElapsedEstimator.js';
 import { createSharedRetryBudget } from '@burdockrail/limits/sharedRetryBudget.js';
 import { createDirectoryWatcher } from './directoryWatcher.js';
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -1,3 +1,4 @@
+import { createByteCollector, type ByteCollector } from '@burdockrail/common/byteCollector.js';
 import type { AttemptVerdict } from '@burdockrail/routing/upstreamHealthTracker.js';
 import { connectionLimit, type EntryContext } from './entryContext.js';
 import type { GrantedSlot } from './entrySlots.js';
@@ -70,6 +71,7 @@
   observer: StreamObserver,
 ): RunningStream {
   const { connections, dialect, time, clusterView, limits, departures, rests, settings } = entry;
+  const { answerMemory } = entry;
   const incarnation = { id: slot.engine, startedAt: slot.startedAt };
   const { admitted, signal, caller } = request;
   const isResting = (): boolean => rests.restMilliseconds(incarnation, time.now()) > 0;
@@ -97,8 +99,7 @@
   let hasReceivedEvent = false;
   let head: { status: number; headers: AnswerHeaders; raw: readonly string[] } | null = null;
   let isFramed = false;
-  let bufferedParts: Buffer[] | null = null;
-  let bufferedBytes = 0;
+  let wholeBody: ByteCollector | null = null;
   let beginTimer: NodeJS.Timeout | undefined;
 
   // Silence matters only where another engine could take the stream over.
@@ -111,6 +112,7 @@
   const settle = (outcome: StreamAttemptOutcome): void => {
     silence?.stop();
     clearTimeout(beginTimer);
+    wholeBody?.close();
     resolve(outcome);
   };
   /** Stops reading until the caller has read what was sent. */
@@ -208,27 +210,25 @@
         isFramed = ['content-length', 'transfer-encoding'].some(
           (name) => headers[name] !== undefined,
         );
-        if (status !== SUCCESS_STATUS) bufferedParts = [];
-        else if (!answerHeaders.signed || answerHeaders.requestId === null)
+        if (status !== SUCCESS_STATUS) {
+          wholeBody = createByteCollector({
+            maximumBytes: MAXIMUM_BUFFERED_BYTES,
+            budget: answerMemory,
+          });
+        } else if (!answerHeaders.signed || answerHeaders.requestId === null)
           fail('stream is not signed by an upstream');
       },
       data: (bytes) => {
-        if (bufferedParts === null) {
-          onStreamData(bytes);
-          return;
-        }
-        bufferedParts.push(bytes);
-        bufferedBytes += bytes.length;
-        if (bufferedBytes > MAXIMUM_BUFFERED_BYTES) fail('the answer exceeds the size limit');
+        if (wholeBody === null) onStreamData(bytes);
+        else if (!wholeBody.add(bytes)) fail('the answer exceeds the size limit');
       },
       end: () => {
         if (head === null) {
           settle({ kind: 'broken', verdict: 'broken', reason: 'no answer' });
           return;
         }
-        if (bufferedParts !== null) {
-          const body = Buffer.concat(bufferedParts, bufferedBytes);
-          settleWhole(head.status, head.headers, head.raw, body);
+        if (wholeBody !== null) {
+          settleWhole(head.status, head.headers, head.raw, wholeBody.take());
           return;
         }
         if (splitter.pendingBytes > 0) {
