--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -80,10 +80,11 @@
   let status = 0;
 
   const writeHead = (statusCode: number, headers: readonly string[]): void => {
-    headersSent = true;
-    status = statusCode;
     const allHeaders = isClosing() ? [...headers, 'Connection', 'close'] : [...headers];
+    // Throws for headers that can't be sent, after which the caller can still get another answer.
     response.writeHead(statusCode, allHeaders);
+    headersSent = true;
+    status = statusCode;
   };
   const finish = (): void => {
     state = 'whole';
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -1,3 +1,4 @@
+import { validateHeaderName, validateHeaderValue } from 'node:http';
 import type { Socket } from 'node:net';
 import { buildConnector, Pool, type Dispatcher } from 'undici';
 import type { HeaderMap } from './dialect.js';
@@ -62,8 +63,22 @@
   retain(addresses: ReadonlySet<string>): void;
 }
 
-function rawHeaderStrings(raw: unknown): readonly string[] {
-  return Array.isArray(raw) ? raw.map((part: unknown) => String(part)) : [];
+/**
+ * Returns the header lines of an answer as they were sent, each byte as one character.
+ *
+ * @throws if one of them can't be sent on, as its sender must have been disturbed.
+ */
+function readRawHeaders(raw: unknown): readonly string[] {
+  if (!Array.isArray(raw)) return [];
+  const headers = raw.map((part: unknown) =>
+    Buffer.isBuffer(part) ? part.toString('latin1') : String(part),
+  );
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const [name = '', value = ''] = headers.slice(index, index + 2);
+    validateHeaderName(name);
+    validateHeaderValue(name, value);
+  }
+  return headers;
 }
 
 /** Creates the pools; connections are opened on first use. */
@@ -170,7 +185,7 @@
             onResponseStart: (started, status, headers) => {
               if (status < 200) return;
               const raw = (started as unknown as { readonly rawHeaders?: unknown }).rawHeaders;
-              observer.head(status, headers, rawHeaderStrings(raw));
+              observer.head(status, headers, readRawHeaders(raw));
             },
             onResponseData: (_controller, bytes) => {
               if (!isSettled) observer.data(bytes);
