fix: events are split in one pass, and blank lines are no events

Callers saw: while one engine sent a stream without an event, in chunks of one byte, the entry answered nobody for seconds; requests had no answer half a second after their timeout. Blank lines without end ended entries. Cause: each part made the splitter copy and search all that was pending; each blank line became an event and a write of its own. Change: common/eventSplitter looks at each byte once and holds an incomplete event in a byteCollector, against the memory that all answers share; blank lines count against the next event's limit; events of one read are written together. The test of the old splitter moved to common/eventSplitter.spec: the cuts and events are the same, `end` takes the place of `pendingBytes`, and blank lines, limits and the cost of single bytes were added.

--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -150,7 +150,8 @@
 /** Takes everything that a stream reports. */
 export const ignoringObserver: StreamObserver = {
   head: () => undefined,
-  event: () => true,
+  event: () => undefined,
+  flush: () => true,
   onDrain: () => undefined,
   silent: () => undefined,
 };
--- a/packages/gateway/__tests__/entryDecisions.spec.ts
+++ b/packages/gateway/__tests__/entryDecisions.spec.ts
@@ -3,10 +3,9 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { Route, RouteConfiguration } from '@burdockrail/routing/routeConfiguration.js';
 import { createRouteTable } from '@burdockrail/routing/routeTable.js';
-import fc from 'fast-check';
 import { admitRequest, isRefusal, type AdmissionInput } from '../src/entryAdmission.js';
 import { classifyAnswer } from '../src/attemptOutcome.js';
-import { createEventSplitter } from '../src/eventSplitter.js';
+import { readEventId } from '../src/eventId.js';
 import { createSuspendClock } from '../src/suspendClock.js';
 import { mayServeVersion, mustBeginBy, namingAge } from '../src/versionRule.js';
 
@@ -117,25 +116,11 @@
   });
 });
 
-describe('createEventSplitter', () => {
-  it('returns only complete events, however the bytes are split', () => {
-    const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c';
-    const cuts = fc.array(fc.integer({ min: 1, max: text.length - 1 }));
-    fc.assert(
-      fc.property(cuts, (offsets) => {
-        const splitter = createEventSplitter();
-        const ends = [...new Set(offsets), text.length].sort((left, right) => left - right);
-        let start = 0;
-        const ids: (number | null)[] = [];
-        for (const end of ends) {
-          const events = splitter.push(Buffer.from(text.slice(start, end)));
-          ids.push(...events.map(({ id }) => id));
-          start = end;
-        }
-        assert.deepEqual(ids, [1, 2]);
-        assert.equal(splitter.pendingBytes, 'id: 3\ndata: c'.length);
-      }),
-    );
+describe('readEventId', () => {
+  it('reads the number of an id line, however its line ends', () => {
+    assert.equal(readEventId(Buffer.from('id: 1\ndata: a\n\n')), 1);
+    assert.equal(readEventId(Buffer.from('data: a\r\nid:2\r\n\r\n')), 2);
+    assert.equal(readEventId(Buffer.from('id: x\ndata: id: 3\n\n')), null);
   });
 });
 
--- a/packages/gateway/__tests__/singleByteChunks.spec.ts
+++ b/packages/gateway/__tests__/singleByteChunks.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
-import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { describe, it } from 'node:test';
+import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { attemptBuffered } from '../src/bufferedAttempt.js';
 import { startStream } from '../src/streamAttempt.js';
 import { createUpstreamConnections } from '../src/upstreamConnections.js';
@@ -10,6 +11,7 @@
 import { peakGrowth } from './retainedMemory.js';
 
 const MEBIBYTE = 1024 * 1024;
+const NANOSECONDS_PER_MILLISECOND = 1_000_000;
 
 /**
  * Growth of the memory up to which an answer counts as bounded, in bytes: the limit of 1 MiB with
@@ -17,17 +19,23 @@
  */
 const MAXIMUM_GROWTH_BYTES = 12 * MEBIBYTE;
 
-/** What an upstream repeats until the connection is closed: chunks of one byte. */
-const chunks = Buffer.from('1\r\nx\r\n'.repeat(4_096));
+/** Time for which an entry may answer nobody, in milliseconds: half a second after a timeout. */
+const MAXIMUM_STALL_MILLISECONDS = 500;
+
+/** Chunks of one byte, which an upstream repeats until the connection is closed. */
+const chunksOf = (byte: string): Buffer => Buffer.from(`1\r\n${byte}\r\n`.repeat(4_096));
 
 const answerHead = (status: string): string =>
   `HTTP/1.1 ${status}\r\nx-request: r\r\nx-signed: yes\r\ntransfer-encoding: chunked\r\n\r\n`;
 
 /** Starts an upstream whose answers have no end; it writes no faster than the bytes are read. */
-async function startEndlessUpstream(status: string): Promise<RawUpstream> {
+async function startEndlessUpstream(
+  status: string,
+  repeated = chunksOf('x'),
+): Promise<RawUpstream> {
   return startRawUpstream(({ socket }) => {
     const send = (): void => {
-      if (!socket.destroyed) socket.write(chunks, send);
+      if (!socket.destroyed) socket.write(repeated, send);
     };
     socket.write(answerHead(status), send);
   });
@@ -62,4 +70,35 @@
     assert.equal((await attempt).kind, 'unknown');
     assert.ok(growth < 8 * MEBIBYTE + MAXIMUM_GROWTH_BYTES, `${growth} bytes`);
   });
+
+  const floods = [
+    { name: 'of an event', repeated: chunksOf('x') },
+    { name: 'of blank lines in chunks of one byte', repeated: chunksOf('\n') },
+    { name: 'of blank lines', repeated: Buffer.from(`ee48\r\n${'\n'.repeat(0xee48)}\r\n`) },
+  ];
+  for (const { name, repeated } of floods)
+    // An entry answered nobody for seconds while it searched the same bytes again and again, and ran
+    // out of memory with a write for each blank line.
+    it(`end a stream without holding up the process (${name})`, async () => {
+      await using disposables = createDisposalStack();
+      const upstream = disposables.use(await startEndlessUpstream('200 OK', repeated));
+      const connections = disposables.use(createUpstreamConnections('127.0.0.1'));
+      const entry = createEntryContext(connections, '');
+      const request = createPlayedRequest({ id: 'r', route });
+      const slot = createSlot('engine-1', upstream.port);
+      let events = 0;
+      const stalls = monitorEventLoopDelay({ resolution: 5 });
+      stalls.enable();
+      const { outcome } = startStream(entry, request, slot, null, {
+        ...ignoringObserver,
+        event: () => {
+          events += 1;
+        },
+      });
+      assert.equal((await outcome).kind, 'broken');
+      stalls.disable();
+      assert.equal(events, 0);
+      const longestMilliseconds = stalls.max / NANOSECONDS_PER_MILLISECOND;
+      assert.ok(longestMilliseconds < MAXIMUM_STALL_MILLISECONDS, `${longestMilliseconds} ms`);
+    });
 });
--- a/packages/gateway/src/streamAttempt.ts
+++ b/packages/gateway/src/streamAttempt.ts
@@ -1,9 +1,10 @@
 import { createByteCollector, type ByteCollector } from '@burdockrail/common/byteCollector.js';
+import { createEventSplitter } from '@burdockrail/common/eventSplitter.js';
 import type { AttemptVerdict } from '@burdockrail/routing/upstreamHealthTracker.js';
 import { connectionLimit, type EntryContext } from './entryContext.js';
 import type { GrantedSlot } from './entrySlots.js';
 import { outgoingRequest, type EntryRequest } from './entryRequest.js';
-import { createEventSplitter } from './eventSplitter.js';
+import { readEventId } from './eventId.js';
 import {
   classifyAnswer,
   endsConnection,
@@ -41,8 +42,10 @@
 export interface StreamObserver {
   /** Called once, immediately before the first event. */
   head(status: number, rawHeaders: readonly string[]): void;
-  /** Receives a complete event; returns false when the caller applies backpressure. */
-  event(bytes: Buffer, id: number | null): boolean;
+  /** Receives a complete event. */
+  event(bytes: Buffer, id: number | null): void;
+  /** Forwards the events received; returns false when the caller applies backpressure. */
+  flush(): boolean;
   onDrain(resume: () => void): void;
   /** No event has arrived for a while; called again after each further such time. */
   silent(): void;
@@ -89,7 +92,10 @@
     dialect,
   );
   const { resolve, promise } = createDeferred<StreamAttemptOutcome>();
-  const splitter = createEventSplitter();
+  const splitter = createEventSplitter({
+    maximumBytes: MAXIMUM_EVENT_BYTES,
+    budget: answerMemory,
+  });
   let sent = false;
   let isTooLateToBegin = false;
   let isPaused = false;
@@ -97,6 +103,7 @@
   let isLeaving = false;
   let hasBegunToRest = false;
   let hasReceivedEvent = false;
+  let failure: string | null = null;
   let head: { status: number; headers: AnswerHeaders; raw: readonly string[] } | null = null;
   let isFramed = false;
   let wholeBody: ByteCollector | null = null;
@@ -113,6 +120,7 @@
     silence?.stop();
     clearTimeout(beginTimer);
     wholeBody?.close();
+    splitter.close();
     resolve(outcome);
   };
   /** Stops reading until the caller has read what was sent. */
@@ -145,22 +153,27 @@
     else settle({ kind: 'whole', status, rawHeaders, body });
   };
 
-  const onStreamData = (bytes: Buffer): void => {
-    const events = splitter.push(bytes);
-    for (const { bytes: event, id } of events) {
-      if (head === null) return;
-      if (id === null && lastEventId !== null) {
-        fail('an event without an id cannot continue the stream');
-        return;
-      }
-      // A stalled upstream may send a byte now and then, so only whole events count as progress.
-      silence?.eventReceived();
-      clearTimeout(beginTimer);
-      if (!hasReceivedEvent) observer.head(head.status, head.raw);
-      hasReceivedEvent = true;
-      if (!observer.event(event, id)) pauseForCaller();
+  /** Passes an event on; returns false if it ends the attempt. */
+  const onEvent = (event: Buffer): boolean => {
+    const id = readEventId(event);
+    if (head === null) return false;
+    if (id === null && lastEventId !== null) {
+      failure = 'an event without an id cannot continue the stream';
+      return false;
     }
-    if (splitter.pendingBytes > MAXIMUM_EVENT_BYTES) fail('an event exceeds the size limit');
+    // A stalled upstream may send a byte now and then, so only whole events count as progress.
+    silence?.eventReceived();
+    clearTimeout(beginTimer);
+    if (!hasReceivedEvent) observer.head(head.status, head.raw);
+    hasReceivedEvent = true;
+    observer.event(event, id);
+    return true;
+  };
+
+  const onStreamData = (bytes: Buffer): void => {
+    if (!splitter.push(bytes, onEvent)) failure ??= 'an event exceeds the size limit';
+    if (!observer.flush()) pauseForCaller();
+    if (failure !== null) fail(failure);
   };
 
   const beginBy = mustBeginBy(slot.version, clusterView.weightsOf(caller.model), settings.bounds);
@@ -231,7 +244,8 @@
           settleWhole(head.status, head.headers, head.raw, wholeBody.take());
           return;
         }
-        if (splitter.pendingBytes > 0) {
+        const blankLines = splitter.end();
+        if (blankLines === null) {
           settle({ kind: 'broken', verdict: 'broken', reason: 'stream ended inside an event' });
           return;
         }
@@ -241,6 +255,10 @@
           return;
         }
         if (!hasReceivedEvent) observer.head(head.status, head.raw);
+        if (hasReceivedEvent && blankLines.length > 0) {
+          observer.event(blankLines, null);
+          observer.flush();
+        }
         settle({ kind: 'complete' });
       },
       failed: (error) => {
--- a/packages/gateway/src/streamHandover.ts
+++ b/packages/gateway/src/streamHandover.ts
@@ -98,12 +98,13 @@
       const running = options.start(slot, {
         head: options.caller.head,
         event: (bytes, id) => {
-          if (!options.isNew(id)) return true;
+          if (!options.isNew(id)) return;
           giveUpOthers(stream);
           emptyEnd = null;
           stream.events += 1;
-          return options.caller.event(bytes, id);
+          options.caller.event(bytes, id);
         },
+        flush: options.caller.flush,
         onDrain: options.caller.onDrain,
         silent: () => {
           handOver(stream).catch(fail);
--- a/packages/gateway/src/streamProgress.ts
+++ b/packages/gateway/src/streamProgress.ts
@@ -2,6 +2,12 @@
 import type { EntryRequest } from './entryRequest.js';
 import type { StreamObserver } from './streamAttempt.js';
 
+/**
+ * Most events of one read that are written together; a write for each of a flood of tiny events would
+ * take many times their size.
+ */
+const MAXIMUM_UNWRITTEN_EVENTS = 256;
+
 /** Events forwarded to the caller so far; prevents duplicates when a stream is resumed. */
 export interface StreamProgress {
   readonly lastEventId: number | null;
@@ -20,6 +26,16 @@
   let lastEventId: number | null = null;
   let events = 0;
   let lastEventAt: number | null = null;
+  let unwritten: Buffer[] = [];
+  /** False once a write since the last flush has met backpressure. */
+  let hasRoom = true;
+  const writeEvents = (): void => {
+    const [first] = unwritten;
+    if (first === undefined) return;
+    const bytes = unwritten.length === 1 ? first : Buffer.concat(unwritten);
+    unwritten = [];
+    if (!answer.write(bytes)) hasRoom = false;
+  };
   return {
     get lastEventId() {
       return lastEventId;
@@ -41,7 +57,14 @@
         const pause = eventAt - (lastEventAt ?? eventAt);
         trace.longestPauseMilliseconds = Math.max(trace.longestPauseMilliseconds, pause);
         lastEventAt = eventAt;
-        return answer.write(bytes);
+        unwritten.push(bytes);
+        if (unwritten.length === MAXIMUM_UNWRITTEN_EVENTS) writeEvents();
+      },
+      flush: () => {
+        writeEvents();
+        const mayGoOn = hasRoom;
+        hasRoom = true;
+        return mayGoOn;
       },
       onDrain: (resume) => {
         answer.onDrain(resume);
