fix(gateway): an engine serves only chunks read back shortly before it took them

Callers saw: tokens made with chunks that had been bad for more than 3 s when the engine took them, after a freeze of the agent, a slow pass over the chunks or an order that was followed late. Cause: nothing bounded the time between the read-back of the oldest chunk and the moment at which the engine takes it; all chunks of a pass had the time of its start.

--- a/packages/gateway/src/agentRole.ts
+++ b/packages/gateway/src/agentRole.ts
@@ -23,6 +23,10 @@
   const engineClient = disposables.use(
     createHttpClient(settings.engine, context.settings.localAddress),
   );
+  // Read-backs that the engine answers slowly must not hold up its reports and orders.
+  const stagingClient = disposables.use(
+    createHttpClient(settings.engine, context.settings.localAddress),
+  );
   const engineAddress = formatAddress(settings.engine);
 
   const untrackedRequests = createUntrackedRequests();
@@ -38,6 +42,7 @@
     const report = engineMonitor.report(now);
     const heldModel = report?.models.find((held) => held.model === model);
     if (report === null || heldModel === undefined || report.busy) return null;
+    if (!weights.isSound(heldModel)) return null;
     const isServed = mayServeVersion(heldModel.version, clusterView.weightsOf(model), bounds, now);
     return isServed ? heldModel.version : null;
   };
@@ -77,6 +82,7 @@
       agent: settings,
       clusterView,
       engineClient,
+      stagingClient,
       engineMonitor,
       hasServableWeights: () =>
         engineMonitor
--- a/packages/gateway/src/agentWeights.ts
+++ b/packages/gateway/src/agentWeights.ts
@@ -16,6 +16,8 @@
 import type { ClusterView } from './clusterView.js';
 import type { GatewayContext } from './gatewayContext.js';
 import type { AgentSettings } from './gatewaySettings.js';
+import { createLoadDoubts, type LoadDoubts } from './loadDoubts.js';
+import { createStagingWrites } from './stagingWrites.js';
 import { createVersionChunks, type VersionChunks } from './versionChunks.js';
 import { fetchManifest } from './weightsManifest.js';
 import { createWeightsFetcher } from './weightsFetcher.js';
@@ -51,6 +53,8 @@
   start(): void;
   /** Stages the chunks again, because a restarted engine may have lost them. */
   engineRestarted(): void;
+  /** False while it is not known that all chunks of a load were sound when the engine took them. */
+  isSound(load: ModelVersion): boolean;
   readonly handlers: Partial<PeerHandlers>;
 }
 
@@ -60,6 +64,8 @@
   readonly agent: AgentSettings;
   readonly clusterView: ClusterView;
   readonly engineClient: HttpClient;
+  /** Reads and writes staged chunks. */
+  readonly stagingClient: HttpClient;
   readonly engineMonitor: EngineMonitor;
   /** Whether the engine has weights that may be served now. */
   readonly hasServableWeights: () => boolean;
@@ -69,6 +75,7 @@
 
 /** Parts of the weights manager that its fetcher and its loader share. */
 export interface WeightsContext extends AgentWeightsOptions {
+  readonly doubts: LoadDoubts;
   /** Address of this agent. */
   readonly self: string;
   peers(): readonly ChunkPeer[];
@@ -79,6 +86,8 @@
   /** Returns the chunks of a version, with those that the engine has staged; `null` without manifest. */
   openChunks(version: ModelVersion): Promise<VersionChunks | null>;
   originClient(): HttpClient | null;
+  /** True if a chunk of any version was written to the staging at or after a time. */
+  hasStagedSince(at: Milliseconds): boolean;
   /** Gives the engine's staging to one version; `null` leaves it to those that are fetched. */
   reserveStaging(version: ModelVersion | null): void;
 }
@@ -93,11 +102,13 @@
  * arrive while the engine waits for its turn to load one.
  */
 export function createAgentWeights(options: AgentWeightsOptions): AgentWeights {
-  const { context, agent, clusterView, engineClient, engineMonitor } = options;
+  const { context, agent, clusterView, stagingClient, engineMonitor } = options;
   const { dialect, log, time, settings } = context;
   const self = formatAddress(agent.internal);
   const startedAt = time.now();
   const versionChunks = new Map<string, VersionChunks>();
+  const doubts = createLoadDoubts();
+  const writes = createStagingWrites();
   let origin: { readonly address: string; readonly client: HttpClient } | null = null;
   let stagingReservedFor: string | null = null;
   let hasEngineAnswered = false;
@@ -139,7 +150,9 @@
     const isStartExpected =
       !hasEngineAnswered && time.now() - startedAt > ENGINE_START_MILLISECONDS;
     if (report === null && !isStartExpected) return [];
-    return engineModels(clusterView, agent.service, report, settings.bounds);
+    const models = report?.models.filter((held) => doubts.of(held)?.isUnsound !== true) ?? [];
+    const soundReport = report === null ? null : { ...report, models };
+    return engineModels(clusterView, agent.service, soundReport, settings.bounds);
   };
 
   const keepNewest = (model: string): void => {
@@ -165,10 +178,12 @@
     if (manifest === null) return null;
     const isFirstOpened = versionChunks.size === 0;
     const chunks = createVersionChunks({
-      engine: engineClient,
+      engine: stagingClient,
       dialect: dialect.weights,
       ...opened,
       manifest,
+      time,
+      writes,
       mayStage: () => stagingReservedFor === null || stagingReservedFor === key,
       onStage: (chunk) => {
         forgetStagedOfOthers(key, [chunk]);
@@ -177,12 +192,13 @@
     versionChunks.set(key, chunks);
     keepNewest(opened.model);
     // Only a previous process of this agent can have staged chunks that it does not know of.
-    if (isFirstOpened && hasEngineAnswered) await chunks.adoptStaged(time.now());
+    if (isFirstOpened && hasEngineAnswered) await chunks.adoptStaged();
     return chunks;
   };
 
   const weights: WeightsContext = {
     ...options,
+    doubts,
     self,
     peers,
     knownVersions,
@@ -198,6 +214,7 @@
     chunksOf: (version) => versionChunks.get(keyOf(version)),
     openChunks,
     originClient,
+    hasStagedSince: (at) => writes.hasBegunSince(at),
     reserveStaging: (version) => {
       stagingReservedFor = version === null ? null : keyOf(version);
     },
@@ -236,7 +253,7 @@
     isOpeningServed = true;
     openedServedAt = now;
     openChunks(held)
-      .then(async (chunks) => chunks?.adoptStaged(time.now()))
+      .then(async (chunks) => chunks?.adoptStaged())
       .catch((error: unknown) => {
         log.write('rolloutFailed', { ...held, reason: String(error) });
       })
@@ -251,8 +268,10 @@
       loader.start();
     },
     engineRestarted: () => {
+      doubts.clear();
       for (const chunks of versionChunks.values()) chunks.forgetStaged([...chunks.held]);
     },
+    isSound: (load) => doubts.of(load) === null,
     handlers: {
       calls: {
         'chunk.list': async ({ model, version }) => {
--- a/packages/gateway/src/versionChunks.ts
+++ b/packages/gateway/src/versionChunks.ts
@@ -1,7 +1,8 @@
 import { createHash } from 'node:crypto';
-import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import type { Milliseconds, TimeSource } from '@burdockrail/common/timeSource.js';
 import type { WeightsDialect, WeightsManifest } from './dialect.js';
 import type { HttpClient } from './httpClient.js';
+import type { StagingWrites } from './stagingWrites.js';
 
 /** Timeout for reading or writing one chunk at the engine, in milliseconds. */
 const STAGE_TIMEOUT_MILLISECONDS = 1_500;
@@ -15,6 +16,12 @@
  */
 const MAXIMUM_READ_BACK_AGE_MILLISECONDS = 1_000;
 
+/**
+ * Age of a read-back up to which its chunk counts as sound when the engine takes it, in milliseconds:
+ * a chunk that turned bad in the last 3 s before is excused, and the answer to the order takes time.
+ */
+const MAXIMUM_AGE_WHEN_TAKEN_MILLISECONDS = 2_500;
+
 /** Most bytes of one version that an agent keeps in memory; the rest is only staged. */
 const MAXIMUM_MEMORY_BYTES = 32 * 1024 * 1024;
 
@@ -40,12 +47,21 @@
   /** Returns a held chunk; `null` if it is missing or no longer matches its digest. */
   read(chunk: number): Promise<Uint8Array | null>;
   /** Reads back what the engine has staged and keeps the chunks that match their digests. */
-  adoptStaged(now: Milliseconds): Promise<void>;
+  adoptStaged(): Promise<void>;
   /**
    * Stages all held chunks and reads back those that were not read a moment ago; returns whether the
    * engine has every chunk.
    */
-  stage(now: Milliseconds): Promise<boolean>;
+  stage(): Promise<boolean>;
+  /** Age of the oldest read-back, in milliseconds; infinite while a chunk has none. */
+  oldestReadBackMilliseconds(now: Milliseconds): number;
+  /**
+   * Shows whether all chunks were sound when the engine took them: those whose read-back may have been
+   * too old by then are read back again.
+   *
+   * @param takenBy - latest time at which the engine can have taken them.
+   */
+  wereSoundWhenTaken(takenBy: Milliseconds): Promise<boolean>;
   /** Records that the engine's staging no longer has some of these chunks. */
   forgetStaged(chunks: Iterable<number>): void;
 }
@@ -57,6 +73,9 @@
   readonly model: string;
   readonly version: number;
   readonly manifest: WeightsManifest;
+  readonly time: TimeSource;
+  /** Writes of all versions into the staging. */
+  readonly writes: StagingWrites;
   /** False while the engine's staging belongs to another version. */
   readonly mayStage: () => boolean;
   /** Called before a chunk is staged, because it replaces the same chunk of other versions. */
@@ -88,7 +107,7 @@
  * without being fetched again after its staging was lost or spoilt.
  */
 export function createVersionChunks(options: VersionChunksOptions): VersionChunks {
-  const { engine, dialect, model, version, manifest, mayStage, onStage } = options;
+  const { engine, dialect, model, version, manifest, time, writes, mayStage, onStage } = options;
   const allChunks = manifest.digests.map((_digest, chunk) => chunk);
   const held = new Set<number>();
   const memory = new Map<number, Uint8Array>();
@@ -107,12 +126,15 @@
   const writeStaged = async (chunk: number, bytes: Uint8Array): Promise<void> => {
     onStage(chunk);
     readBackAt.delete(chunk);
+    const write = writes.begin(version, chunk, time.now());
     try {
       const request = dialect.stageWrite(model, chunk);
       const { status } = await engine.call(request, STAGE_TIMEOUT_MILLISECONDS, bytes);
+      write.answered();
       if (status >= FIRST_FAILURE_STATUS) return;
     } catch {
-      // An engine that does not answer has not staged it; `stage` writes it again.
+      // An engine that does not answer may stage it late; `stage` writes it again.
+      write.lost(time.now());
       return;
     }
     staged.add(chunk);
@@ -137,7 +159,8 @@
     if (!memory.has(chunk)) held.delete(chunk);
   };
 
-  const verifyStaged = async (chunk: number, now: Milliseconds): Promise<void> => {
+  const verifyStaged = async (chunk: number): Promise<void> => {
+    const readAt = time.now();
     const bytes = await readBack(chunk);
     if (bytes === null) {
       discardStaged(chunk);
@@ -146,16 +169,19 @@
     largestChunkBytes = Math.max(largestChunkBytes, bytes.length);
     staged.add(chunk);
     held.add(chunk);
-    readBackAt.set(chunk, now);
+    readBackAt.set(chunk, readAt);
     remember(chunk, bytes);
   };
 
-  const verifyAll = async (now: Milliseconds): Promise<void> => {
-    const due = allChunks.filter((chunk) => {
-      const age = now - (readBackAt.get(chunk) ?? Number.NEGATIVE_INFINITY);
-      return age > MAXIMUM_READ_BACK_AGE_MILLISECONDS;
-    });
-    await forEachConcurrently(due, async (chunk) => verifyStaged(chunk, now));
+  const readBackAge = (chunk: number, now: Milliseconds): number =>
+    now - (readBackAt.get(chunk) ?? Number.NEGATIVE_INFINITY);
+
+  const verifyAll = async (): Promise<void> => {
+    const now = time.now();
+    const due = allChunks.filter(
+      (chunk) => readBackAge(chunk, now) > MAXIMUM_READ_BACK_AGE_MILLISECONDS,
+    );
+    await forEachConcurrently(due, verifyStaged);
   };
 
   const stageMissing = async (): Promise<void> => {
@@ -197,16 +223,28 @@
       if (readBytes === null) discardStaged(chunk);
       return readBytes;
     },
-    adoptStaged: async (now) => verifyAll(now),
-    stage: async (now) => {
+    adoptStaged: verifyAll,
+    stage: async () => {
+      await writes.othersEnded(version);
       await stageMissing();
-      await verifyAll(now);
+      await verifyAll();
       if (staged.size === allChunks.length) return true;
       // Chunks that were spoilt in the staging are written once more from memory.
       await stageMissing();
-      await verifyAll(now);
+      await verifyAll();
       return staged.size === allChunks.length;
     },
+    oldestReadBackMilliseconds: (now) =>
+      Math.max(...allChunks.map((chunk) => readBackAge(chunk, now))),
+    wereSoundWhenTaken: async (takenBy) => {
+      const doubtful = allChunks.filter(
+        (chunk) =>
+          readBackAge(chunk, takenBy) > MAXIMUM_AGE_WHEN_TAKEN_MILLISECONDS ||
+          writes.mayBeReplaced(version, chunk, takenBy),
+      );
+      await forEachConcurrently(doubtful, verifyStaged);
+      return doubtful.every((chunk) => staged.has(chunk));
+    },
     forgetStaged: (chunks) => {
       for (const chunk of chunks) if (staged.has(chunk)) discardStaged(chunk);
     },
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -278,6 +278,11 @@
     level: 'info',
     text: 'The agent ordered its engine to load staged weights.',
   },
+  weightsUnsound: {
+    number: 5105,
+    level: 'warn',
+    text: 'Chunks of a load may have been spoilt when the engine took them; it serves none of it.',
+  },
   rolloutSuperseded: {
     number: 5104,
     level: 'info',
