fix: every reader of foreign bytes gathers them in the one bounded part

Callers saw: a body of 1 MB in single bytes, also without a key, ended an entry; answers of engines and origins, frames of peers and events of agents' upstreams could do the same to their readers. Cause: an object for each part (arrays of parts, streams of the HTTP client); the events of an agent's upstream had no limit and were searched again at each part. Evidence: singleByteChunks.spec on: 692 MB for an answer limited to 8 MiB, 471 MB for a body and 207 MB for a frame of 1 MiB; rawUpstream.spec of the daemon: an event without end lasted until its test's 30 s. Change: daemon/wholeAnswer copies the parts of an answer as the parser delivers them; HttpClient, EngineClient and WeightsOrigin use it. Frames, chunks of agents, events, stored, relayed and short answers use byteCollector and eventSplitter. A trial that read the HTTP client's stream instead passed alone and ran out of memory beside busy processes; it was dropped.

--- a/packages/daemon/__tests__/rawUpstream.spec.ts
+++ b/packages/daemon/__tests__/rawUpstream.spec.ts
@@ -263,3 +263,29 @@
     assert.equal(items.at(-1)?.kind, 'end');
   });
 });
+
+describe('a stream without an event and without end', { timeout: 30_000 }, () => {
+  // An agent kept and searched the bytes of such an event until its attempt timed out.
+  for (const part of ['1\r\nx\r\n', '1\r\n\n\r\n'])
+    it(`ends at the limit of an event (${JSON.stringify(part)})`, async () => {
+      await using disposables = createDisposalStack();
+      const bytes = Buffer.from(part.repeat(4_096));
+      let sentBytes = 0;
+      const { run } = await createFixture(disposables, ({ socket }) => {
+        const send = (): void => {
+          if (socket.destroyed) return;
+          sentBytes += bytes.length;
+          socket.write(bytes, send);
+        };
+        const head = 'x-request-id: first\r\ncontent-type: text/event-stream\r\n';
+        socket.write(`HTTP/1.1 200 OK\r\n${head}transfer-encoding: chunked\r\n\r\n`, send);
+      });
+      const items = await run({ attemptId: 'first', timeoutMilliseconds: 20_000 });
+      const last = items.at(-1);
+      assert.equal(
+        last?.kind === 'failed' ? last.detail : last?.kind,
+        'an event exceeds the size limit',
+      );
+      assert.ok(sentBytes < 16 * 1024 * 1024, `${sentBytes} bytes`);
+    });
+});
--- a/packages/daemon/src/attemptAnswer.ts
+++ b/packages/daemon/src/attemptAnswer.ts
@@ -1,3 +1,5 @@
+import { createByteCollector } from '@burdockrail/common/byteCollector.js';
+import { createEventSplitter } from '@burdockrail/common/eventSplitter.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { AttemptItem, AttemptStart } from '@burdockrail/protocol/protocolAttempt.js';
 import type { Dispatcher } from 'undici';
@@ -8,7 +10,7 @@
   requestedRest,
   saysLeaving,
 } from './attemptAnswerHeaders.js';
-import { createEventSplitter, chooseEventAction } from './attemptEvents.js';
+import { chooseEventAction, parseEvent, type StreamedEvent } from './attemptEvents.js';
 import {
   WEIGHTS_DIGEST_HEADER,
   REQUEST_ID_HEADER,
@@ -23,6 +25,9 @@
 /** Largest answer that is buffered completely before its head is forwarded, in bytes. */
 const MAXIMUM_BUFFERED_BYTES = 256 * 1024;
 
+/** Maximum size of one event, in bytes. */
+const MAXIMUM_EVENT_BYTES = 256 * 1024;
+
 /** Lowest HTTP status of a server error. */
 const SERVER_ERROR_STATUS = 500;
 
@@ -156,10 +161,16 @@
     for await (const bytes of readBody(options, response)) yield { kind: 'data', attemptId, bytes };
     return;
   }
-  const parts: Uint8Array[] = [];
-  for await (const bytes of readBody(options, response)) parts.push(bytes);
+  const body = createByteCollector({ maximumBytes: MAXIMUM_BUFFERED_BYTES });
+  for await (const bytes of readBody(options, response))
+    if (!body.add(bytes)) throw tooLargeError('the body');
   yield headItem(start, response);
-  if (parts.length > 0) yield { kind: 'data', attemptId, bytes: Buffer.concat(parts) };
+  if (body.size > 0) yield { kind: 'data', attemptId, bytes: body.take() };
+}
+
+function tooLargeError(what: string): AttemptError {
+  const detail = `${what} exceeds the size limit`;
+  return new AttemptError(ResultCode.AnswerIncomplete, 'unknown', detail);
 }
 
 /** Position in an event stream, kept across resumptions. */
@@ -174,10 +185,15 @@
   position: StreamPosition,
   isResumed: boolean,
 ): AsyncGenerator<AttemptItem, void> {
-  const splitter = createEventSplitter();
+  const splitter = createEventSplitter({ maximumBytes: MAXIMUM_EVENT_BYTES });
   try {
     for await (const bytes of response.body as AsyncIterable<Uint8Array>) {
-      for (const event of splitter.push(bytes)) {
+      const events: StreamedEvent[] = [];
+      const isWithinLimits = splitter.push(bytes, (event) => {
+        events.push(parseEvent(event));
+        return true;
+      });
+      for (const event of events) {
         const action = chooseEventAction(event, position.lastEventId, isResumed);
         if (action === 'drop') continue;
         if (action === 'gap') return;
@@ -186,6 +202,7 @@
         position.isComplete = event.isLast;
         if (event.isLast) return;
       }
+      if (!isWithinLimits) throw tooLargeError('an event');
     }
   } catch (error) {
     if (error instanceof AttemptError) throw error;
--- a/packages/daemon/src/attemptEvents.ts
+++ b/packages/daemon/src/attemptEvents.ts
@@ -7,44 +7,17 @@
   readonly isLast: boolean;
 }
 
-/** Splits a byte stream into complete server-sent events. */
-export interface EventSplitter {
-  /** Adds the next bytes and returns the events that they complete. */
-  push(bytes: Uint8Array): readonly StreamedEvent[];
-}
-
-const EVENT_SEPARATOR = '\n\n';
 const ID_LINE = /^id: ?(\d+)$/mu;
 const DONE_LINE = /^data: ?\[DONE\]$/mu;
 
-function parseEvent(bytes: Buffer): StreamedEvent {
+/** Reads the fields of a complete event. */
+export function parseEvent(bytes: Buffer): StreamedEvent {
   const text = bytes.toString('utf8').replaceAll('\r', '');
   const id = ID_LINE.exec(text)?.[1];
   const isLast = DONE_LINE.test(text);
   return id === undefined ? { bytes, isLast } : { bytes, isLast, id: Number(id) };
 }
 
-/** Creates a splitter for one answer; the bytes of an incomplete last event are dropped. */
-export function createEventSplitter(): EventSplitter {
-  let buffered: Buffer = Buffer.alloc(0);
-  return {
-    push: (bytes) => {
-      buffered = Buffer.concat([buffered, bytes]);
-      const events: StreamedEvent[] = [];
-      for (
-        let separatorAt = buffered.indexOf(EVENT_SEPARATOR);
-        separatorAt >= 0;
-        separatorAt = buffered.indexOf(EVENT_SEPARATOR)
-      ) {
-        const eventEnd = separatorAt + EVENT_SEPARATOR.length;
-        events.push(parseEvent(buffered.subarray(0, eventEnd)));
-        buffered = buffered.subarray(eventEnd);
-      }
-      return events;
-    },
-  };
-}
-
 /**
  * Action for an event of a stream that may have been resumed; `gap` means that events are missing
  * before it.
--- a/packages/daemon/src/attemptService.ts
+++ b/packages/daemon/src/attemptService.ts
@@ -1,3 +1,4 @@
+import { createByteCollector } from '@burdockrail/common/byteCollector.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { TimeSource } from '@burdockrail/common/timeSource.js';
 import { createNamedLimit } from '@burdockrail/limits/namedLimit.js';
@@ -62,23 +63,17 @@
 } {
   let status = 0;
   let headers: Readonly<Record<string, string>> = {};
-  let size = 0;
-  let parts: Uint8Array[] = [];
+  const body = createByteCollector({ maximumBytes: MAXIMUM_STORED_BODY_BYTES });
+  let isStored = true;
   return {
     add: (item) => {
       if (item.kind === 'head') {
         status = item.status;
         headers = item.headers;
       }
-      if (item.kind !== 'data') return;
-      size += item.bytes.length;
-      if (size > MAXIMUM_STORED_BODY_BYTES) parts = [];
-      else parts.push(item.bytes);
+      if (item.kind === 'data') isStored = body.add(item.bytes);
     },
-    answer: () =>
-      size > MAXIMUM_STORED_BODY_BYTES
-        ? { status, headers }
-        : { status, headers, body: Buffer.concat(parts) },
+    answer: () => (isStored ? { status, headers, body: body.take() } : { status, headers }),
   };
 }
 
--- a/packages/daemon/src/engineClient.ts
+++ b/packages/daemon/src/engineClient.ts
@@ -1,11 +1,15 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { ResultError } from '@burdockrail/common/outcome.js';
 import type { Digest } from '@burdockrail/common/digest.js';
-import { Pool, type Dispatcher } from 'undici';
+import { Pool } from 'undici';
+import { requestWhole, type WholeAnswer } from './wholeAnswer.js';
 
 /** Size of the connection pool for orders and chunks. */
 const ENGINE_CONNECTIONS = 8;
 
+/** Largest accepted answer, in bytes: one chunk. */
+const MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
+
 /** Timeout of a query to the engine, in milliseconds. */
 const QUERY_TIMEOUT_MILLISECONDS = 2_000;
 
@@ -78,6 +82,10 @@
   return `/admin/weights/${digest}/chunks/${index}`;
 }
 
+function parseJson({ body }: WholeAnswer): unknown {
+  return JSON.parse(body.toString('utf8'));
+}
+
 /**
  * Creates a client for the engine at a base URL.
  *
@@ -91,33 +99,34 @@
   });
   const pathPrefix = baseUrl.pathname.replace(/\/$/u, '');
 
-  const send = async (request: EngineRequest): Promise<Dispatcher.ResponseData> => {
+  const send = async (request: EngineRequest): Promise<WholeAnswer> => {
+    const { method, path, body = null, contentType, timeoutMilliseconds } = request;
+    const headers = contentType === undefined ? {} : { 'content-type': contentType };
+    const options = { method, path: `${pathPrefix}${path}`, body, headers };
+    const signal = AbortSignal.timeout(timeoutMilliseconds);
     try {
-      return await pool.request({
-        method: request.method,
-        path: `${pathPrefix}${request.path}`,
-        body: request.body ?? null,
-        headers: request.contentType === undefined ? {} : { 'content-type': request.contentType },
-        signal: AbortSignal.timeout(request.timeoutMilliseconds),
-        headersTimeout: request.timeoutMilliseconds,
-      });
+      return await requestWhole(
+        pool,
+        { ...options, headersTimeout: timeoutMilliseconds },
+        MAXIMUM_ANSWER_BYTES,
+        signal,
+      );
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       throw new ResultError(ResultCode.UpstreamFailed, reason);
     }
   };
 
-  const reject = async (response: Dispatcher.ResponseData, operation: string): Promise<never> => {
-    await response.body.dump();
-    const detail = `engine answered ${operation} with HTTP status ${response.statusCode}`;
+  const reject = ({ status }: WholeAnswer, operation: string): never => {
+    const detail = `engine answered ${operation} with HTTP status ${status}`;
     throw new ResultError(ResultCode.EngineRefusedOrder, detail);
   };
 
   const getJson = async (path: string): Promise<unknown> => {
     const timeoutMilliseconds = QUERY_TIMEOUT_MILLISECONDS;
     const response = await send({ method: 'GET', path, timeoutMilliseconds });
-    if (response.statusCode >= HTTP_REDIRECTION) return reject(response, path);
-    return response.body.json();
+    if (response.status >= HTTP_REDIRECTION) return reject(response, path);
+    return parseJson(response);
   };
 
   return {
@@ -131,25 +140,22 @@
         contentType: 'application/octet-stream',
         timeoutMilliseconds: CHUNK_TIMEOUT_MILLISECONDS,
       });
-      if (response.statusCode >= HTTP_REDIRECTION) await reject(response, 'chunk staging');
-      await response.body.dump();
+      if (response.status >= HTTP_REDIRECTION) reject(response, 'chunk staging');
     },
     readStagedChunk: async (digest, index) => {
       const path = chunkPath(digest, index);
       const timeoutMilliseconds = CHUNK_TIMEOUT_MILLISECONDS;
       const response = await send({ method: 'GET', path, timeoutMilliseconds });
-      if (response.statusCode === HTTP_NOT_FOUND) {
-        await response.body.dump();
+      if (response.status === HTTP_NOT_FOUND) {
         return null;
       }
-      if (response.statusCode >= HTTP_REDIRECTION) return reject(response, 'chunk reading');
-      return Buffer.from(await response.body.arrayBuffer());
+      if (response.status >= HTTP_REDIRECTION) return reject(response, 'chunk reading');
+      return response.body;
     },
     discardStaged: async (digest) => {
       const path = `/admin/weights/${digest}`;
       const timeoutMilliseconds = QUERY_TIMEOUT_MILLISECONDS;
-      const response = await send({ method: 'DELETE', path, timeoutMilliseconds });
-      await response.body.dump();
+      await send({ method: 'DELETE', path, timeoutMilliseconds });
     },
     sendOrder: async (order) => {
       const response = await send({
@@ -159,12 +165,12 @@
         contentType: 'application/json',
         timeoutMilliseconds: ORDER_TIMEOUT_MILLISECONDS,
       });
-      if (response.statusCode === HTTP_CONFLICT) {
-        const reply = (await response.body.json()) as { readonly highest?: number };
+      if (response.status === HTTP_CONFLICT) {
+        const reply = parseJson(response) as { readonly highest?: number };
         return { kind: 'stale-fencing', highest: reply.highest ?? 0 };
       }
-      if (response.statusCode >= HTTP_REDIRECTION) return reject(response, `order ${order.kind}`);
-      const reply = (await response.body.json()) as { readonly digest: Digest };
+      if (response.status >= HTTP_REDIRECTION) return reject(response, `order ${order.kind}`);
+      const reply = parseJson(response) as { readonly digest: Digest };
       return { kind: 'loaded', digest: reply.digest };
     },
     [Symbol.asyncDispose]: async () => {
--- a/packages/daemon/src/ledgerAnswer.ts
+++ b/packages/daemon/src/ledgerAnswer.ts
@@ -1,3 +1,4 @@
+import { createByteCollector } from '@burdockrail/common/byteCollector.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { AttemptHead, StoredAnswer } from '@burdockrail/protocol/protocolAttempt.js';
 import { answerHeaderNames } from './requestAnswer.js';
@@ -22,22 +23,22 @@
 /** Creates a recorder for one answer. */
 export function createAnswerRecorder(): AnswerRecorder {
   let answer: StoredAnswer = { status: 0, headers: {} };
-  let parts: Uint8Array[] | undefined = [];
-  let length = 0;
+  const body = createByteCollector({ maximumBytes: MAXIMUM_STORED_BODY_BYTES });
+  let isStored = true;
   return {
     get answer() {
-      return parts === undefined ? answer : { ...answer, body: Buffer.concat(parts, length) };
+      return answer;
     },
     head: (head) => {
       answer = { status: head.status, headers: storedHeaders(head) };
     },
     data: async (bytes) => {
-      length += bytes.length;
-      if (length > MAXIMUM_STORED_BODY_BYTES) parts = undefined;
-      parts?.push(bytes);
+      isStored = body.add(bytes);
       return Promise.resolve();
     },
-    end: () => undefined,
+    end: () => {
+      if (isStored) answer = { ...answer, body: body.take() };
+    },
   };
 }
 
--- a/packages/daemon/src/requestRelay.ts
+++ b/packages/daemon/src/requestRelay.ts
@@ -1,3 +1,4 @@
+import { createByteCollector, type ByteCollector } from '@burdockrail/common/byteCollector.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { AttemptHead } from '@burdockrail/protocol/protocolAttempt.js';
 import { answerHeaderNames, errorDocument } from './requestAnswer.js';
@@ -73,8 +74,9 @@
  */
 export function createAnswerRelay(caller: RequestCaller, agent: string): AnswerSink {
   let answerHead: AttemptHead | undefined;
-  let buffered: Uint8Array[] | undefined = [];
-  let bufferedBytes = 0;
+  let buffered: ByteCollector | undefined = createByteCollector({
+    maximumBytes: MAXIMUM_BUFFERED_BYTES,
+  });
 
   const startStreaming = async (head: AttemptHead, parts: readonly Uint8Array[]): Promise<void> => {
     buffered = undefined;
@@ -92,17 +94,16 @@
         await caller.write(bytes);
         return;
       }
-      buffered.push(bytes);
-      bufferedBytes += bytes.length;
-      if (bufferedBytes > MAXIMUM_BUFFERED_BYTES) await startStreaming(answerHead, buffered);
+      const isTooLarge = buffered.size + bytes.length > MAXIMUM_BUFFERED_BYTES;
+      if (isTooLarge) await startStreaming(answerHead, [buffered.take(), bytes]);
+      else buffered.add(bytes);
     },
     end: () => {
       if (buffered === undefined || answerHead === undefined) {
         caller.end();
         return;
       }
-      const body = Buffer.concat(buffered, bufferedBytes);
-      caller.sendAnswer(answerHead.status, callerHeaders(answerHead, agent), body);
+      caller.sendAnswer(answerHead.status, callerHeaders(answerHead, agent), buffered.take());
     },
   };
 }
--- a/packages/daemon/src/weightsOrigin.ts
+++ b/packages/daemon/src/weightsOrigin.ts
@@ -4,7 +4,11 @@
 import type { Digest } from '@burdockrail/common/digest.js';
 import type { WeightManifest } from '@burdockrail/protocol/protocolWeights.js';
 import { checkManifest, chunkRange } from '@burdockrail/rollout/rolloutManifest.js';
-import { Agent, type Dispatcher } from 'undici';
+import { Agent } from 'undici';
+import { requestWhole, type WholeAnswer } from './wholeAnswer.js';
+
+/** Largest accepted manifest or chunk, in bytes. */
+const MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
 
 /** Timeout of a request to the weight store, in milliseconds. */
 const STORE_TIMEOUT_MILLISECONDS = 5_000;
@@ -42,7 +46,7 @@
   readonly localAddress: string;
 }
 
-function retryAfterMilliseconds(response: Dispatcher.ResponseData): number {
+function retryAfterMilliseconds(response: WholeAnswer): number {
   const seconds = Number(response.headers['retry-after']);
   return seconds > 0 ? seconds * MILLISECONDS_PER_SECOND : DEFAULT_STORE_RETRY_MILLISECONDS;
 }
@@ -65,14 +69,13 @@
     url: URL,
     headers: Readonly<Record<string, string>>,
     signal: AbortSignal,
-  ): Promise<Dispatcher.ResponseData> =>
-    dispatcher.request({
-      origin: url.origin,
-      path: `${url.pathname}${url.search}`,
-      method: 'GET',
-      headers: { ...headers },
+  ): Promise<WholeAnswer> =>
+    requestWhole(
+      dispatcher,
+      { origin: url.origin, path: `${url.pathname}${url.search}`, method: 'GET', headers },
+      MAXIMUM_ANSWER_BYTES,
       signal,
-    });
+    );
 
   const requestFromStore = async (
     url: URL,
@@ -83,15 +86,16 @@
       AbortSignal.timeout(STORE_TIMEOUT_MILLISECONDS),
     ]);
     const response = await request(url, {}, boundedSignal);
-    if (response.statusCode === HTTP_OK) return { body: await response.body.json() };
-    await response.body.dump();
-    if (response.statusCode === HTTP_TOO_MANY_REQUESTS)
+    if (response.status === HTTP_OK) {
+      return { body: JSON.parse(response.body.toString('utf8')) as unknown };
+    }
+    if (response.status === HTTP_TOO_MANY_REQUESTS)
       return { waitMilliseconds: retryAfterMilliseconds(response) };
     const code =
-      response.statusCode === HTTP_NOT_FOUND
+      response.status === HTTP_NOT_FOUND
         ? ResultCode.VersionNotInStore
         : ResultCode.OriginUnreachable;
-    throw new ResultError(code, `the weight store answered with status ${response.statusCode}`);
+    throw new ResultError(code, `the weight store answered with status ${response.status}`);
   };
 
   const fetchManifest: WeightsOrigin['fetchManifest'] = async (
@@ -118,12 +122,11 @@
     const url = new URL(`${options.origin.replace(/\/$/u, '')}${path}`);
     const { start, end } = chunkRange(manifest, index);
     const response = await request(url, { range: `bytes=${start}-${end - 1}` }, signal);
-    if (response.statusCode !== HTTP_PARTIAL_CONTENT) {
-      await response.body.dump();
-      const detail = `the origin answered with status ${response.statusCode}`;
+    if (response.status !== HTTP_PARTIAL_CONTENT) {
+      const detail = `the origin answered with status ${response.status}`;
       throw new ResultError(ResultCode.OriginUnreachable, detail);
     }
-    return Buffer.from(await response.body.arrayBuffer());
+    return response.body;
   };
 
   return {
--- a/packages/gateway/__tests__/singleByteChunks.spec.ts
+++ b/packages/gateway/__tests__/singleByteChunks.spec.ts
@@ -1,8 +1,12 @@
 import assert from 'node:assert/strict';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { describe, it } from 'node:test';
+import { setTimeout as pause } from 'node:timers/promises';
+import { readBoundedBody } from '@burdockrail/common/boundedBody.js';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import { createFrameReader, encodeFrame } from '@burdockrail/transport/frameCodec.js';
 import { attemptBuffered } from '../src/bufferedAttempt.js';
+import { createHttpClient } from '../src/httpClient.js';
 import { startStream } from '../src/streamAttempt.js';
 import { createUpstreamConnections } from '../src/upstreamConnections.js';
 import { createEntryContext, createSlot, ignoringObserver } from './entryContextFixture.js';
@@ -101,4 +105,54 @@
       const longestMilliseconds = stalls.max / NANOSECONDS_PER_MILLISECOND;
       assert.ok(longestMilliseconds < MAXIMUM_STALL_MILLISECONDS, `${longestMilliseconds} ms`);
     });
+
+  it('take memory for no more than the size limit of an answer of an engine or origin', async () => {
+    await using disposables = createDisposalStack();
+    const upstream = disposables.use(await startEndlessUpstream('200 OK'));
+    const address = { host: '127.0.0.1', port: upstream.port };
+    const client = disposables.use(createHttpClient(address, '127.0.0.1'));
+    const call = client.call({ method: 'GET', path: '/', body: null }, 30_000);
+    const growth = await peakGrowth(call);
+    await assert.rejects(call);
+    assert.ok(growth < 8 * MEBIBYTE + MAXIMUM_GROWTH_BYTES, `${growth} bytes`);
+  });
+});
+
+/** Parts of one byte, each of which pins the buffer of a read of its own, as those of a socket do. */
+function singleByteRead(): Buffer {
+  return Buffer.allocUnsafeSlow(256).subarray(0, 1);
+}
+
+describe('a megabyte in parts of one byte', { timeout: 60_000 }, () => {
+  // A caller without a key ended an entry by a body within the limit.
+  it('takes memory for no more than its size as a body', async () => {
+    const body = async function* (): AsyncGenerator<Buffer> {
+      for (let size = 0; size < MEBIBYTE; size += 1) {
+        if (size % 4_096 === 0) await pause(1);
+        yield singleByteRead();
+      }
+    };
+    const reading = readBoundedBody(body(), { maximumBytes: 2 * MEBIBYTE });
+    const growth = await peakGrowth(reading);
+    assert.equal((await reading)?.length, MEBIBYTE);
+    assert.ok(growth < MAXIMUM_GROWTH_BYTES, `${growth} bytes`);
+  });
+
+  it('takes memory for no more than its size as a frame of a peer', async () => {
+    const reader = createFrameReader();
+    const frame = encodeFrame(Buffer.alloc(MEBIBYTE));
+    const reading = (async () => {
+      const messages: unknown[] = [];
+      for (let offset = 0; offset < frame.length; offset += 1) {
+        if (offset % 4_096 === 0) await pause(1);
+        const part = singleByteRead();
+        part[0] = frame[offset] ?? 0;
+        messages.push(...reader.push(part));
+      }
+      return messages;
+    })();
+    const growth = await peakGrowth(reading);
+    assert.equal((await reading).length, 1);
+    assert.ok(growth < MAXIMUM_GROWTH_BYTES, `${growth} bytes`);
+  });
 });
--- a/packages/gateway/src/chunkFetch.ts
+++ b/packages/gateway/src/chunkFetch.ts
@@ -1,4 +1,5 @@
 import { setTimeout as pause } from 'node:timers/promises';
+import { createByteCollector } from '@burdockrail/common/byteCollector.js';
 import { formatAddress } from '@burdockrail/protocol/protocolAddress.js';
 import { unpackChunks } from '@burdockrail/rollout/chunkBits.js';
 import type { ChunkFetch, ChunkSource } from '@burdockrail/rollout/chunkChoice.js';
@@ -13,6 +14,9 @@
 /** Concurrent fetch loops; the planner decides how many of them are active. */
 const WORKERS = 8;
 
+/** Largest accepted chunk of another agent, in bytes. */
+const MAXIMUM_CHUNK_BYTES = 8 * 1024 * 1024;
+
 /** Timeout of a fetch from an agent, in milliseconds: several chunks on a slow link. */
 const AGENT_TIMEOUT_MILLISECONDS = 1_000;
 
@@ -103,12 +107,13 @@
   };
 
   const readFromAgent = async (agent: string, chunk: number): Promise<Uint8Array> => {
-    const parts: Uint8Array[] = [];
+    const received = createByteCollector({ maximumBytes: MAXIMUM_CHUNK_BYTES });
     const connection = client.connectionTo(parseAddress(agent));
     const callOptions = { timeoutMilliseconds: AGENT_TIMEOUT_MILLISECONDS, signal };
     const stream = connection.stream('chunk.read', { model, version, chunk }, callOptions);
-    for await (const part of stream) parts.push(part);
-    return Buffer.concat(parts);
+    for await (const part of stream)
+      if (!received.add(part)) throw new Error('the chunk exceeds the size limit');
+    return received.take();
   };
 
   const readFromOrigin = async (chunk: number): Promise<Uint8Array | null> => {
--- a/packages/gateway/src/httpClient.ts
+++ b/packages/gateway/src/httpClient.ts
@@ -1,3 +1,4 @@
+import { requestWhole } from '@burdockrail/daemon/wholeAnswer.js';
 import { Pool } from 'undici';
 import { formatAddress, type Address } from '@burdockrail/protocol/protocolAddress.js';
 import type { WireRequest } from './dialect.js';
@@ -32,20 +33,20 @@
     pipelining: 1,
     connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS, localAddress },
     keepAliveTimeout: IDLE_TIMEOUT_MILLISECONDS,
-    maxResponseSize: MAXIMUM_ANSWER_BYTES,
   });
   return {
-    call: async ({ method, path, body }, timeoutMilliseconds, bytes) => {
-      const isJson = body !== null;
-      const { statusCode, body: answer } = await pool.request({
-        method,
-        path,
-        body: bytes ?? body,
-        headers: isJson ? { 'content-type': 'application/json' } : {},
-        signal: AbortSignal.timeout(timeoutMilliseconds),
-      });
-      return { status: statusCode, body: Buffer.from(await answer.arrayBuffer()) };
-    },
+    call: async ({ method, path, body }, timeoutMilliseconds, bytes) =>
+      requestWhole(
+        pool,
+        {
+          method,
+          path,
+          body: bytes ?? body,
+          headers: body === null ? {} : { 'content-type': 'application/json' },
+        },
+        MAXIMUM_ANSWER_BYTES,
+        AbortSignal.timeout(timeoutMilliseconds),
+      ),
     [Symbol.asyncDispose]: async () => pool.destroy(),
   };
 }
--- a/packages/transport/src/frameCodec.ts
+++ b/packages/transport/src/frameCodec.ts
@@ -1,4 +1,5 @@
 import { crc32 } from 'node:zlib';
+import { createByteCollector } from '@burdockrail/common/byteCollector.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { ResultError } from '@burdockrail/common/outcome.js';
 import { Decoder, Encoder } from 'cbor-x';
@@ -79,8 +80,8 @@
  * invalid checksum or is not CBOR; the connection is then unusable.
  */
 export function createFrameReader(maximumFrameBytes: number = MAXIMUM_FRAME_BYTES): FrameReader {
-  let bufferedParts: Buffer[] = [];
-  let bufferedBytes = 0;
+  const pending = createByteCollector({ maximumBytes: HEADER_BYTES + maximumFrameBytes });
+  /** Bytes of the pending frame, or of its length field as long as that is incomplete. */
   let requiredBytes = LENGTH_FIELD_BYTES;
 
   const frameLength = (bytes: Buffer): number => {
@@ -96,23 +97,26 @@
 
   return {
     push(bytes) {
-      bufferedParts.push(bytes);
-      bufferedBytes += bytes.length;
-      if (bufferedBytes < requiredBytes) return [];
-      let buffer = bufferedParts.length === 1 ? bytes : Buffer.concat(bufferedParts, bufferedBytes);
       const messages: unknown[] = [];
-      for (;;) {
-        if (buffer.length < LENGTH_FIELD_BYTES) {
-          requiredBytes = LENGTH_FIELD_BYTES;
-          break;
+      for (let rest = bytes; rest.length > 0;) {
+        if (pending.size === 0) {
+          requiredBytes = rest.length < LENGTH_FIELD_BYTES ? LENGTH_FIELD_BYTES : frameLength(rest);
+          if (rest.length >= requiredBytes) {
+            messages.push(decodeFrame(rest.subarray(0, requiredBytes)));
+            rest = rest.subarray(requiredBytes);
+            continue;
+          }
         }
-        requiredBytes = frameLength(buffer);
-        if (buffer.length < requiredBytes) break;
-        messages.push(decodeFrame(buffer.subarray(0, requiredBytes)));
-        buffer = buffer.subarray(requiredBytes);
+        const part = rest.subarray(0, requiredBytes - pending.size);
+        rest = rest.subarray(part.length);
+        pending.add(part);
+        if (pending.size < requiredBytes) break;
+        const gathered = pending.take();
+        if (requiredBytes === LENGTH_FIELD_BYTES) {
+          requiredBytes = frameLength(gathered);
+          pending.add(gathered);
+        } else messages.push(decodeFrame(gathered));
       }
-      bufferedParts = buffer.length === 0 ? [] : [buffer];
-      bufferedBytes = buffer.length;
       return messages;
     },
   };
