--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,146 +1,197 @@
-import { Buffer } from 'node:buffer';
 import { randomBytes } from 'node:crypto';
-import { readFileSync } from 'node:fs';
-import { Agent } from 'node:http';
-import { clearInterval, setInterval } from 'node:timers';
+import { setTimeout } from 'node:timers';
 import { setTimeout as pause } from 'node:timers/promises';
-import { createConfiguration, HOST, KEY, SERVICE } from '../lib-2/configuration.mjs';
+import { createConfiguration, HOST, KEY } from '../lib-2/configuration.mjs';
 import { CONTROL_PORT, FRONT_PORT, runCase } from '../lib-2/deployment.mjs';
 import { call } from '../lib-2/http.mjs';
 import { createOperator } from '../lib-2/operator.mjs';
-import { startRunner } from '../lib-2/runner.mjs';
+import { CHUNKS, CHUNK_BYTES, LAYERS, MODEL, startEngine, startOrigin } from '../lib-2/engine.mjs';
 
-const NET = 87;
+const NET = 90;
 const host = (number) => `127.${NET}.0.${number}`;
+const MODEL_SERVICE = 'huvo11a';
+const ORIGIN_SERVICE = 'kafi81c';
 
-/** `limits.memory_mb` of a front machine of the site, in bytes. */
-const MEMORY_BYTES = 272 * 1024 * 1024;
+/** Time in which the runner reads one staged piece and loads a version, without trouble. */
+const READ_MILLISECONDS = 30;
+const LOAD_MILLISECONDS = 300;
 
-/** Callers with long bodies at this entry, and the largest `burst` that the site file names. */
-const CALLERS = 22;
-const BURST = 1.7;
+/** Strongest `srv_slow` that the site file names. */
+const SLOWNESS = 5;
+const SLOW_MILLISECONDS = 6500;
 
-/** Callers that send short requests all the time. */
-const STEADY_CALLERS = 16;
+/** Pieces that turn bad once, after the agent has read them back: 5 of 96. */
+const ROT_AFTER_READS = 78;
+const ROT_PIECES = 5;
 
-/** `max_body_bytes` of the configuration. */
-const BODY_BYTES = 4_194_304;
-
-/** Longest work of a request to the registry in the site file, in milliseconds. */
-const WORK_MILLISECONDS = 220;
-
-/** Memory of a process in bytes; `null` if it has ended. */
-function residentBytes(pid) {
-  try {
-    const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-    return Number(/^VmRSS:\s+(\d+) kB$/mu.exec(status)?.[1] ?? 0) * 1024;
-  } catch {
-    return null;
-  }
-}
+/** Time from the moment at which the runner takes the pieces to the kill of the agent. */
+const KILL_AFTER_MILLISECONDS = 120;
+const RESTART_MILLISECONDS = 500;
 
 await runCase(new URL('record.txt', import.meta.url), async (setup) => {
   const { record, deployment, trouble, untilTrafficStarts } = setup;
   const seeds = [host(11), host(12), host(13)];
   const addresses = () => seeds.map((seed) => `${seed}:${CONTROL_PORT}`);
-  for (const [index, seed] of seeds.entries())
-    deployment.start({
-      name: `core-${index + 1}`,
-      role: 'control',
-      host: seed,
-      seeds,
-      bootstrap: true,
-    });
-  const front = host(21);
-  deployment.start({ name: 'front-1', role: 'entry', host: front, seeds, bootstrap: true });
-  const runners = [];
-  for (const number of [31, 32, 33]) {
-    runners.push(
-      await startRunner({
-        id: `i-${number}`,
-        service: SERVICE,
-        host: host(number),
-        slots: 6,
-        queue: 24,
-        controls: addresses,
-        work: () => WORK_MILLISECONDS,
-      }),
-    );
-  }
+  const start = (name, role, at, more = {}) =>
+    deployment.start({ name, role, host: at, seeds, bootstrap: true, ...more });
+  for (const [index, seed] of seeds.entries()) start(`core-${index + 1}`, 'control', seed);
+  const fronts = [21, 22].map(host);
+  for (const [index, front] of fronts.entries()) start(`front-${index + 1}`, 'entry', front);
+  const closeOrigin = await startOrigin({ host: host(41), port: 8006, megabits: 7.3 });
+  let slowUntil = 0;
+  const isSlow = () => Date.now() < slowUntil;
+  const reads = [];
+  let isRotten = false;
+  const engineHost = host(31);
+  const hooks = {};
+  const engine = await startEngine({
+    id: 'i-31',
+    service: MODEL_SERVICE,
+    host: engineHost,
+    controls: addresses,
+    record,
+    times: {
+      read: () => READ_MILLISECONDS * (isSlow() ? SLOWNESS : 1),
+      load: () => LOAD_MILLISECONDS * (isSlow() ? SLOWNESS : 1),
+    },
+    hooks,
+  });
+  start('side-1', 'agent', engineHost, { service: MODEL_SERVICE });
+  const configuration = createConfiguration(1);
+  configuration.routes.push({
+    name: 'r-draft',
+    host: HOST,
+    path_prefix: '/draft/',
+    route_type: 'streaming',
+    timeout_ms: 6000,
+    target_latency_ms: 402,
+    priority: 1,
+    service: MODEL_SERVICE,
+    attempts: 2,
+    auth_exempt: false,
+    session_affinity: true,
+    stream_resume: true,
+    gap_aim_ms: 400,
+  });
+  configuration.services.push(
+    {
+      name: MODEL_SERVICE,
+      health_path: '/health',
+      max_connections: 609,
+      protocol: 'h1',
+      tls: false,
+      engine: {
+        slots: 16,
+        kv_capacity: 1180000,
+        kv_token_bytes: 163840,
+        link_mbps: 400000,
+        stride: 5,
+        models: [{ name: MODEL, pace: 1, load_s: 4, warm_s: 0.3 }],
+        mb: 266000,
+        adapter_slots: 8,
+        loads_per_s: 0,
+        step_ms: 8.87,
+        per_seq_ms: 0.0388,
+        context_per_k: 0.0227,
+        read_per_s: 19100,
+        pairs_per_m: 1.47,
+        chunk: 2048,
+        report_lag_ms: 200,
+        loads_at_once: 8,
+        delays: [],
+        usual: { prompt: 977, answer: 94 },
+        layers: LAYERS,
+        layer_mb: 4540,
+        act_bytes: 16384,
+        pipe_mbps: 0,
+        chunks: CHUNKS,
+        chunk_bytes: CHUNK_BYTES,
+      },
+    },
+    {
+      name: ORIGIN_SERVICE,
+      origin: `${host(41)}:8006`,
+      zone: 'maz-a',
+      link_mbps: 7.3,
+      max_connections: 103,
+    },
+  );
   const operator = createOperator(record, addresses);
-  if (!(await operator.configure(createConfiguration(1), 12_000)))
-    throw new Error('the first configuration was not acknowledged');
+  if (!(await operator.configure(configuration, 12_000)))
+    throw new Error('the configuration was not acknowledged');
   await untilTrafficStarts();
-
-  // The platform kills a process that uses more than its memory.
-  const pid = deployment.pid('front-1');
-  let largest = 0;
-  let isKilled = false;
-  const watch = setInterval(() => {
-    const bytes = residentBytes(pid);
-    if (bytes === null) return;
-    largest = Math.max(largest, bytes);
-    if (bytes <= MEMORY_BYTES || isKilled) return;
-    isKilled = true;
-    record.line(`platform: front-1 uses ${bytes} bytes, more than ${MEMORY_BYTES}; it is killed`);
-    void deployment.signal('front-1', 'SIGKILL');
-  }, 20);
-
-  const body = Buffer.alloc(BODY_BYTES, 'x');
-  const createCallers = (kind, count) =>
-    Array.from({ length: count }, (_, index) => ({
-      name: `${kind}-${index + 1}`,
-      agent: new Agent({ keepAlive: true, maxSockets: 1 }),
-    }));
-  const callers = createCallers('long', Math.round(CALLERS * (trouble ? BURST : 1)));
-  const steadyCallers = createCallers('steady', STEADY_CALLERS);
-  const results = [];
-  const send = async ({ name, agent }, method, path, bytes) => {
-    const id = randomBytes(8).toString('hex');
-    const { status, error } = await call({
-      address: `${front}:${FRONT_PORT}`,
-      method,
-      path,
-      headers: {
-        host: HOST,
-        'attempt-id': id,
-        authorization: `Token ${KEY}`,
-        'deadline-ms': '6000',
-        ...(bytes === undefined ? {} : { 'content-length': String(bytes.length) }),
-      },
-      body: bytes,
-      agent,
-      timeoutMilliseconds: 6000,
-    });
-    results.push({ id, status });
-    const size = bytes?.length ?? 0;
-    record.line(`callers: ${name} ${method} ${path} ${id}, ${size} bytes: ${status ?? error}`);
-    return status;
-  };
-  // Each channel is kept from an earlier request.
-  const everyone = [...callers, ...steadyCallers];
-  await Promise.all(everyone.map(async (caller) => send(caller, 'GET', '/look/1')));
   let isOver = false;
-  const short = Buffer.alloc(600, 'x');
-  const steady = steadyCallers.map(async (caller) => {
-    while (!isOver && (await send(caller, 'POST', '/log/short', short)) !== undefined);
+  const statuses = new Map();
+  const sendAll = async () => {
+    for (let number = 0; !isOver; number += 1) {
+      const id = randomBytes(8).toString('hex');
+      call({
+        address: `${fronts[number % 2]}:${FRONT_PORT}`,
+        method: 'POST',
+        path: `/draft/${number}`,
+        headers: {
+          host: HOST,
+          'attempt-id': id,
+          authorization: `Token ${KEY}`,
+          model: MODEL,
+          'token-count': '600,70',
+          'prompt-prefix': `5c1e07a2:40,${id}:560`,
+          'deadline-ms': '6033',
+          connection: 'close',
+          'content-length': '0',
+        },
+        timeoutMilliseconds: 6100,
+      }).then(({ status, error }) => {
+        const key = `${Math.floor(record.seconds())} ${status ?? error}`;
+        statuses.set(key, (statuses.get(key) ?? 0) + 1);
+      });
+      await pause(50);
+    }
+  };
+  const requests = sendAll();
+  await pause(1500);
+  const written = new Set();
+  hooks.written = (index) => written.add(index);
+  hooks.read = (index) => {
+    if (!trouble || isRotten || written.size < CHUNKS) return;
+    if (reads.length === 0) {
+      slowUntil = Date.now() + SLOW_MILLISECONDS;
+      record.line('i-31 works 5 times as long from now on');
+    }
+    reads.push(index);
+    if (reads.length < ROT_AFTER_READS) return;
+    isRotten = true;
+    setTimeout(() => engine.rot(reads.slice(-ROT_PIECES)), SLOWNESS * READ_MILLISECONDS + 20);
+  };
+  hooks.taken = ({ version }) => {
+    if (!trouble || version !== 2) return;
+    setTimeout(async () => {
+      await deployment.signal('side-1', 'SIGKILL');
+      await pause(RESTART_MILLISECONDS);
+      start('side-1', 'agent', engineHost, { service: MODEL_SERVICE, bootstrap: false });
+    }, KILL_AFTER_MILLISECONDS);
+  };
+  const named = await call({
+    address: addresses()[0],
+    method: 'POST',
+    path: '/burdockrail/version-put',
+    headers: { 'content-type': 'application/json', connection: 'close' },
+    body: JSON.stringify({ model: MODEL, version: 2 }),
+    timeoutMilliseconds: 1000,
   });
-  await pause(1000);
-  record.line(`${callers.length} callers send ${BODY_BYTES} bytes each`);
-  await Promise.all(callers.map(async (caller) => send(caller, 'POST', '/log/long', body)));
+  record.line(`operator: version 2: ${named.status ?? named.error}`);
+  await pause(18_000);
   isOver = true;
-  await Promise.all(steady);
-  await pause(500);
-  clearInterval(watch);
-  const run = new Set(runners.flatMap(({ state }) => state.run.map(({ attemptId }) => attemptId)));
-  const unanswered = results.filter(({ status }) => status === undefined);
-  const lost = unanswered.filter(({ id }) => run.has(id));
-  record.line(`runners: ${run.size} requests were run`);
-  record.line(`front-1 used ${largest} bytes at most`);
-  for (const runner of runners) runner.stop();
-  for (const { agent } of everyone) agent.destroy();
+  await requests;
+  await pause(1500);
+  for (const [key, count] of statuses) record.line(`callers: second ${key}: ${count}`);
+  engine.stop();
+  closeOrigin();
+  const bad = engine.state.runs.filter(({ spoilt }) => spoilt.length > 0);
+  for (const { attemptId, version, at } of bad.slice(0, 20))
+    record.line(`i-31: stream ${attemptId} on version ${version}, begun at ${at.toFixed(2)} s`);
   return {
-    broken: lost.length > 3,
-    detail: `${lost.length} requests from kept channels were passed on and their channels closed without an answer, ${unanswered.length} of ${results.length} ended so in all; largest use ${largest} bytes`,
+    broken: bad.length > 0,
+    detail: `${bad.length} of ${engine.state.runs.length} streams were made with pieces bad for more than 3 s when taken`,
   };
 });
