--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -6,9 +6,6 @@
 import { createOperator } from '../lib-2/operator.mjs';
 import { startRunner } from '../lib-2/runner.mjs';
 
-const NET = 89;
-const host = (number) => `127.${NET}.0.${number}`;
-
 /** Bounds of the site. */
 const CATCH_UP_MILLISECONDS = 4000;
 const CONTACT_MILLISECONDS = 3000;
@@ -23,7 +20,7 @@
 const DOWN_MILLISECONDS = 1500;
 
 await runCase(new URL('record.txt', import.meta.url), async (setup) => {
-  const { record, deployment, trouble, untilTrafficStarts } = setup;
+  const { record, deployment, trouble, host, untilTrafficStarts } = setup;
   const seeds = [host(11), host(12), host(13)];
   let controls = seeds.map((seed, index) => ({ name: `core-${index + 1}`, seed }));
   const addresses = () => controls.map(({ seed }) => `${seed}:${CONTROL_PORT}`);
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -7,8 +7,6 @@
 import { createOperator } from '../lib-2/operator.mjs';
 import { CHUNKS, CHUNK_BYTES, LAYERS, MODEL, startEngine, startOrigin } from '../lib-2/engine.mjs';
 
-const NET = 90;
-const host = (number) => `127.${NET}.0.${number}`;
 const MODEL_SERVICE = 'huvo11a';
 const ORIGIN_SERVICE = 'kafi81c';
 
@@ -29,7 +27,7 @@
 const RESTART_MILLISECONDS = 500;
 
 await runCase(new URL('record.txt', import.meta.url), async (setup) => {
-  const { record, deployment, trouble, untilTrafficStarts } = setup;
+  const { record, deployment, trouble, host, untilTrafficStarts } = setup;
   const seeds = [host(11), host(12), host(13)];
   const addresses = () => seeds.map((seed) => `${seed}:${CONTROL_PORT}`);
   const start = (name, role, at, more = {}) =>
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -1,8 +1,10 @@
 import { spawn } from 'node:child_process';
+import { randomInt } from 'node:crypto';
 import { once } from 'node:events';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { createServer } from 'node:net';
 import { performance } from 'node:perf_hooks';
 import { clearTimeout, setTimeout } from 'node:timers';
 import { setTimeout as pause } from 'node:timers/promises';
@@ -208,6 +210,26 @@
   };
 }
 
+/** Loopback networks 127.N.0.0 among which a case chooses a free one. */
+const FIRST_NET = 130;
+const LAST_NET = 249;
+
+/** Reserves a loopback network by a listener in it, so that cases can run beside each other. */
+async function reserveNet() {
+  for (let tries = 0; tries < LAST_NET - FIRST_NET; tries += 1) {
+    const net = randomInt(FIRST_NET, LAST_NET + 1);
+    const server = createServer();
+    server.listen(7999, `127.${net}.0.250`);
+    const isFree = await once(server, 'listening').then(
+      () => true,
+      () => false,
+    );
+    // The listener ends with this process.
+    if (isFree) return { net };
+  }
+  throw new Error('no loopback network is free');
+}
+
 /** Runs a case; exits with 0 if the rule held, {@link BROKEN_EXIT_CODE} if it was broken, else 2. */
 export async function runCase(recordUrl, play) {
   const record = createRecord(fileURLToPath(recordUrl));
@@ -222,10 +244,10 @@
   });
   try {
     record.line(trouble ? 'case: with the disruption' : 'case: without the disruption');
-    const result = await Promise.race([
-      play({ record, deployment, trouble, untilTrafficStarts }),
-      limit,
-    ]);
+    const { net } = await reserveNet();
+    const host = (number) => `127.${net}.0.${number}`;
+    const setup = { record, deployment, trouble, host, untilTrafficStarts };
+    const result = await Promise.race([play(setup), limit]);
     if (result === null) throw new Error('the case took too long');
     record.line(result.broken ? `rule broken: ${result.detail}` : `rule held: ${result.detail}`);
     code = result.broken ? BROKEN_EXIT_CODE : 0;
