--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -18,6 +18,9 @@
 const SLOWNESS = 5;
 const SLOW_MILLISECONDS = 6500;
 
+/** Runners of the model, one of which is disturbed: a share of 0.143. */
+const RUNNERS = 7;
+
 /** Pieces that turn bad once, after the agent has read them back: 5 of 96. */
 const ROT_AFTER_READS = 78;
 const ROT_PIECES = 5;
@@ -40,21 +43,29 @@
   const isSlow = () => Date.now() < slowUntil;
   const reads = [];
   let isRotten = false;
-  const engineHost = host(31);
   const hooks = {};
-  const engine = await startEngine({
-    id: 'i-31',
-    service: MODEL_SERVICE,
-    host: engineHost,
-    controls: addresses,
-    record,
-    times: {
-      read: () => READ_MILLISECONDS * (isSlow() ? SLOWNESS : 1),
-      load: () => LOAD_MILLISECONDS * (isSlow() ? SLOWNESS : 1),
-    },
-    hooks,
-  });
-  start('side-1', 'agent', engineHost, { service: MODEL_SERVICE });
+  const engines = [];
+  const startAgent = (index, more = {}) =>
+    start(`side-${index + 1}`, 'agent', host(31 + index), { service: MODEL_SERVICE, ...more });
+  for (let index = 0; index < RUNNERS; index += 1) {
+    const slowness = () => (index === 0 && isSlow() ? SLOWNESS : 1);
+    engines.push(
+      await startEngine({
+        id: `i-${31 + index}`,
+        service: MODEL_SERVICE,
+        host: host(31 + index),
+        controls: addresses,
+        record,
+        times: {
+          read: () => READ_MILLISECONDS * slowness(),
+          load: () => LOAD_MILLISECONDS * slowness(),
+        },
+        hooks: index === 0 ? hooks : {},
+      }),
+    );
+    startAgent(index);
+  }
+  const [engine] = engines;
   const configuration = createConfiguration(1);
   configuration.routes.push({
     name: 'r-draft',
@@ -166,7 +177,7 @@
     setTimeout(async () => {
       await deployment.signal('side-1', 'SIGKILL');
       await pause(RESTART_MILLISECONDS);
-      start('side-1', 'agent', engineHost, { service: MODEL_SERVICE, bootstrap: false });
+      startAgent(0, { bootstrap: false });
     }, KILL_AFTER_MILLISECONDS);
   };
   const named = await call({
@@ -178,18 +189,19 @@
     timeoutMilliseconds: 1000,
   });
   record.line(`operator: version 2: ${named.status ?? named.error}`);
-  await pause(18_000);
+  await pause(20_000);
   isOver = true;
   await requests;
   await pause(1500);
   for (const [key, count] of statuses) record.line(`callers: second ${key}: ${count}`);
-  engine.stop();
+  for (const { stop } of engines) stop();
   closeOrigin();
-  const bad = engine.state.runs.filter(({ spoilt }) => spoilt.length > 0);
+  const runs = engines.flatMap(({ state }) => state.runs);
+  const bad = runs.filter(({ spoilt }) => spoilt.length > 0);
   for (const { attemptId, version, at } of bad.slice(0, 20))
     record.line(`i-31: stream ${attemptId} on version ${version}, begun at ${at.toFixed(2)} s`);
   return {
     broken: bad.length > 0,
-    detail: `${bad.length} of ${engine.state.runs.length} streams were made with pieces bad for more than 3 s when taken`,
+    detail: `${bad.length} of ${runs.length} streams were made with pieces bad for more than 3 s when taken`,
   };
 });
