--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -39,9 +39,12 @@
   return commands;
 }
 
+/** Zones of the site with their regions. */
+const REGIONS = { 'maz-a': 'mazowsze', 'mal-a': 'malopolska', 'pom-a': 'pomorze' };
+
 /** Bounds and limits of the small site pus-stalowki. */
 const commonSettings = [
-  'zones.maz-a=mazowsze',
+  ...Object.entries(REGIONS).map(([zone, region]) => `zones.${zone}=${region}`),
   'internal_ports=7700,7715',
   'heartbeat_interval_ms=1200',
   'limits.cpu_cores=1',
@@ -116,7 +119,7 @@
   const ownEnds = [];
   const expectedEnds = new WeakSet();
 
-  const start = ({ name, role, host, seeds, bootstrap, service, emptyDisk }) => {
+  const start = ({ name, role, host, seeds, bootstrap, service, emptyDisk, zone = 'maz-a' }) => {
     // The disk of a machine is a folder of this case.
     if (emptyDisk === true) rmSync(join(folder, name), { recursive: true, force: true });
     const machine = { name, host, service };
@@ -124,8 +127,8 @@
       `node_name=${name}`,
       `role=${role}`,
       `ip=${host}`,
-      'zone=maz-a',
-      'region=mazowsze',
+      `zone=${zone}`,
+      `region=${REGIONS[zone]}`,
       `seed_nodes=${seeds.map((seed) => `${seed}:${CONTROL_PORT}`).join(',')}`,
       `bootstrap=${bootstrap}`,
       ...commonSettings,
