--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -39,12 +39,9 @@
   return commands;
 }
 
-/** Zones of the site with their regions. */
-const REGIONS = { 'maz-a': 'mazowsze', 'mal-a': 'malopolska', 'pom-a': 'pomorze' };
-
 /** Bounds and limits of the small site pus-stalowki. */
 const commonSettings = [
-  ...Object.entries(REGIONS).map(([zone, region]) => `zones.${zone}=${region}`),
+  'zones.maz-a=mazowsze',
   'internal_ports=7700,7715',
   'heartbeat_interval_ms=1200',
   'limits.cpu_cores=1',
@@ -119,7 +116,7 @@
   const ownEnds = [];
   const expectedEnds = new WeakSet();
 
-  const start = ({ name, role, host, seeds, bootstrap, service, emptyDisk, zone = 'maz-a' }) => {
+  const start = ({ name, role, host, seeds, bootstrap, service, emptyDisk }) => {
     // The disk of a machine is a folder of this case.
     if (emptyDisk === true) rmSync(join(folder, name), { recursive: true, force: true });
     const machine = { name, host, service };
@@ -127,8 +124,8 @@
       `node_name=${name}`,
       `role=${role}`,
       `ip=${host}`,
-      `zone=${zone}`,
-      `region=${REGIONS[zone]}`,
+      'zone=maz-a',
+      'region=mazowsze',
       `seed_nodes=${seeds.map((seed) => `${seed}:${CONTROL_PORT}`).join(',')}`,
       `bootstrap=${bootstrap}`,
       ...commonSettings,
