Tests: crowds of clients that don't behave, against every HTTP port

The crowds and bounds are fixed here, before the product changes. Each test starts the bundle as the deploy file does, plays one crowd against one port, and checks that the process lives, that its resident memory plus unread bytes stay within limits.memory_mb, that its sockets leave the 200 reserved descriptors free, and that one ordinary request and one read of the configuration are answered. Specs that end in Crowd run alone, after all others.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -9,6 +9,9 @@
 const PROCESS_TEST_CONCURRENCY = 2;
 const UNIT_TEST_CONCURRENCY = 8;
 
+/** Tests that measure the memory of processes under a crowd of clients; each runs alone. */
+const CROWD_SUFFIX = 'Crowd.spec.js';
+
 /** Timeout of one test file. */
 const FILE_TIMEOUT_MILLISECONDS = 180_000;
 
@@ -80,13 +83,16 @@
 const unitFiles = selectedPackages
   .filter((name) => !processTestPackages.has(name))
   .flatMap(compiledSpecFiles);
-const processFiles = selectedPackages
+const allProcessFiles = selectedPackages
   .filter((name) => processTestPackages.has(name))
   .flatMap(compiledSpecFiles);
+const processFiles = allProcessFiles.filter((file) => !file.endsWith(CROWD_SUFFIX));
+const crowdFiles = allProcessFiles.filter((file) => file.endsWith(CROWD_SUFFIX));
 
 const counts = { passed: [], failed: [] };
 await runFiles(unitFiles, UNIT_TEST_CONCURRENCY, counts);
 await runFiles(processFiles, PROCESS_TEST_CONCURRENCY, counts);
+await runFiles(crowdFiles, 1, counts);
 
 const knownRed = readKnownRedNames();
 const unexpectedFailures = counts.failed.filter((name) => !knownRed.has(name));
