Gateway: requests that a client sends ahead wait for those before them

What callers saw: 100 connections that sent 3,000 requests each ahead and read no answer ended the entry within seconds; with a new key in each request an ordinary request was not answered for more than 5 s. The same at the metrics port.

Cause: Node parses all that a read brings before anything else happens and hands over every request in it, so that 64 KiB of requests are thousands of request objects, admissions and timers at once. Nothing bounded them, neither per connection nor for the process.

Why this works: clientInput stands between the socket and the parser. It hands over input in slices of 1 KiB behind a request, stops at eight requests in progress on a connection, and pauses the socket meanwhile. clientTurns shares each turn of the event loop: work on input is bounded, and connections that send ahead go behind all others. limits/inputShare decides; it has no clock or socket. All HTTP servers of the gateway use it (clientServer), and the entry now answers bytes that are no request as control does: behind the answer to the request before them.

A client that waits for its answers never meets a limit: only requests ahead count.

--- /dev/null
+++ b/packages/gateway/__tests__/clientServer.spec.ts
@@ -0,0 +1,134 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
+import { describe, it } from 'node:test';
+import { setTimeout as pause } from 'node:timers/promises';
+import { createDisposalStack, type DisposalStack } from '@burdockrail/common/disposalStack.js';
+import { createClientGuard } from '../src/clientGuard.js';
+import { createClientServer, type ClientExchange, type ClientServer } from '../src/clientServer.js';
+import { findFreePort } from './freePort.js';
+
+const HOST = '127.0.0.1';
+const MEBIBYTE = 1_024 * 1_024;
+const WAIT_MILLISECONDS = 10_000;
+
+function answer({ response }: ClientExchange, status: number, body: string) {
+  response.writeHead(status, {
+    'content-length': body.length,
+  });
+  response.end(body);
+}
+
+async function startServer(
+  disposables: DisposalStack,
+  handle: (client: ClientExchange) => Promise<void> | void,
+): Promise<ClientServer & { readonly port: number }> {
+  const port = await findFreePort(HOST);
+  const started = createClientServer({
+    guard: createClientGuard(),
+    time: { now: () => performance.now() },
+    metrics: { count: () => undefined },
+    handle: (client) => void handle(client),
+  });
+  await started.listen({ host: HOST, port });
+  disposables.defer(() => {
+    started.server.close();
+    started.server.closeAllConnections();
+  });
+  return { ...started, port };
+}
+
+interface Client {
+  readonly socket: Socket;
+  readonly received: () => string;
+  readonly isClosed: () => boolean;
+}
+
+async function openClient(disposables: DisposalStack, port: number): Promise<Client> {
+  const socket = connect({ host: HOST, port });
+  disposables.defer(() => {
+    socket.destroy();
+  });
+  let received = '';
+  let isClosed = false;
+  socket.on('error', () => undefined);
+  socket.on('data', (bytes) => (received += bytes.toString('latin1')));
+  socket.on('close', () => (isClosed = true));
+  await once(socket, 'connect');
+  return { socket, received: () => received, isClosed: () => isClosed };
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  const deadline = performance.now() + WAIT_MILLISECONDS;
+  while (!condition()) {
+    assert.ok(performance.now() < deadline, 'the condition holds in time');
+    await pause(10);
+  }
+}
+
+const post = (line: string): string => `POST / HTTP/1.1\r\nhost: a\r\n${line}\r\n\r\n`;
+
+describe('a server for clients that are not trusted', { timeout: 60_000 }, () => {
+  const REQUESTS_AHEAD = 3_000;
+
+  /** More than this many requests of a connection in progress would hold the others up. */
+  const MAXIMUM_IN_PROGRESS = 100;
+
+  it('answers what a client sends ahead in its order, a few at a time', async () => {
+    await using disposables = createDisposalStack();
+    let inProgress = 0;
+    let mostInProgress = 0;
+    const { port } = await startServer(disposables, async (client) => {
+      inProgress += 1;
+      mostInProgress = Math.max(mostInProgress, inProgress);
+      await pause(1);
+      inProgress -= 1;
+      answer(client, 200, `<${client.request.url ?? ''}>`);
+    });
+    const { socket, received } = await openClient(disposables, port);
+    const requests = Array.from(
+      { length: REQUESTS_AHEAD },
+      (_value, index) => `GET /${index} HTTP/1.1\r\nhost: a\r\n\r\n`,
+    );
+    socket.write(requests.join(''));
+    await waitUntil(() => received().includes(`</${REQUESTS_AHEAD - 1}>`));
+    const order = [...received().matchAll(/<\/(?<index>\d+)>/gu)].map(({ groups }) =>
+      Number(groups?.index),
+    );
+    assert.deepEqual(order, [...requests.keys()]);
+    assert.ok(mostInProgress < MAXIMUM_IN_PROGRESS, `${mostInProgress} in progress`);
+  });
+
+  it('waits for an answer for longer than for a client that does not read it', async () => {
+    await using disposables = createDisposalStack();
+    const { port, server } = await startServer(disposables, async (client) => {
+      await pause(400);
+      answer(client, 200, 'x'.repeat(16 * MEBIBYTE));
+    });
+    server.timeout = 100;
+    server.keepAliveTimeout = 100;
+    const patient = await openClient(disposables, port);
+    patient.socket.write(post('content-length: 0'));
+    await waitUntil(() => patient.received().length > 16 * MEBIBYTE);
+    const unread = connect({ host: HOST, port });
+    disposables.defer(() => {
+      unread.destroy();
+    });
+    unread.on('error', () => undefined);
+    unread.pause();
+    unread.write(post('content-length: 0'));
+    const connections = async (): Promise<number> =>
+      new Promise((resolve) => {
+        server.getConnections((_error, count) => {
+          resolve(count);
+        });
+      });
+    await pause(200);
+    assert.ok((await connections()) > 0);
+    const deadline = performance.now() + WAIT_MILLISECONDS;
+    while ((await connections()) > 0) {
+      assert.ok(performance.now() < deadline, 'a client that does not read is closed');
+      await pause(20);
+    }
+  });
+});
--- a/packages/gateway/__tests__/controlServer.spec.ts
+++ b/packages/gateway/__tests__/controlServer.spec.ts
@@ -5,6 +5,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import type { ControlDirectory } from '../src/controlDirectory.js';
+import { createClientGuard } from '../src/clientGuard.js';
 import { startControlServer } from '../src/controlServer.js';
 import type { GatewayContext } from '../src/gatewayContext.js';
 import type { ControlSettings } from '../src/gatewaySettings.js';
@@ -40,6 +41,7 @@
       log: { write: () => undefined },
       metrics: { count: () => undefined },
       time: { now: () => performance.now() },
+      clients: createClientGuard(),
     } as unknown as GatewayContext;
     const directory = {
       upstreams: { records: [] },
@@ -69,6 +71,7 @@
       log: { write: () => undefined },
       metrics: { count: () => undefined },
       time: { now: () => performance.now() },
+      clients: createClientGuard(),
     } as unknown as GatewayContext;
     const settings = { listen: { host: HOST, port } } as unknown as ControlSettings;
     disposables.use(await startControlServer(context, settings, {} as never, {} as never));
@@ -90,6 +93,7 @@
       log: { write: () => undefined },
       metrics: { count: () => undefined },
       time: { now: () => performance.now() },
+      clients: createClientGuard(),
     } as unknown as GatewayContext;
     const settings = { listen: { host: HOST, port } } as unknown as ControlSettings;
     disposables.use(await startControlServer(context, settings, {} as never, {} as never));
--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -3,6 +3,7 @@
 import type { RouteConfiguration } from '@burdockrail/routing/routeConfiguration.js';
 import { createRouteTable } from '@burdockrail/routing/routeTable.js';
 import type { UpstreamCandidate } from '@burdockrail/routing/upstreamChoice.js';
+import { createClientGuard } from '../src/clientGuard.js';
 import type { EntryContext } from '../src/entryContext.js';
 import type { EntrySlots, GrantedSlot } from '../src/entrySlots.js';
 import { createUpstreamRests } from '../src/upstreamRests.js';
@@ -90,6 +91,7 @@
   const log = { write: ignore };
   return {
     connections,
+    clients: createClientGuard(),
     answerMemory: createByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES),
     time: { now: () => performance.now() },
     random: { next: () => 0 },
--- a/packages/gateway/__tests__/oddBody.spec.ts
+++ b/packages/gateway/__tests__/oddBody.spec.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 import type { UpstreamRecord } from '@burdockrail/protocol/protocolDirectory.js';
 import type { ControlDirectory } from '../src/controlDirectory.js';
+import { createClientGuard } from '../src/clientGuard.js';
 import { startControlServer } from '../src/controlServer.js';
 import type { GatewayContext } from '../src/gatewayContext.js';
 import type { ControlSettings } from '../src/gatewaySettings.js';
@@ -46,6 +47,7 @@
     },
     log: { write: ignore },
     time: { now: () => performance.now() },
+    clients: createClientGuard(),
     metrics: { count: ignore },
   };
   const directory = {
--- a/packages/gateway/__tests__/oddLeave.spec.ts
+++ b/packages/gateway/__tests__/oddLeave.spec.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { ControlDirectory } from '../src/controlDirectory.js';
+import { createClientGuard } from '../src/clientGuard.js';
 import { startControlServer } from '../src/controlServer.js';
 import type { LeaveMessage } from '../src/dialect.js';
 import type { GatewayContext } from '../src/gatewayContext.js';
@@ -24,6 +25,7 @@
     },
     log: { write: () => undefined },
     time: { now: () => performance.now() },
+    clients: createClientGuard(),
     metrics: { count: () => undefined },
   };
   const directory = {
--- a/packages/gateway/__tests__/stoppingControl.spec.ts
+++ b/packages/gateway/__tests__/stoppingControl.spec.ts
@@ -6,6 +6,7 @@
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { success } from '@burdockrail/common/outcome.js';
 import type { ControlDirectory } from '../src/controlDirectory.js';
+import { createClientGuard } from '../src/clientGuard.js';
 import { startControlServer } from '../src/controlServer.js';
 import type { GatewayContext } from '../src/gatewayContext.js';
 import type { LeaderClient } from '../src/leaderClient.js';
@@ -37,6 +38,7 @@
     log: { write: ignore },
     metrics: { count: ignore },
     time: { now: () => performance.now() },
+    clients: createClientGuard(),
   } as unknown as GatewayContext;
   let orders = 0;
   const leaderClient = {
--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -69,7 +69,11 @@
   return statusOverrides[code] ?? resultDescriptions[code].httpStatus;
 }
 
-/** Creates the writer; `isClosing` tells whether to send `Connection: close`. */
+/**
+ * Creates the writer.
+ *
+ * @param isClosing - tells whether to send `Connection: close`.
+ */
 export function createCallerAnswer(
   response: ServerResponse,
   dialect: Dialect,
--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -22,6 +22,8 @@
    * completely, and the connection is kept open until it has its answer.
    */
   receivedNoRequest(socket: Socket): boolean;
+  /** True if the next step is the client's: to send a request or the rest of one, or to read. */
+  awaitsClient(socket: Socket): boolean;
   /** Closes idle connections now, and each other one after its answer. */
   closeWhenIdle(): void;
 }
@@ -39,6 +41,10 @@
   closesAfterAnswers: boolean;
 }
 
+function isRequestIncomplete({ openResponses }: ConnectionState): boolean {
+  return [...openResponses].some(({ req }) => !req.complete);
+}
+
 /** Creates an empty set of connections. */
 export function createCallerConnections(): CallerConnections {
   const states = new Map<Socket, ConnectionState>();
@@ -91,11 +97,16 @@
     receivedNoRequest: (socket) => {
       const state = states.get(socket);
       if (state === undefined || state.requestsInProgress === 0) return false;
-      if ([...state.openResponses].some(({ req }) => !req.complete)) return false;
+      if (isRequestIncomplete(state)) return false;
       state.isEnding = true;
       state.closesAfterAnswers = true;
       return true;
     },
+    awaitsClient: (socket) => {
+      const state = states.get(socket);
+      if (state === undefined || state.requestsInProgress === 0) return true;
+      return socket.writableLength > 0 || isRequestIncomplete(state);
+    },
     closeWhenIdle: () => {
       isClosing = true;
       for (const [socket, state] of states)
--- /dev/null
+++ b/packages/gateway/src/clientServer.ts
@@ -0,0 +1,126 @@
+import { once } from 'node:events';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { Socket } from 'node:net';
+import type { TimeSource } from '@burdockrail/common/timeSource.js';
+import type { Address } from '@burdockrail/protocol/protocolAddress.js';
+import type { MetricRegistry } from '@burdockrail/telemetry/metricRegistry.js';
+import {
+  createCallerConnections,
+  type CallerConnections,
+  type ConnectionTurn,
+} from './callerConnections.js';
+import type { ClientGuard } from './clientGuard.js';
+import { createClientInput, type ClientInput } from './clientInput.js';
+
+/** Largest head, in bytes. */
+const MAXIMUM_HEAD_BYTES = 16_384;
+
+/** Interval at which connections are checked for heads that take too long, in milliseconds. */
+const HEADER_CHECK_INTERVAL_MILLISECONDS = 400;
+
+/** Longest time for a head, and without a byte on a connection, unless a server sets others. */
+const HEADER_TIMEOUT_MILLISECONDS = 3_000;
+const IDLE_TIMEOUT_MILLISECONDS = 15_000;
+
+/** Connections that wait to be accepted. */
+const BACKLOG = 1_024;
+
+/** A request of a client with what it takes of the process. */
+export interface ClientExchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly turn: ConnectionTurn;
+}
+
+/** Options of {@link createClientServer}. */
+export interface ClientServerOptions {
+  readonly guard: ClientGuard;
+  readonly time: TimeSource;
+  readonly metrics: Pick<MetricRegistry, 'count'>;
+  readonly handle: (exchange: ClientExchange) => void;
+}
+
+/** HTTP server for clients that are not trusted. */
+export interface ClientServer {
+  readonly server: Server;
+  readonly connections: CallerConnections;
+  readonly listen: (address: Address) => Promise<void>;
+}
+
+/** Status lines for requests that can't be read, by the error of the HTTP parser; 400 for others. */
+const statusByReadError: Readonly<Partial<Record<string, string>>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+};
+
+/**
+ * Creates a server that bounds what its clients make the process hold and do, whatever they send.
+ *
+ * @remarks
+ * All servers of a process share one guard, since each bound alone does not bound the process.
+ */
+export function createClientServer(options: ClientServerOptions): ClientServer {
+  const { guard, time, metrics, handle } = options;
+  const connections = createCallerConnections();
+  const inputs = new WeakMap<Socket, ClientInput>();
+  const server = createServer(
+    {
+      maxHeaderSize: MAXIMUM_HEAD_BYTES,
+      keepAlive: true,
+      noDelay: true,
+      connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MILLISECONDS,
+    },
+    (request, response) => {
+      const { socket } = request;
+      const turn = connections.requestStarted(socket, response);
+      const input = inputs.get(socket);
+      if (turn === null || input === undefined) {
+        metrics.count('burdockrail_requests_behind_close_total');
+        request.resume();
+        return;
+      }
+      input.requestStarted();
+      response.once('finish', () => {
+        turn.finished();
+      });
+      response.once('close', () => {
+        input.requestEnded();
+      });
+      handle({
+        request,
+        response,
+        turn,
+      });
+    },
+  );
+  server.headersTimeout = HEADER_TIMEOUT_MILLISECONDS;
+  server.keepAliveTimeout = IDLE_TIMEOUT_MILLISECONDS;
+  server.timeout = IDLE_TIMEOUT_MILLISECONDS;
+  server.requestTimeout = 0;
+  // When it closes, Node 20 would cut off answers that have ended but are not yet written.
+  server.closeIdleConnections = () => undefined;
+  // By default Node answers what it can't read before the request in progress has its answer.
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    const isUnreadable = error.code?.startsWith('HPE_') === true;
+    if (isUnreadable && socket instanceof Socket && connections.receivedNoRequest(socket)) return;
+    const status = statusByReadError[error.code ?? ''] ?? '400 Bad Request';
+    if (socket.writable) socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+    socket.destroy();
+  });
+  // A connection on which nothing happens is closed unless its answer is awaited.
+  server.on('timeout', (socket: Socket) => {
+    if (connections.awaitsClient(socket)) socket.destroy();
+  });
+  server.on('connection', (socket: Socket) => {
+    connections.add(socket);
+    inputs.set(socket, createClientInput(socket, time, guard));
+  });
+  return {
+    server,
+    connections,
+    listen: async ({ host, port }) => {
+      server.listen(port, host, BACKLOG);
+      await once(server, 'listening');
+    },
+  };
+}
--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -1,7 +1,5 @@
 import { isUtf8 } from 'node:buffer';
-import { once } from 'node:events';
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import { Socket } from 'node:net';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { readBoundedBody } from '@burdockrail/common/boundedBody.js';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
@@ -10,8 +8,9 @@
   upstreamRecordIssue,
 } from '@burdockrail/membership/upstreamRecordCheck.js';
 import { configurationIssue } from '@burdockrail/routing/routeConfiguration.js';
-import { createCallerConnections, type ConnectionTurn } from './callerConnections.js';
 import { createChangeSignal } from './changeSignal.js';
+import type { ConnectionTurn } from './callerConnections.js';
+import { createClientServer } from './clientServer.js';
 import type { ControlDirectory } from './controlDirectory.js';
 import type { LeaderClient } from './leaderClient.js';
 import type { ControlCall } from './dialect.js';
@@ -53,12 +52,6 @@
   return isUtf8(bytes) ? bytes.toString('utf8') : null;
 }
 
-/** Status lines for requests that can't be read, by the error of the HTTP parser; 400 for others. */
-const statusByReadError: Readonly<Partial<Record<string, string>>> = {
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-};
-
 /** Longest wait for calls in progress, in milliseconds; an operation times out before. */
 const DRAIN_MILLISECONDS = 1_000;
 
@@ -179,7 +172,6 @@
     nameWeights: async (_call, body) => nameWeights(body),
   };
 
-  const connections = createCallerConnections();
   const answered = createChangeSignal();
   let inProgress = 0;
   let isDraining = false;
@@ -223,42 +215,24 @@
     send(await handleCall(call, body));
   };
 
-  const server = createServer((request, response) => {
-    const turn = connections.requestStarted(request.socket, response);
-    if (turn === null) {
-      metrics.count('burdockrail_requests_behind_close_total');
-      request.resume();
-      return;
-    }
-    inProgress += 1;
-    response.once('finish', () => {
-      turn.finished();
-    });
-    response.once('close', () => {
-      inProgress -= 1;
-      answered.notify();
-    });
-    handle(request, response, turn).catch((error: unknown) => {
-      // The client may have disconnected while sending the body; then there is nothing to answer.
-      log.write('requestFailed', { reason: String(error) });
-      response.destroy();
-    });
-  });
-  // By default Node answers what it can't read before the request in progress has its answer.
-  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-    const isUnreadable = error.code?.startsWith('HPE_') === true;
-    if (isUnreadable && socket instanceof Socket && connections.receivedNoRequest(socket)) return;
-    const status = statusByReadError[error.code ?? ''] ?? '400 Bad Request';
-    if (socket.writable) socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
-    socket.destroy();
-  });
-  // When it closes, Node 20 would cut off answers that have ended but are not yet written.
-  server.closeIdleConnections = () => undefined;
-  server.on('connection', (socket: Socket) => {
-    connections.add(socket);
+  const { server, connections, listen } = createClientServer({
+    guard: context.clients,
+    time,
+    metrics,
+    handle: ({ request, response, turn }) => {
+      inProgress += 1;
+      response.once('close', () => {
+        inProgress -= 1;
+        answered.notify();
+      });
+      handle(request, response, turn).catch((error: unknown) => {
+        // The client may have disconnected while sending the body; then there is nothing to answer.
+        log.write('requestFailed', { reason: String(error) });
+        response.destroy();
+      });
+    },
   });
-  server.listen(control.listen.port, control.listen.host);
-  await once(server, 'listening');
+  await listen(control.listen);
 
   const endCalls = async (): Promise<void> => {
     server.close();
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -1,11 +1,10 @@
-import { once } from 'node:events';
-import { createServer } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { createByteBudget } from '@burdockrail/common/byteBudget.js';
 import { createCallerElapsedEstimator } from '@burdockrail/limits/callerElapsedEstimator.js';
 import { createSharedRetryBudget } from '@burdockrail/limits/sharedRetryBudget.js';
 import { createDirectoryWatcher } from './directoryWatcher.js';
+import { createClientServer } from './clientServer.js';
 import { createClusterView } from './clusterView.js';
 import type { EntryContext } from './entryContext.js';
 import { createEntryQuarantine } from './entryQuarantine.js';
@@ -110,14 +109,18 @@
   };
 
   const startStatusServer = async (): Promise<void> => {
-    const statusServer = createServer((request, response) => {
-      request.resume();
-      const isStatus = request.url === dialect.statusPath;
-      response.writeHead(isStatus ? (isReady() ? 200 : 503) : 404);
-      response.end();
+    const { server: statusServer, listen } = createClientServer({
+      guard: context.clients,
+      time,
+      metrics,
+      handle: ({ request, response }) => {
+        request.resume();
+        const isStatus = request.url === dialect.statusPath;
+        response.writeHead(isStatus ? (isReady() ? 200 : 503) : 404);
+        response.end();
+      },
     });
-    statusServer.listen(settings.status.port, settings.status.host);
-    await once(statusServer, 'listening');
+    await listen(settings.status);
     disposables.defer(() => {
       statusServer.close();
       statusServer.closeAllConnections();
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -1,14 +1,13 @@
 import { once } from 'node:events';
-import { createServer, type Server } from 'node:http';
-import type { Socket } from 'node:net';
+import type { Server } from 'node:http';
 import { timerDelay } from '@burdockrail/common/timerDelay.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { createChangeSignal } from './changeSignal.js';
-import { createCallerConnections } from './callerConnections.js';
+import { createClientServer } from './clientServer.js';
 import type { EntryContext } from './entryContext.js';
 import { createEntryExchanges } from './entryExchanges.js';
 import { createEntryHandler } from './entryHandler.js';
-import { defaultLimits, limitsInForce } from './entryLimits.js';
+import { limitsInForce } from './entryLimits.js';
 import type { EntrySlots } from './entrySlots.js';
 import type { EntrySettings } from './gatewaySettings.js';
 
@@ -44,9 +43,6 @@
   });
 }
 
-/** Interval at which connections are checked for heads that take too long, in milliseconds. */
-const HEADER_CHECK_INTERVAL_MILLISECONDS = 400;
-
 /** Starts the server; resolves when it is listening. */
 export async function startEntryServer(
   entry: EntryContext,
@@ -55,61 +51,45 @@
 ): Promise<EntryServer> {
   const { clusterView, metrics } = entry;
   const clusterSignal = createChangeSignal();
-  const connections = createCallerConnections();
   const exchanges = createEntryExchanges(entry);
   const handle = createEntryHandler(entry, slots, { clusterSignal, exchanges });
   const answered = createChangeSignal();
   let isClosing = false;
   let inProgress = 0;
 
-  const server: Server = createServer(
-    {
-      maxHeaderSize: defaultLimits.headerBytes,
-      keepAlive: true,
-      noDelay: true,
-      connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MILLISECONDS,
-    },
-    (request, response) => {
-      const turn = connections.requestStarted(request.socket, response);
-      if (turn === null) {
-        metrics.count('burdockrail_requests_behind_close_total');
-        request.resume();
-        return;
-      }
+  const { server, connections, listen } = createClientServer({
+    guard: entry.clients,
+    time: entry.time,
+    metrics,
+    handle: (exchange) => {
       inProgress += 1;
-      response.once('finish', () => {
-        turn.finished();
-      });
-      const endsConnection = (): boolean => isClosing && turn.mayEndConnection();
+      const endsConnection = (): boolean => isClosing && exchange.turn.mayEndConnection();
       const closed = new Promise<void>((resolve) => {
-        response.once('close', resolve);
+        exchange.response.once('close', resolve);
       });
-      void Promise.all([handle(request, response, endsConnection), closed]).finally(() => {
+      void Promise.all([
+        handle(exchange.request, exchange.response, endsConnection),
+        closed,
+      ]).finally(() => {
         inProgress -= 1;
         answered.notify();
       });
     },
-  );
+  });
   const applyLimits = (): void => {
     const { headerTimeoutMilliseconds, idleTimeoutMilliseconds } = limitsInForce(clusterView);
     server.keepAliveTimeout = timerDelay(idleTimeoutMilliseconds);
     server.headersTimeout = timerDelay(headerTimeoutMilliseconds);
-    server.requestTimeout = 0;
+    server.timeout = timerDelay(idleTimeoutMilliseconds);
   };
   applyLimits();
-  // When it closes, Node 20 would cut off answers that have ended but are not yet written.
-  server.closeIdleConnections = () => undefined;
-  server.on('connection', (socket: Socket) => {
-    connections.add(socket);
-  });
   /** Waits until the answers have been written; a caller that does not read can't delay the end. */
   const waitForAnswers = async (): Promise<void> => {
     const signal = AbortSignal.timeout(LAST_ANSWERS_MILLISECONDS);
     while (inProgress > 0 && !signal.aborted)
       await answered.wait(LAST_ANSWERS_MILLISECONDS, signal);
   };
-  server.listen(settings.listen.port, settings.listen.host, 1_024);
-  await once(server, 'listening');
+  await listen(settings.listen);
   return {
     announceShutdown: (endsAt) => {
       isClosing = true;
--- a/packages/gateway/src/gatewayMain.ts
+++ b/packages/gateway/src/gatewayMain.ts
@@ -1,20 +1,18 @@
 import { randomBytes } from 'node:crypto';
 import { once } from 'node:events';
-import { createServer } from 'node:http';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
 import { receiveStopSignal } from '@burdockrail/common/stopSignal.js';
 import type { PeerIdentity, Role } from '@burdockrail/protocol/protocolAddress.js';
 import { createBoundedLineWriter } from '@burdockrail/telemetry/boundedLineWriter.js';
 import { createEventLog } from '@burdockrail/telemetry/eventLog.js';
-import {
-  createMetricRegistry,
-  type MetricRegistry,
-} from '@burdockrail/telemetry/metricRegistry.js';
+import { createMetricRegistry } from '@burdockrail/telemetry/metricRegistry.js';
 import { createTrafficMeter } from '@burdockrail/transport/trafficMeter.js';
 import { createPeerClient } from '@burdockrail/transport/peerClient.js';
 import { start as startActors, stop as stopActors } from 'nact';
 import { createAgentRole } from './agentRole.js';
+import { createClientGuard } from './clientGuard.js';
+import { createClientServer } from './clientServer.js';
 import { createControlRole } from './controlRole.js';
 import type { Dialect } from './dialect.js';
 import { createEntryRole } from './entryRole.js';
@@ -60,18 +58,27 @@
   ];
 }
 
-async function startMetricsServer(
-  settings: GatewaySettings,
-  metrics: MetricRegistry,
-): Promise<AsyncDisposable> {
-  const server = createServer((request, response) => {
-    request.resume();
-    const isMetrics = request.url === METRICS_PATH;
-    response.writeHead(isMetrics ? 200 : 404, { 'content-type': 'text/plain; version=0.0.4' });
-    response.end(isMetrics ? metrics.text() : '');
+async function startMetricsServer({
+  settings,
+  clients,
+  time,
+  metrics,
+}: GatewayContext): Promise<AsyncDisposable> {
+  const { server, listen } = createClientServer({
+    guard: clients,
+    time,
+    metrics,
+    handle: ({ request, response }) => {
+      request.resume();
+      const isMetrics = request.url === METRICS_PATH;
+      const text = isMetrics ? metrics.text() : '';
+      response.writeHead(isMetrics ? 200 : 404, {
+        'content-type': 'text/plain; version=0.0.4',
+      });
+      response.end(text);
+    },
   });
-  server.listen(settings.metrics.port, settings.metrics.host);
-  await once(server, 'listening');
+  await listen(settings.metrics);
   return {
     [Symbol.asyncDispose]: async () => {
       const closed = once(server, 'close');
@@ -124,6 +131,7 @@
     metrics,
     actors: startActors(),
     dialect,
+    clients: createClientGuard(),
     readSeeds: () => options.reloadSettings()?.seeds ?? null,
   };
   const stopSignal = receiveStopSignal(process, () => {
@@ -133,7 +141,7 @@
   try {
     await using disposables = createDisposalStack();
     disposables.use(context.client);
-    disposables.use(await startMetricsServer(settings, metrics));
+    disposables.use(await startMetricsServer(context));
     const roles = createRoles(context, agentPort).map((role) => disposables.use(role));
     for (const role of roles) await role.start();
     log.write('processStarted', {
--- /dev/null
+++ b/packages/limits/__tests__/inputShare.spec.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createInputShare } from '../src/inputShare.js';
+
+/** Requests, parts and slices of a crowd in these tests. */
+const MANY = 2_000;
+
+const WINDOW_MILLISECONDS = 1_000;
+
+describe('the share of a connection in the work on input', () => {
+  it('is not exceeded by requests one after the other', () => {
+    const share = createInputShare();
+    for (let count = 0; count < MANY; count += 1) {
+      share.countRequest(false);
+      share.sliceProcessed(0);
+    }
+    assert.equal(share.isHeavy(0), false);
+  });
+
+  it('is exceeded by requests that are sent ahead, until the next window', () => {
+    const share = createInputShare();
+    for (let count = 0; count < MANY; count += 1) share.countRequest(true);
+    share.sliceProcessed(0);
+    assert.ok(share.isHeavy(0));
+    assert.equal(share.isHeavy(WINDOW_MILLISECONDS), false);
+  });
+
+  it('has larger slices within a body, and small ones behind each request', () => {
+    const share = createInputShare();
+    const first = share.sliceBytes;
+    for (let count = 0; count < MANY; count += 1) {
+      share.sliceProcessed(0);
+    }
+    assert.ok(share.sliceBytes > first);
+    share.countRequest(false);
+    assert.equal(share.sliceBytes, first);
+  });
+
+  it('tells the work of each slice', () => {
+    const share = createInputShare();
+    share.countRequest(false);
+    assert.equal(share.sliceProcessed(0), 32);
+    assert.equal(share.sliceProcessed(0), 0);
+  });
+});
