Gateway: the rest of a refused body is not read

Cause: a body over the limit, and that of a request that was refused for another reason, was read to its end or to a timer, and each read is a buffer that waits for the garbage collector.

Why this works: clientBody answers at once when an announced or received body passes its limit by more than 256 KiB; less is read on, so that the connection can be used again. Behind such an answer, which says that the connection closes, clientInput drops what comes without parsing it, up to 1 MiB, and closes a second later: closing at once with bytes unread would reset the connection and could cost the client its answer. Requests that aren't let in hold nothing of their body.

Unending configurations at the control port still fail: within their limit of 16 MiB nothing bounds the process as a whole.

--- a/packages/gateway/__tests__/clientServer.spec.ts
+++ b/packages/gateway/__tests__/clientServer.spec.ts
@@ -4,21 +4,35 @@
 import { describe, it } from 'node:test';
 import { setTimeout as pause } from 'node:timers/promises';
 import { createDisposalStack, type DisposalStack } from '@burdockrail/common/disposalStack.js';
+import { readClientBody } from '../src/clientBody.js';
 import { createClientGuard } from '../src/clientGuard.js';
 import { createClientServer, type ClientExchange, type ClientServer } from '../src/clientServer.js';
 import { findFreePort } from './freePort.js';
 
 const HOST = '127.0.0.1';
+const KIBIBYTE = 1_024;
 const MEBIBYTE = 1_024 * 1_024;
 const WAIT_MILLISECONDS = 10_000;
 
-function answer({ response }: ClientExchange, status: number, body: string) {
+function answer({ response, endsInput }: ClientExchange, status: number, body: string) {
   response.writeHead(status, {
     'content-length': body.length,
+    ...(endsInput() ? { connection: 'close' } : {}),
   });
   response.end(body);
 }
 
+/** Reads bodies of up to a limit and answers with their length. */
+const measureBody =
+  (maximumBytes: number) =>
+  async (client: ClientExchange): Promise<void> => {
+    const body = await readClientBody(client, maximumBytes);
+    const statuses = { whole: 200, tooLarge: 413, aborted: 0 };
+    if (body.kind === 'aborted') return;
+    const text = body.kind === 'whole' ? `${body.bytes?.length ?? 0} bytes` : body.kind;
+    answer(client, statuses[body.kind], text);
+  };
+
 async function startServer(
   disposables: DisposalStack,
   handle: (client: ClientExchange) => Promise<void> | void,
@@ -99,6 +113,43 @@
     assert.ok(mostInProgress < MAXIMUM_IN_PROGRESS, `${mostInProgress} in progress`);
   });
 
+  for (const line of [`content-length: ${64 * MEBIBYTE}`, 'transfer-encoding: chunked']) {
+    it(`refuses a body far over the limit so that its sender sees it (${line})`, async () => {
+      await using disposables = createDisposalStack();
+      const { port } = await startServer(disposables, measureBody(MEBIBYTE));
+      const { socket, received, isClosed } = await openClient(disposables, port);
+      socket.write(post(line));
+      const part = 'x'.repeat(64 * KIBIBYTE);
+      const chunk = line.startsWith('content') ? part : `10000\r\n${part}\r\n`;
+      while (!socket.destroyed && !received().includes('tooLarge')) {
+        socket.write(chunk);
+        await pause(1);
+      }
+      assert.match(received(), /^HTTP\/1\.1 413 [^]*connection: close[^]*\r\n\r\ntooLarge$/iu);
+      await waitUntil(isClosed);
+    });
+  }
+
+  it('keeps a connection whose refused body is hardly longer than the limit', async () => {
+    await using disposables = createDisposalStack();
+    const { port } = await startServer(disposables, measureBody(KIBIBYTE));
+    const { socket, received } = await openClient(disposables, port);
+    socket.write(post(`content-length: ${2 * KIBIBYTE}`) + 'x'.repeat(2 * KIBIBYTE));
+    socket.write(post('content-length: 2') + 'ab');
+    await waitUntil(() => received().endsWith('2 bytes'));
+    assert.match(received(), /^HTTP\/1\.1 413 /u);
+  });
+
+  it('reads a body in chunks of one byte', async () => {
+    const bytes = 300_000;
+    await using disposables = createDisposalStack();
+    const { port } = await startServer(disposables, measureBody(MEBIBYTE));
+    const { socket, received } = await openClient(disposables, port);
+    socket.write(`${post('transfer-encoding: chunked')}${'1\r\nx\r\n'.repeat(bytes)}0\r\n\r\n`);
+    await waitUntil(() => received() !== '');
+    assert.ok(received().endsWith(`${bytes} bytes`), received());
+  });
+
   it('waits for an answer for longer than for a client that does not read it', async () => {
     await using disposables = createDisposalStack();
     const { port, server } = await startServer(disposables, async (client) => {
--- a/packages/gateway/src/clientInput.ts
+++ b/packages/gateway/src/clientInput.ts
@@ -6,11 +6,22 @@
 /** Requests of one connection in progress beyond which its further input waits. */
 const MAXIMUM_REQUESTS_AHEAD = 8;
 
+/** Time for which a connection stays open for its client to read the last answer, in milliseconds. */
+const LINGER_MILLISECONDS = 1_000;
+
+/** Input that is read and dropped meanwhile, in bytes: most of what a client has under way. */
+const LINGER_BYTES = 1024 * 1024;
+
 /** Input of one client's connection, handed to the HTTP parser in slices. */
 export interface ClientInput {
+  /** True once further input is dropped. */
+  readonly isDiscarding: boolean;
   requestStarted(): void;
   /** The answer to a request has been written, or its connection is closed. */
   requestEnded(): void;
+  bodyPartReceived(bytes: number): void;
+  /** Drops all further input: its request has been refused. */
+  discard(): void;
 }
 
 /**
@@ -18,7 +29,8 @@
  *
  * @remarks
  * Node parses all that one read brings before anything else happens, whatever work that makes, and
- * hands over each request that a client sends ahead.
+ * hands over each request that a client sends ahead. It also closes a connection behind its last
+ * answer with input unread, which resets it and may cost the client the answer.
  */
 export function createClientInput(
   socket: Socket,
@@ -29,12 +41,15 @@
   const [parse] = socket.listeners('data') as ((bytes: Buffer) => void)[];
   const pause = socket.pause.bind(socket);
   const resume = socket.resume.bind(socket);
+  const destroySoon = socket.destroySoon.bind(socket);
   /** Input that the parser has not got yet; then the connection is paused. */
   let waiting: Buffer | null = null;
   let inProgress = 0;
   let isHeld = false;
   let isQueued = false;
   let isPausedByServer = false;
+  let isDiscarding = false;
+  let discardedBytes = 0;
 
   const hold = (): void => {
     isHeld = true;
@@ -46,7 +61,7 @@
     isQueued = true;
     turns.enqueue(() => {
       isQueued = false;
-      if (socket.destroyed) return;
+      if (socket.destroyed || isDiscarding) return;
       isHeld = false;
       processWaiting(true);
       if (waiting === null && !isPausedByServer) resume();
@@ -74,8 +89,17 @@
     }
   };
 
+  const discardBytes = (bytes: number): void => {
+    discardedBytes += bytes;
+    if (discardedBytes > LINGER_BYTES) pause();
+  };
+
   if (parse !== undefined) socket.removeListener('data', parse);
   socket.on('data', (bytes: Buffer) => {
+    if (isDiscarding) {
+      discardBytes(bytes.length);
+      return;
+    }
     waiting = waiting === null ? bytes : Buffer.concat([waiting, bytes]);
     if (!isHeld) processWaiting();
   });
@@ -87,6 +111,7 @@
   });
   // The server pauses a connection for a body that is not consumed or an answer that is not read.
   socket.pause = () => {
+    if (isDiscarding) return socket;
     isPausedByServer = true;
     return pause();
   };
@@ -94,8 +119,19 @@
     isPausedByServer = false;
     return isHeld ? socket : resume();
   };
+  socket.destroySoon = () => {
+    if (!isDiscarding) {
+      destroySoon();
+      return;
+    }
+    socket.end();
+    setTimeout(() => socket.destroy(), LINGER_MILLISECONDS).unref();
+  };
 
   return {
+    get isDiscarding() {
+      return isDiscarding;
+    },
     requestStarted: () => {
       share.countRequest(inProgress > 0);
       inProgress += 1;
@@ -104,5 +140,14 @@
       inProgress -= 1;
       if (isHeld && inProgress < MAXIMUM_REQUESTS_AHEAD) awaitTurn();
     },
+    bodyPartReceived: (bytes) => {
+      share.countBodyPart(bytes);
+    },
+    discard: () => {
+      isDiscarding = true;
+      isHeld = false;
+      waiting = null;
+      resume();
+    },
   };
 }
--- a/packages/gateway/src/clientServer.ts
+++ b/packages/gateway/src/clientServer.ts
@@ -9,6 +9,7 @@
   type CallerConnections,
   type ConnectionTurn,
 } from './callerConnections.js';
+import { isBodyPending } from './clientBody.js';
 import type { ClientGuard } from './clientGuard.js';
 import { createClientInput, type ClientInput } from './clientInput.js';
 
@@ -30,6 +31,12 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly turn: ConnectionTurn;
+  readonly input: Pick<ClientInput, 'bodyPartReceived'>;
+  /**
+   * Call it when the answer begins. Returns whether the answer must end the connection because its
+   * request has not been read; the rest is dropped.
+   */
+  readonly endsInput: () => boolean;
 }
 
 /** Options of {@link createClientServer}. */
@@ -77,6 +84,7 @@
       if (turn === null || input === undefined) {
         metrics.count('burdockrail_requests_behind_close_total');
         request.resume();
+        input?.discard();
         return;
       }
       input.requestStarted();
@@ -86,10 +94,18 @@
       response.once('close', () => {
         input.requestEnded();
       });
+      // A client that leaves while it sends a body is noticed by the answer.
+      request.on('error', () => undefined);
       handle({
         request,
         response,
         turn,
+        input,
+        endsInput: () => {
+          if (!isBodyPending(request)) return false;
+          input.discard();
+          return true;
+        },
       });
     },
   );
@@ -101,6 +117,10 @@
   server.closeIdleConnections = () => undefined;
   // By default Node answers what it can't read before the request in progress has its answer.
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    if (socket instanceof Socket && inputs.get(socket)?.isDiscarding === true) {
+      socket.destroySoon();
+      return;
+    }
     const isUnreadable = error.code?.startsWith('HPE_') === true;
     if (isUnreadable && socket instanceof Socket && connections.receivedNoRequest(socket)) return;
     const status = statusByReadError[error.code ?? ''] ?? '400 Bad Request';
--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -1,7 +1,5 @@
 import { isUtf8 } from 'node:buffer';
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
-import { readBoundedBody } from '@burdockrail/common/boundedBody.js';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
 import {
   departureIssue,
@@ -9,8 +7,8 @@
 } from '@burdockrail/membership/upstreamRecordCheck.js';
 import { configurationIssue } from '@burdockrail/routing/routeConfiguration.js';
 import { createChangeSignal } from './changeSignal.js';
-import type { ConnectionTurn } from './callerConnections.js';
-import { createClientServer } from './clientServer.js';
+import { readClientBody, type BodyFailure } from './clientBody.js';
+import { createClientServer, type ClientExchange } from './clientServer.js';
 import type { ControlDirectory } from './controlDirectory.js';
 import type { LeaderClient } from './leaderClient.js';
 import type { ControlCall } from './dialect.js';
@@ -172,18 +170,18 @@
     nameWeights: async (_call, body) => nameWeights(body),
   };
 
+  const bodyAnswers: Readonly<Record<Exclude<BodyFailure, 'aborted'>, ControlAnswer>> = {
+    tooLarge: errorAnswer(413, ResultCode.BodyTooLarge, 'the request body is too large'),
+  };
   const answered = createChangeSignal();
   let inProgress = 0;
   let isDraining = false;
 
-  const handle = async (
-    request: IncomingMessage,
-    response: ServerResponse,
-    turn: ConnectionTurn,
-  ): Promise<void> => {
+  const handle = async (client: ClientExchange): Promise<void> => {
+    const { request, response, turn } = client;
     const call = dialect.controlCall(request.method ?? '', request.url ?? '');
     const send = ({ status, body }: ControlAnswer): void => {
-      const endsConnection = isDraining && turn.mayEndConnection();
+      const endsConnection = client.endsInput() || (isDraining && turn.mayEndConnection());
       response.writeHead(status, {
         'content-type': 'application/json',
         ...(endsConnection ? { connection: 'close' } : {}),
@@ -191,19 +189,17 @@
       response.end(body);
     };
     if (call === null) {
-      request.resume();
       send(errorAnswer(404, ResultCode.UnknownMessage, 'unknown method or path'));
       return;
     }
     metrics.count('burdockrail_control_calls_total', { call: call.kind });
-    const bytes = await readBoundedBody(request, {
-      maximumBytes: maximumBodyBytes[call.kind],
-    });
-    if (bytes === null) {
-      send(errorAnswer(413, ResultCode.BodyTooLarge, 'the request body is too large'));
+    const read = await readClientBody(client, maximumBodyBytes[call.kind]);
+    if (read.kind === 'aborted') return;
+    if (read.kind !== 'whole') {
+      send(bodyAnswers[read.kind]);
       return;
     }
-    const body = decodeText(bytes);
+    const body = decodeText(read.bytes ?? Buffer.alloc(0));
     if (body === null) {
       send(errorAnswer(400, ResultCode.BadRequest, 'the request body is not UTF-8'));
       return;
@@ -219,16 +215,15 @@
     guard: context.clients,
     time,
     metrics,
-    handle: ({ request, response, turn }) => {
+    handle: (client) => {
       inProgress += 1;
-      response.once('close', () => {
+      client.response.once('close', () => {
         inProgress -= 1;
         answered.notify();
       });
-      handle(request, response, turn).catch((error: unknown) => {
-        // The client may have disconnected while sending the body; then there is nothing to answer.
+      handle(client).catch((error: unknown) => {
         log.write('requestFailed', { reason: String(error) });
-        response.destroy();
+        client.response.destroy();
       });
     },
   });
--- a/packages/gateway/src/entryHandler.ts
+++ b/packages/gateway/src/entryHandler.ts
@@ -1,4 +1,3 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
 import { timerDelay } from '@burdockrail/common/timerDelay.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
@@ -6,10 +5,12 @@
 import type { RequestTraits } from '@burdockrail/limits/quarantineState.js';
 import { expectedDurationMilliseconds } from '@burdockrail/limits/slotRequest.js';
 import { createCallerAnswer } from './callerAnswer.js';
+import { readClientBody, type BodyFailure } from './clientBody.js';
+import type { ClientExchange } from './clientServer.js';
 import type { ChangeSignal } from './changeSignal.js';
 import type { CallerHeaders } from './dialect.js';
 import { admitRequest, isRefusal, type AdmittedRequest, type Refusal } from './entryAdmission.js';
-import { BodyTooLarge, digestRequest, readBody } from './entryBody.js';
+import { digestRequest } from './entryDigest.js';
 import { runBuffered } from './entryBuffered.js';
 import type { EntryContext } from './entryContext.js';
 import type { EntryExchanges, OpenExchange } from './entryExchanges.js';
@@ -45,11 +46,19 @@
  * @param endsConnection - called when the answer begins; tells whether it ends the connection.
  */
 export type EntryHandler = (
-  request: IncomingMessage,
-  response: ServerResponse,
+  exchange: ClientExchange,
   endsConnection: () => boolean,
 ) => Promise<void>;
 
+/** Refusals of requests whose body was not read. */
+const bodyRefusals: Readonly<Record<Exclude<BodyFailure, 'aborted'>, Refusal>> = {
+  tooLarge: {
+    code: ResultCode.BodyTooLarge,
+    detail: 'the request body is too large',
+    retryAfterMilliseconds: null,
+  },
+};
+
 /** What the server tells the handler of requests. */
 export interface EntryServerState {
   /** Changes with the cluster view. */
@@ -101,11 +110,14 @@
       await server.clusterSignal.wait(deadline - time.now(), signal);
   };
 
-  return async (request, response, endsConnection) => {
+  return async (client, endsConnection) => {
+    const { request, response } = client;
     const arrivedAt = time.now();
-    let isBodyLate = false;
-    // The rest of a late body would keep the connection from the next request.
-    const answer = createCallerAnswer(response, dialect, () => isBodyLate || endsConnection());
+    const answer = createCallerAnswer(
+      response,
+      dialect,
+      () => client.endsInput() || endsConnection(),
+    );
     const caller = dialect.readCaller(request.headers);
     const trace: RequestTrace = {
       attempts: 0,
@@ -158,7 +170,6 @@
         : decision.deadline;
       const bodyTimer = setTimeout(
         () => {
-          isBodyLate = true;
           const late = { code: ResultCode.DeadlineExceeded, retryAfterMilliseconds: null };
           refuse(
             isRefusal(decision) ? decision : { ...late, detail: 'the body did not arrive in time' },
@@ -167,13 +178,18 @@
         },
         timerDelay(Math.max(0, bodyDueAt - time.now())),
       );
-      const body = await readBody(request, bodyBytes).finally(() => {
-        clearTimeout(bodyTimer);
-      });
+      const read = await readClientBody(client, isRefusal(decision) ? 0 : bodyBytes);
+      clearTimeout(bodyTimer);
+      if (read.kind === 'aborted') return;
       if (isRefusal(decision)) {
         refuse(decision);
         return;
       }
+      if (read.kind !== 'whole') {
+        refuse(bodyRefusals[read.kind]);
+        return;
+      }
+      const body = read.bytes;
       const { route, service, team, deadline } = decision;
       metadata.route = route.name;
       metadata.objective = route.objectiveMilliseconds;
@@ -241,13 +257,7 @@
         clearTimeout(timer);
       }
     } catch (error) {
-      if (error instanceof BodyTooLarge) {
-        refuse({
-          code: ResultCode.BodyTooLarge,
-          detail: 'the request body is too large',
-          retryAfterMilliseconds: null,
-        });
-      } else if (!cancellation.signal.aborted) {
+      if (!cancellation.signal.aborted) {
         log.write('requestFailed', { request: caller.requestId, reason: String(error) });
         trace.cause = 'internal';
         if (answer.headersSent) answer.destroyConnection();
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -113,10 +113,10 @@
       guard: context.clients,
       time,
       metrics,
-      handle: ({ request, response }) => {
-        request.resume();
+      handle: ({ request, response, endsInput }) => {
         const isStatus = request.url === dialect.statusPath;
-        response.writeHead(isStatus ? (isReady() ? 200 : 503) : 404);
+        const headers = endsInput() ? { connection: 'close' } : {};
+        response.writeHead(isStatus ? (isReady() ? 200 : 503) : 404, headers);
         response.end();
       },
     });
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -67,10 +67,7 @@
       const closed = new Promise<void>((resolve) => {
         exchange.response.once('close', resolve);
       });
-      void Promise.all([
-        handle(exchange.request, exchange.response, endsConnection),
-        closed,
-      ]).finally(() => {
+      void Promise.all([handle(exchange, endsConnection), closed]).finally(() => {
         inProgress -= 1;
         answered.notify();
       });
--- a/packages/gateway/src/gatewayMain.ts
+++ b/packages/gateway/src/gatewayMain.ts
@@ -68,12 +68,12 @@
     guard: clients,
     time,
     metrics,
-    handle: ({ request, response }) => {
-      request.resume();
+    handle: ({ request, response, endsInput }) => {
       const isMetrics = request.url === METRICS_PATH;
       const text = isMetrics ? metrics.text() : '';
       response.writeHead(isMetrics ? 200 : 404, {
         'content-type': 'text/plain; version=0.0.4',
+        ...(endsInput() ? { connection: 'close' } : {}),
       });
       response.end(text);
     },
--- a/packages/limits/__tests__/inputShare.spec.ts
+++ b/packages/limits/__tests__/inputShare.spec.ts
@@ -6,12 +6,14 @@
 const MANY = 2_000;
 
 const WINDOW_MILLISECONDS = 1_000;
+const LARGE_PART_BYTES = 4_096;
 
 describe('the share of a connection in the work on input', () => {
-  it('is not exceeded by requests one after the other', () => {
+  it('is not exceeded by requests one after the other, nor by large parts', () => {
     const share = createInputShare();
     for (let count = 0; count < MANY; count += 1) {
       share.countRequest(false);
+      share.countBodyPart(LARGE_PART_BYTES);
       share.sliceProcessed(0);
     }
     assert.equal(share.isHeavy(0), false);
@@ -25,10 +27,18 @@
     assert.equal(share.isHeavy(WINDOW_MILLISECONDS), false);
   });
 
+  it('is exceeded by small parts', () => {
+    const share = createInputShare();
+    for (let count = 0; count < MANY; count += 1) share.countBodyPart(1);
+    share.sliceProcessed(0);
+    assert.ok(share.isHeavy(0));
+  });
+
   it('has larger slices within a body, and small ones behind each request', () => {
     const share = createInputShare();
     const first = share.sliceBytes;
     for (let count = 0; count < MANY; count += 1) {
+      share.countBodyPart(LARGE_PART_BYTES);
       share.sliceProcessed(0);
     }
     assert.ok(share.sliceBytes > first);
@@ -38,8 +48,9 @@
 
   it('tells the work of each slice', () => {
     const share = createInputShare();
-    share.countRequest(false);
-    assert.equal(share.sliceProcessed(0), 32);
+    share.countBodyPart(1);
+    share.countBodyPart(1);
+    assert.equal(share.sliceProcessed(0), 2);
     assert.equal(share.sliceProcessed(0), 0);
   });
 });
--- a/packages/limits/src/inputShare.ts
+++ b/packages/limits/src/inputShare.ts
@@ -1,8 +1,11 @@
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 
-/** Work of parsing and dispatching a request, in units. */
+/** Work of parsing and dispatching a request, in units of that of a small part of a body. */
 const REQUEST_UNITS = 32;
 
+/** Size below which a part of a body costs more work than its bytes, in bytes. */
+const SMALL_PART_BYTES = 512;
+
 /** Units up to which a connection has its input processed as it comes, in each window. */
 const LIGHT_UNITS = 256;
 
@@ -23,6 +26,7 @@
   readonly sliceBytes: number;
   /** Counts a request; `isAhead` tells that it was sent before the answer to the last one. */
   countRequest(isAhead: boolean): void;
+  countBodyPart(bytes: number): void;
   /** Called after each slice; adapts the size of the next one and returns the units of this one. */
   sliceProcessed(now: Milliseconds): number;
   /** True if the connection takes more than the share that is processed as it comes. */
@@ -33,13 +37,15 @@
  * Creates the share of one connection.
  *
  * @remarks
- * One read of a socket may hold thousands of requests, whose work a bound on bytes doesn't bound.
+ * One read of a socket may hold thousands of requests or of chunks, whose work a bound on bytes
+ * doesn't bound.
  */
 export function createInputShare(): InputShare {
   let sliceBytes = SMALLEST_SLICE_BYTES;
   /** Work of the slice in progress; `aheadUnits` only that of requests sent ahead. */
   let requestUnits = 0;
   let aheadUnits = 0;
+  let smallParts = 0;
   let unitsInWindow = 0;
   let windowStartedAt = Number.NEGATIVE_INFINITY;
 
@@ -58,14 +64,18 @@
       // Behind a request may follow many more.
       sliceBytes = SMALLEST_SLICE_BYTES;
     },
+    countBodyPart: (bytes) => {
+      if (bytes < SMALL_PART_BYTES) smallParts += 1;
+    },
     sliceProcessed: (now) => {
-      const units = requestUnits;
+      const units = requestUnits + smallParts;
       if (units < FEW_UNITS) sliceBytes = Math.min(sliceBytes * 2, LARGEST_SLICE_BYTES);
       if (units > MANY_UNITS) sliceBytes = Math.max(sliceBytes / 2, SMALLEST_SLICE_BYTES);
       startWindow(now);
-      unitsInWindow += aheadUnits;
+      unitsInWindow += aheadUnits + smallParts;
       requestUnits = 0;
       aheadUnits = 0;
+      smallParts = 0;
       return units;
     },
     isHeavy: (now) => {
