Gateway: one bound on the memory of all clients of a process

What callers saw: 100 bodies of 4 MiB, whole or stopping just short of their end, brought an entry to 346 to 518 MB of 272; 50 configurations of up to 16 MiB a control process to 808 to 914 MB of 346. Such a process is killed.

Cause: each body was bounded by itself, and nothing bounded them together; memory that a body had reserved was given back when the body was whole, though the request held it until its answer; an answer that its client didn't read was counted nowhere.

Why this works: limits/clientMemory is one budget for heads, bodies, input that waits, requests in progress and answers that wait to be read, 0.15 of limits.memory_mb. When it is used up, an exchange without progress for a second makes room, then the one that holds most, but never one whose request may run: a small request of an ordinary caller comes in while large bodies stall. Who makes room before its request is whole gets 503 with Retry-After, which is true since it was sent to nobody; an answer that isn't read ends with its connection. What can't be held at all is refused at once.

--- a/packages/gateway/__tests__/clientServer.spec.ts
+++ b/packages/gateway/__tests__/clientServer.spec.ts
@@ -7,6 +7,7 @@
 import { readClientBody } from '../src/clientBody.js';
 import { createClientGuard } from '../src/clientGuard.js';
 import { createClientServer, type ClientExchange, type ClientServer } from '../src/clientServer.js';
+import type { MachineLimits } from '../src/gatewaySettings.js';
 import { findFreePort } from './freePort.js';
 
 const HOST = '127.0.0.1';
@@ -14,11 +15,17 @@
 const MEBIBYTE = 1_024 * 1_024;
 const WAIT_MILLISECONDS = 10_000;
 
-function answer({ response, endsInput }: ClientExchange, status: number, body: string) {
+const roomyMachine: MachineLimits = { memoryMegabytes: 272, descriptors: 2_069 };
+
+/** A share of 1.5 MB of memory for callers. */
+const smallMachine: MachineLimits = { memoryMegabytes: 10, descriptors: 210 };
+
+function answer({ response, endsInput, answerHeld }: ClientExchange, status: number, body: string) {
   response.writeHead(status, {
     'content-length': body.length,
     ...(endsInput() ? { connection: 'close' } : {}),
   });
+  answerHeld(body.length);
   response.end(body);
 }
 
@@ -27,7 +34,7 @@
   (maximumBytes: number) =>
   async (client: ClientExchange): Promise<void> => {
     const body = await readClientBody(client, maximumBytes);
-    const statuses = { whole: 200, tooLarge: 413, aborted: 0 };
+    const statuses = { whole: 200, tooLarge: 413, noMemory: 503, aborted: 0 };
     if (body.kind === 'aborted') return;
     const text = body.kind === 'whole' ? `${body.bytes?.length ?? 0} bytes` : body.kind;
     answer(client, statuses[body.kind], text);
@@ -35,11 +42,12 @@
 
 async function startServer(
   disposables: DisposalStack,
+  machine: MachineLimits,
   handle: (client: ClientExchange) => Promise<void> | void,
 ): Promise<ClientServer & { readonly port: number }> {
   const port = await findFreePort(HOST);
   const started = createClientServer({
-    guard: createClientGuard(),
+    guard: createClientGuard(machine),
     time: { now: () => performance.now() },
     metrics: { count: () => undefined },
     handle: (client) => void handle(client),
@@ -92,7 +100,7 @@
     await using disposables = createDisposalStack();
     let inProgress = 0;
     let mostInProgress = 0;
-    const { port } = await startServer(disposables, async (client) => {
+    const { port } = await startServer(disposables, roomyMachine, async (client) => {
       inProgress += 1;
       mostInProgress = Math.max(mostInProgress, inProgress);
       await pause(1);
@@ -116,7 +124,7 @@
   for (const line of [`content-length: ${64 * MEBIBYTE}`, 'transfer-encoding: chunked']) {
     it(`refuses a body far over the limit so that its sender sees it (${line})`, async () => {
       await using disposables = createDisposalStack();
-      const { port } = await startServer(disposables, measureBody(MEBIBYTE));
+      const { port } = await startServer(disposables, roomyMachine, measureBody(MEBIBYTE));
       const { socket, received, isClosed } = await openClient(disposables, port);
       socket.write(post(line));
       const part = 'x'.repeat(64 * KIBIBYTE);
@@ -132,7 +140,7 @@
 
   it('keeps a connection whose refused body is hardly longer than the limit', async () => {
     await using disposables = createDisposalStack();
-    const { port } = await startServer(disposables, measureBody(KIBIBYTE));
+    const { port } = await startServer(disposables, roomyMachine, measureBody(KIBIBYTE));
     const { socket, received } = await openClient(disposables, port);
     socket.write(post(`content-length: ${2 * KIBIBYTE}`) + 'x'.repeat(2 * KIBIBYTE));
     socket.write(post('content-length: 2') + 'ab');
@@ -143,16 +151,30 @@
   it('reads a body in chunks of one byte', async () => {
     const bytes = 300_000;
     await using disposables = createDisposalStack();
-    const { port } = await startServer(disposables, measureBody(MEBIBYTE));
+    const { port } = await startServer(disposables, roomyMachine, measureBody(MEBIBYTE));
     const { socket, received } = await openClient(disposables, port);
     socket.write(`${post('transfer-encoding: chunked')}${'1\r\nx\r\n'.repeat(bytes)}0\r\n\r\n`);
     await waitUntil(() => received() !== '');
     assert.ok(received().endsWith(`${bytes} bytes`), received());
   });
 
+  it('refuses the largest body when others need its memory', async () => {
+    await using disposables = createDisposalStack();
+    const { port } = await startServer(disposables, smallMachine, measureBody(2 * MEBIBYTE));
+    const large = await openClient(disposables, port);
+    large.socket.write(post('content-length: 1400000') + 'x'.repeat(1_200_000));
+    await pause(100);
+    const small = await openClient(disposables, port);
+    small.socket.write(post('content-length: 700000') + 'x'.repeat(700_000));
+    await waitUntil(() => large.received() !== '' && small.received() !== '');
+    assert.match(large.received(), /^HTTP\/1\.1 503 /u);
+    assert.ok(small.received().endsWith('700000 bytes'));
+    await waitUntil(large.isClosed);
+  });
+
   it('waits for an answer for longer than for a client that does not read it', async () => {
     await using disposables = createDisposalStack();
-    const { port, server } = await startServer(disposables, async (client) => {
+    const { port, server } = await startServer(disposables, roomyMachine, async (client) => {
       await pause(400);
       answer(client, 200, 'x'.repeat(16 * MEBIBYTE));
     });
@@ -182,4 +204,21 @@
       await pause(20);
     }
   });
+
+  it('gives up answers that clients do not read when others need their memory', async () => {
+    await using disposables = createDisposalStack();
+    const { port } = await startServer(disposables, smallMachine, (client) => {
+      answer(client, 200, client.request.url === '/large' ? 'x'.repeat(32 * MEBIBYTE) : 'ok');
+    });
+    const unread = connect({ host: HOST, port });
+    unread.on('error', () => undefined);
+    unread.pause();
+    unread.write('GET /large HTTP/1.1\r\nhost: a\r\n\r\n');
+    const closed = once(unread, 'close');
+    const other = await openClient(disposables, port);
+    other.socket.write('GET /small HTTP/1.1\r\nhost: a\r\n\r\n');
+    await waitUntil(() => other.received().endsWith('ok'));
+    unread.resume();
+    await closed;
+  });
 });
--- a/packages/gateway/__tests__/controlServer.spec.ts
+++ b/packages/gateway/__tests__/controlServer.spec.ts
@@ -41,7 +41,7 @@
       log: { write: () => undefined },
       metrics: { count: () => undefined },
       time: { now: () => performance.now() },
-      clients: createClientGuard(),
+      clients: createClientGuard({ memoryMegabytes: 346, descriptors: 4_096 }),
     } as unknown as GatewayContext;
     const directory = {
       upstreams: { records: [] },
@@ -71,7 +71,7 @@
       log: { write: () => undefined },
       metrics: { count: () => undefined },
       time: { now: () => performance.now() },
-      clients: createClientGuard(),
+      clients: createClientGuard({ memoryMegabytes: 346, descriptors: 4_096 }),
     } as unknown as GatewayContext;
     const settings = { listen: { host: HOST, port } } as unknown as ControlSettings;
     disposables.use(await startControlServer(context, settings, {} as never, {} as never));
@@ -93,7 +93,7 @@
       log: { write: () => undefined },
       metrics: { count: () => undefined },
       time: { now: () => performance.now() },
-      clients: createClientGuard(),
+      clients: createClientGuard({ memoryMegabytes: 346, descriptors: 4_096 }),
     } as unknown as GatewayContext;
     const settings = { listen: { host: HOST, port } } as unknown as ControlSettings;
     disposables.use(await startControlServer(context, settings, {} as never, {} as never));
--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -91,7 +91,7 @@
   const log = { write: ignore };
   return {
     connections,
-    clients: createClientGuard(),
+    clients: createClientGuard({ memoryMegabytes: 272, descriptors: 2_069 }),
     answerMemory: createByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES),
     time: { now: () => performance.now() },
     random: { next: () => 0 },
--- a/packages/gateway/__tests__/oddBody.spec.ts
+++ b/packages/gateway/__tests__/oddBody.spec.ts
@@ -47,7 +47,7 @@
     },
     log: { write: ignore },
     time: { now: () => performance.now() },
-    clients: createClientGuard(),
+    clients: createClientGuard({ memoryMegabytes: 346, descriptors: 4_096 }),
     metrics: { count: ignore },
   };
   const directory = {
--- a/packages/gateway/__tests__/oddLeave.spec.ts
+++ b/packages/gateway/__tests__/oddLeave.spec.ts
@@ -25,7 +25,7 @@
     },
     log: { write: () => undefined },
     time: { now: () => performance.now() },
-    clients: createClientGuard(),
+    clients: createClientGuard({ memoryMegabytes: 346, descriptors: 4_096 }),
     metrics: { count: () => undefined },
   };
   const directory = {
--- a/packages/gateway/__tests__/stoppingControl.spec.ts
+++ b/packages/gateway/__tests__/stoppingControl.spec.ts
@@ -38,7 +38,7 @@
     log: { write: ignore },
     metrics: { count: ignore },
     time: { now: () => performance.now() },
-    clients: createClientGuard(),
+    clients: createClientGuard({ memoryMegabytes: 346, descriptors: 4_096 }),
   } as unknown as GatewayContext;
   let orders = 0;
   const leaderClient = {
--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -73,11 +73,13 @@
  * Creates the writer.
  *
  * @param isClosing - tells whether to send `Connection: close`.
+ * @param onHeld - called with the size of a body that waits for the caller to read it, in bytes.
  */
 export function createCallerAnswer(
   response: ServerResponse,
   dialect: Dialect,
   isClosing: () => boolean,
+  onHeld: (bytes: number) => void,
 ): CallerAnswer {
   let headersSent = false;
   let state: AnswerState = 'open';
@@ -122,6 +124,7 @@
       const mayHaveBody = statusCode !== 204 && statusCode !== 304;
       const length = mayHaveBody ? ['Content-Length', String(body.length)] : [];
       writeHead(statusCode, [...forwardedHeaders(rawHeaders, true), ...length]);
+      onHeld(body.length);
       if (body.length > 0) response.write(body);
       finish();
     },
--- a/packages/gateway/src/clientBody.ts
+++ b/packages/gateway/src/clientBody.ts
@@ -6,7 +6,7 @@
 const MAXIMUM_DROPPED_BYTES = 256 * 1024;
 
 /** Why the body of a request is not there. */
-export type BodyFailure = 'tooLarge' | 'aborted';
+export type BodyFailure = 'tooLarge' | 'noMemory' | 'aborted';
 
 /** The body of a request; `null` if it has none. */
 export type ClientBody =
@@ -27,7 +27,7 @@
 }
 
 /**
- * Reads the body of a request.
+ * Reads the body of a request within the memory of all clients.
  *
  * @remarks
  * A body that is not kept is read on as long as that is little; the connection of another one can't
@@ -36,34 +36,57 @@
  * @param maximumBytes - 0 for a request that is refused whatever its body.
  */
 export async function readClientBody(
-  { request, input }: ClientExchange,
+  { request, account, input, time }: ClientExchange,
   maximumBytes: number,
 ): Promise<ClientBody> {
   if (!hasBody(request)) return { kind: 'whole', bytes: null };
   if (announcedBytes(request) > maximumBytes + MAXIMUM_DROPPED_BYTES) return { kind: 'tooLarge' };
   return new Promise((resolve) => {
-    const collector = createByteCollector({ maximumBytes });
+    const collector = createByteCollector({
+      maximumBytes,
+      budget: {
+        tryReserve: (bytes) => account.tryReserve(bytes, time.now()),
+        release: (bytes) => {
+          account.release(bytes);
+        },
+      },
+    });
     let receivedBytes = 0;
-    let isTooLarge = false;
+    let failure: BodyFailure | null = null;
     const settle = (body: ClientBody): void => {
       request.off('data', receive);
       request.off('end', end);
       request.off('close', abort);
       collector.close();
+      account.setEviction(null);
       resolve(body);
     };
     const receive = (bytes: Buffer): void => {
       receivedBytes += bytes.length;
+      account.progressed(time.now());
       input.bodyPartReceived(bytes.length);
-      if (!collector.add(bytes)) isTooLarge = true;
-      if (receivedBytes > maximumBytes + MAXIMUM_DROPPED_BYTES) settle({ kind: 'tooLarge' });
+      if (failure === null && !collector.add(bytes)) {
+        failure = receivedBytes > maximumBytes ? 'tooLarge' : 'noMemory';
+      }
+      if (failure === 'noMemory' || receivedBytes > maximumBytes + MAXIMUM_DROPPED_BYTES)
+        settle({ kind: failure ?? 'tooLarge' });
     };
     const end = (): void => {
-      settle(isTooLarge ? { kind: 'tooLarge' } : { kind: 'whole', bytes: collector.take() });
+      if (failure !== null) {
+        settle({ kind: failure });
+        return;
+      }
+      const body = collector.take();
+      // It is held until the request has been answered.
+      account.reserve(body.length, time.now());
+      settle({ kind: 'whole', bytes: body });
     };
     const abort = (): void => {
       settle({ kind: 'aborted' });
     };
+    account.setEviction(() => {
+      settle({ kind: 'noMemory' });
+    });
     request.on('data', receive);
     request.once('end', end);
     request.once('close', abort);
--- a/packages/gateway/src/clientInput.ts
+++ b/packages/gateway/src/clientInput.ts
@@ -35,8 +35,9 @@
 export function createClientInput(
   socket: Socket,
   time: TimeSource,
-  { turns }: ClientGuard,
+  { memory, turns }: Pick<ClientGuard, 'memory' | 'turns'>,
 ): ClientInput {
+  const account = memory.open(time.now());
   const share = createInputShare();
   const [parse] = socket.listeners('data') as ((bytes: Buffer) => void)[];
   const pause = socket.pause.bind(socket);
@@ -69,7 +70,7 @@
   };
 
   /** Hands over what is waiting, as far as the turn, the answers and the server allow. */
-  const processWaiting = (hasTurn = false): void => {
+  const handOver = (hasTurn: boolean): void => {
     let isTurn = hasTurn;
     while (waiting !== null && !isPausedByServer && !socket.destroyed) {
       if (inProgress >= MAXIMUM_REQUESTS_AHEAD) {
@@ -89,6 +90,14 @@
     }
   };
 
+  const processWaiting = (hasTurn = false): void => {
+    handOver(hasTurn);
+    account.release(account.heldBytes);
+    if (waiting === null || account.tryReserve(waiting.length, time.now())) return;
+    waiting = null;
+    socket.destroy();
+  };
+
   const discardBytes = (bytes: number): void => {
     discardedBytes += bytes;
     if (discardedBytes > LINGER_BYTES) pause();
@@ -108,6 +117,7 @@
   });
   socket.once('close', () => {
     waiting = null;
+    account.close();
   });
   // The server pauses a connection for a body that is not consumed or an answer that is not read.
   socket.pause = () => {
@@ -147,6 +157,7 @@
       isDiscarding = true;
       isHeld = false;
       waiting = null;
+      account.close();
       resume();
     },
   };
--- a/packages/gateway/src/clientServer.ts
+++ b/packages/gateway/src/clientServer.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Socket } from 'node:net';
 import type { TimeSource } from '@burdockrail/common/timeSource.js';
+import type { ClientAccount } from '@burdockrail/limits/clientMemory.js';
 import type { Address } from '@burdockrail/protocol/protocolAddress.js';
 import type { MetricRegistry } from '@burdockrail/telemetry/metricRegistry.js';
 import {
@@ -13,6 +14,9 @@
 import type { ClientGuard } from './clientGuard.js';
 import { createClientInput, type ClientInput } from './clientInput.js';
 
+/** Memory of a request besides its head and body, in bytes: its objects, timers and log line. */
+const REQUEST_BYTES = 8 * 1024;
+
 /** Largest head, in bytes. */
 const MAXIMUM_HEAD_BYTES = 16_384;
 
@@ -31,12 +35,18 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly turn: ConnectionTurn;
+  readonly account: ClientAccount;
   readonly input: Pick<ClientInput, 'bodyPartReceived'>;
+  readonly time: TimeSource;
+  /** False if the memory of all clients is used up: the request can only be refused. */
+  readonly hasMemory: boolean;
   /**
    * Call it when the answer begins. Returns whether the answer must end the connection because its
    * request has not been read; the rest is dropped.
    */
   readonly endsInput: () => boolean;
+  /** An answer of this size waits for its client to read it. */
+  readonly answerHeld: (bytes: number) => void;
 }
 
 /** Options of {@link createClientServer}. */
@@ -60,6 +70,10 @@
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
 };
 
+function headBytes({ rawHeaders, url = '' }: IncomingMessage): number {
+  return rawHeaders.reduce((bytes, text) => bytes + text.length, url.length);
+}
+
 /**
  * Creates a server that bounds what its clients make the process hold and do, whatever they send.
  *
@@ -88,10 +102,13 @@
         return;
       }
       input.requestStarted();
+      const account = guard.memory.open(time.now());
+      const hasMemory = account.tryReserve(REQUEST_BYTES + headBytes(request), time.now());
       response.once('finish', () => {
         turn.finished();
       });
       response.once('close', () => {
+        account.close();
         input.requestEnded();
       });
       // A client that leaves while it sends a body is noticed by the answer.
@@ -100,12 +117,22 @@
         request,
         response,
         turn,
+        account,
         input,
+        time,
+        hasMemory,
         endsInput: () => {
           if (!isBodyPending(request)) return false;
           input.discard();
           return true;
         },
+        answerHeld: (bytes) => {
+          account.setEviction(() => {
+            metrics.count('burdockrail_clients_evicted_total', { holding: 'answer' });
+            socket.destroy();
+          });
+          account.reserve(bytes, time.now());
+        },
       });
     },
   );
--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -172,6 +172,7 @@
 
   const bodyAnswers: Readonly<Record<Exclude<BodyFailure, 'aborted'>, ControlAnswer>> = {
     tooLarge: errorAnswer(413, ResultCode.BodyTooLarge, 'the request body is too large'),
+    noMemory: errorAnswer(503, ResultCode.Overloaded, 'clients send more than can be held'),
   };
   const answered = createChangeSignal();
   let inProgress = 0;
@@ -186,8 +187,13 @@
         'content-type': 'application/json',
         ...(endsConnection ? { connection: 'close' } : {}),
       });
+      client.answerHeld(body.length);
       response.end(body);
     };
+    if (!client.hasMemory) {
+      send(bodyAnswers.noMemory);
+      return;
+    }
     if (call === null) {
       send(errorAnswer(404, ResultCode.UnknownMessage, 'unknown method or path'));
       return;
--- a/packages/gateway/src/entryHandler.ts
+++ b/packages/gateway/src/entryHandler.ts
@@ -50,6 +50,12 @@
   endsConnection: () => boolean,
 ) => Promise<void>;
 
+/**
+ * Time after which a caller that had no room may try again, in milliseconds: what stalled callers
+ * hold is free by then.
+ */
+const NO_MEMORY_RETRY_AFTER_MILLISECONDS = 400;
+
 /** Refusals of requests whose body was not read. */
 const bodyRefusals: Readonly<Record<Exclude<BodyFailure, 'aborted'>, Refusal>> = {
   tooLarge: {
@@ -57,6 +63,11 @@
     detail: 'the request body is too large',
     retryAfterMilliseconds: null,
   },
+  noMemory: {
+    code: ResultCode.Overloaded,
+    detail: 'callers send more than this entry can hold',
+    retryAfterMilliseconds: NO_MEMORY_RETRY_AFTER_MILLISECONDS,
+  },
 };
 
 /** What the server tells the handler of requests. */
@@ -117,6 +128,7 @@
       response,
       dialect,
       () => client.endsInput() || endsConnection(),
+      client.answerHeld,
     );
     const caller = dialect.readCaller(request.headers);
     const trace: RequestTrace = {
@@ -147,6 +159,10 @@
       answer.refuse(refusal);
     };
     try {
+      if (!client.hasMemory) {
+        refuse(bodyRefusals.noMemory);
+        return;
+      }
       if (!isConfirmed() && arrivedAt - startedAt < STARTUP_MILLISECONDS)
         await waitForConfirmation(cancellation.signal);
       const decision = admitRequest(
--- a/packages/gateway/src/gatewayMain.ts
+++ b/packages/gateway/src/gatewayMain.ts
@@ -68,13 +68,15 @@
     guard: clients,
     time,
     metrics,
-    handle: ({ request, response, endsInput }) => {
-      const isMetrics = request.url === METRICS_PATH;
+    handle: ({ request, response, hasMemory, endsInput, answerHeld }) => {
+      const isMetrics = request.url === METRICS_PATH && hasMemory;
       const text = isMetrics ? metrics.text() : '';
-      response.writeHead(isMetrics ? 200 : 404, {
+      const status = hasMemory ? (isMetrics ? 200 : 404) : 503;
+      response.writeHead(status, {
         'content-type': 'text/plain; version=0.0.4',
         ...(endsInput() ? { connection: 'close' } : {}),
       });
+      answerHeld(text.length);
       response.end(text);
     },
   });
@@ -131,9 +133,14 @@
     metrics,
     actors: startActors(),
     dialect,
-    clients: createClientGuard(),
+    clients: createClientGuard(settings.machine),
     readSeeds: () => options.reloadSettings()?.seeds ?? null,
   };
+  metrics.gauge(
+    'burdockrail_client_memory_bytes',
+    'Memory reserved for what clients have sent and not yet read.',
+    () => context.clients.memory.heldBytes,
+  );
   const stopSignal = receiveStopSignal(process, () => {
     const reloaded = options.reloadSettings();
     log.write('settingsReloaded', { readable: reloaded !== null });
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -18,9 +18,17 @@
   readonly control: ControlSettings | null;
   readonly agent: AgentSettings | null;
   readonly metrics: Address;
+  readonly machine: MachineLimits;
   readonly bounds: GatewayBounds;
 }
 
+/** What a process may use of its machine. */
+export interface MachineLimits {
+  /** Resident memory and bytes that have arrived but have not been read, in megabytes. */
+  readonly memoryMegabytes: number;
+  readonly descriptors: number;
+}
+
 /** Addresses of an entry. */
 export interface EntrySettings {
   readonly listen: Address;
