Gateway: few bodies in small parts at a time, and few connections that linger

What callers saw: 100 clients that send bodies in chunks of one byte, and come again when they are closed, left an ordinary request at the entry and a read of the configuration at the control process unanswered for 5 s.

Cause: each part costs time whatever its size, and a read of 64 KiB holds 11,000 of them. A bound on bytes doesn't bound that, and turns alone share it out among a hundred bodies, of which none then ends before its deadline.

Why this works: a connection that sends more than 256 parts of under 512 bytes in a second needs one of eight places for its body; without one its request is refused at once with 503 and Retry-After. One such body alone is read at full speed. And at most eight refused connections wait with input unread for their clients to read the answer.

--- a/packages/gateway/__tests__/clientServer.spec.ts
+++ b/packages/gateway/__tests__/clientServer.spec.ts
@@ -158,6 +158,22 @@
     assert.ok(received().endsWith(`${bytes} bytes`), received());
   });
 
+  it('refuses further bodies in small chunks while it reads many', async () => {
+    await using disposables = createDisposalStack();
+    const { port } = await startServer(disposables, roomyMachine, measureBody(MEBIBYTE));
+    const clients = await Promise.all(
+      Array.from({ length: 12 }, async () => openClient(disposables, port)),
+    );
+    for (const { socket } of clients)
+      socket.write(post('transfer-encoding: chunked') + '1\r\nx\r\n'.repeat(10_000));
+    const refused = (): readonly Client[] =>
+      clients.filter(({ received }) => received().startsWith('HTTP/1.1 503'));
+    await waitUntil(() => refused().length >= 4);
+    for (const client of clients) if (!refused().includes(client)) client.socket.end('0\r\n\r\n');
+    await waitUntil(() => clients.every(({ received }) => received() !== ''));
+    assert.equal(refused().length, 4);
+  });
+
   it('refuses the largest body when others need its memory', async () => {
     await using disposables = createDisposalStack();
     const { port } = await startServer(disposables, smallMachine, measureBody(2 * MEBIBYTE));
--- a/packages/gateway/src/clientBody.ts
+++ b/packages/gateway/src/clientBody.ts
@@ -36,7 +36,7 @@
  * @param maximumBytes - 0 for a request that is refused whatever its body.
  */
 export async function readClientBody(
-  { request, account, input, time }: ClientExchange,
+  { request, account, input, guard, time }: ClientExchange,
   maximumBytes: number,
 ): Promise<ClientBody> {
   if (!hasBody(request)) return { kind: 'whole', bytes: null };
@@ -53,18 +53,28 @@
     });
     let receivedBytes = 0;
     let failure: BodyFailure | null = null;
+    let hasPlace = false;
     const settle = (body: ClientBody): void => {
       request.off('data', receive);
       request.off('end', end);
       request.off('close', abort);
       collector.close();
       account.setEviction(null);
+      if (hasPlace) guard.smallPartBodies.giveBack();
+      hasPlace = false;
       resolve(body);
     };
     const receive = (bytes: Buffer): void => {
       receivedBytes += bytes.length;
       account.progressed(time.now());
       input.bodyPartReceived(bytes.length);
+      if (input.hasSmallParts && !hasPlace) {
+        hasPlace = guard.smallPartBodies.tryTake();
+        if (!hasPlace) {
+          settle({ kind: 'noMemory' });
+          return;
+        }
+      }
       if (failure === null && !collector.add(bytes)) {
         failure = receivedBytes > maximumBytes ? 'tooLarge' : 'noMemory';
       }
--- a/packages/gateway/src/clientInput.ts
+++ b/packages/gateway/src/clientInput.ts
@@ -9,13 +9,18 @@
 /** Time for which a connection stays open for its client to read the last answer, in milliseconds. */
 const LINGER_MILLISECONDS = 1_000;
 
-/** Input that is read and dropped meanwhile, in bytes: most of what a client has under way. */
+/**
+ * Input that is read and dropped meanwhile, in bytes: most of what a client has under way. Beyond it
+ * the connection is paused, so that its unread bytes take memory of the system.
+ */
 const LINGER_BYTES = 1024 * 1024;
 
 /** Input of one client's connection, handed to the HTTP parser in slices. */
 export interface ClientInput {
   /** True once further input is dropped. */
   readonly isDiscarding: boolean;
+  /** True if small parts of bodies make the connection take more than its share. */
+  readonly hasSmallParts: boolean;
   requestStarted(): void;
   /** The answer to a request has been written, or its connection is closed. */
   requestEnded(): void;
@@ -35,7 +40,7 @@
 export function createClientInput(
   socket: Socket,
   time: TimeSource,
-  { memory, turns }: Pick<ClientGuard, 'memory' | 'turns'>,
+  { memory, turns, lingering }: Pick<ClientGuard, 'lingering' | 'memory' | 'turns'>,
 ): ClientInput {
   const account = memory.open(time.now());
   const share = createInputShare();
@@ -51,6 +56,7 @@
   let isPausedByServer = false;
   let isDiscarding = false;
   let discardedBytes = 0;
+  let isLingering = false;
 
   const hold = (): void => {
     isHeld = true;
@@ -100,7 +106,10 @@
 
   const discardBytes = (bytes: number): void => {
     discardedBytes += bytes;
-    if (discardedBytes > LINGER_BYTES) pause();
+    if (discardedBytes <= LINGER_BYTES || isLingering) return;
+    isLingering = lingering.tryTake();
+    if (isLingering) pause();
+    else socket.destroy();
   };
 
   if (parse !== undefined) socket.removeListener('data', parse);
@@ -118,6 +127,7 @@
   socket.once('close', () => {
     waiting = null;
     account.close();
+    if (isLingering) lingering.giveBack();
   });
   // The server pauses a connection for a body that is not consumed or an answer that is not read.
   socket.pause = () => {
@@ -142,6 +152,9 @@
     get isDiscarding() {
       return isDiscarding;
     },
+    get hasSmallParts() {
+      return share.hasSmallParts;
+    },
     requestStarted: () => {
       share.countRequest(inProgress > 0);
       inProgress += 1;
--- a/packages/gateway/src/clientServer.ts
+++ b/packages/gateway/src/clientServer.ts
@@ -36,7 +36,8 @@
   readonly response: ServerResponse;
   readonly turn: ConnectionTurn;
   readonly account: ClientAccount;
-  readonly input: Pick<ClientInput, 'bodyPartReceived'>;
+  readonly input: Pick<ClientInput, 'bodyPartReceived' | 'hasSmallParts'>;
+  readonly guard: ClientGuard;
   readonly time: TimeSource;
   /** False if the memory of all clients is used up: the request can only be refused. */
   readonly hasMemory: boolean;
@@ -119,6 +120,7 @@
         turn,
         account,
         input,
+        guard,
         time,
         hasMemory,
         endsInput: () => {
--- a/packages/limits/__tests__/inputShare.spec.ts
+++ b/packages/limits/__tests__/inputShare.spec.ts
@@ -17,6 +17,7 @@
       share.sliceProcessed(0);
     }
     assert.equal(share.isHeavy(0), false);
+    assert.equal(share.hasSmallParts, false);
   });
 
   it('is exceeded by requests that are sent ahead, until the next window', () => {
@@ -24,6 +25,7 @@
     for (let count = 0; count < MANY; count += 1) share.countRequest(true);
     share.sliceProcessed(0);
     assert.ok(share.isHeavy(0));
+    assert.equal(share.hasSmallParts, false);
     assert.equal(share.isHeavy(WINDOW_MILLISECONDS), false);
   });
 
@@ -32,6 +34,7 @@
     for (let count = 0; count < MANY; count += 1) share.countBodyPart(1);
     share.sliceProcessed(0);
     assert.ok(share.isHeavy(0));
+    assert.ok(share.hasSmallParts);
   });
 
   it('has larger slices within a body, and small ones behind each request', () => {
--- a/packages/limits/src/inputShare.ts
+++ b/packages/limits/src/inputShare.ts
@@ -31,6 +31,8 @@
   sliceProcessed(now: Milliseconds): number;
   /** True if the connection takes more than the share that is processed as it comes. */
   isHeavy(now: Milliseconds): boolean;
+  /** True if small parts of bodies make it so. */
+  readonly hasSmallParts: boolean;
 }
 
 /**
@@ -47,12 +49,14 @@
   let aheadUnits = 0;
   let smallParts = 0;
   let unitsInWindow = 0;
+  let smallPartsInWindow = 0;
   let windowStartedAt = Number.NEGATIVE_INFINITY;
 
   const startWindow = (now: Milliseconds): void => {
     if (now - windowStartedAt < WINDOW_MILLISECONDS) return;
     windowStartedAt = now;
     unitsInWindow = 0;
+    smallPartsInWindow = 0;
   };
   return {
     get sliceBytes() {
@@ -73,6 +77,7 @@
       if (units > MANY_UNITS) sliceBytes = Math.max(sliceBytes / 2, SMALLEST_SLICE_BYTES);
       startWindow(now);
       unitsInWindow += aheadUnits + smallParts;
+      smallPartsInWindow += smallParts;
       requestUnits = 0;
       aheadUnits = 0;
       smallParts = 0;
@@ -82,5 +87,8 @@
       startWindow(now);
       return unitsInWindow > LIGHT_UNITS;
     },
+    get hasSmallParts() {
+      return smallPartsInWindow + smallParts > LIGHT_UNITS;
+    },
   };
 }
