Gateway: the connections of clients leave descriptors for everything else

What callers saw: 500 connections that send half a head took 507 descriptors of an entry whose sockets may take 200; beyond the limit of its machine an entry can open none to upstreams or control.

Cause: no server had a limit on its connections.

Why this works: the servers of a process get fixed parts of limits.max_fds less the 200 that are kept for files: 0.6 for callers, 0.05 each for status and metrics. Beyond it the oldest connection that never had a request is closed, or else the one that has been idle for longest; one with a request in progress never is. Ordinary clients, which send on their connections, keep them; gateway/clientServer.spec holds that.

--- a/packages/gateway/__tests__/clientServer.spec.ts
+++ b/packages/gateway/__tests__/clientServer.spec.ts
@@ -17,7 +17,7 @@
 
 const roomyMachine: MachineLimits = { memoryMegabytes: 272, descriptors: 2_069 };
 
-/** A share of 1.5 MB of memory for callers. */
+/** Shares of 1.5 MB of memory and of six connections for callers. */
 const smallMachine: MachineLimits = { memoryMegabytes: 10, descriptors: 210 };
 
 function answer({ response, endsInput, answerHeld }: ClientExchange, status: number, body: string) {
@@ -47,6 +47,7 @@
 ): Promise<ClientServer & { readonly port: number }> {
   const port = await findFreePort(HOST);
   const started = createClientServer({
+    name: 'callers',
     guard: createClientGuard(machine),
     time: { now: () => performance.now() },
     metrics: { count: () => undefined },
@@ -188,6 +189,22 @@
     await waitUntil(large.isClosed);
   });
 
+  it('closes the connection without a request that is oldest when there are too many', async () => {
+    await using disposables = createDisposalStack();
+    const { port } = await startServer(disposables, smallMachine, (client) => {
+      answer(client, 200, 'ok');
+    });
+    const served = await openClient(disposables, port);
+    served.socket.write(post('content-length: 0'));
+    await waitUntil(() => served.received() !== '');
+    const silent: Client[] = [];
+    for (let count = 0; count < 6; count += 1) silent.push(await openClient(disposables, port));
+    await waitUntil(() => silent[0]?.isClosed() === true);
+    assert.ok(silent.slice(1).every(({ isClosed }) => !isClosed()));
+    served.socket.write(post('content-length: 0'));
+    await waitUntil(() => served.received().split('HTTP/1.1 200').length === 3);
+  });
+
   it('waits for an answer for longer than for a client that does not read it', async () => {
     await using disposables = createDisposalStack();
     const { port, server } = await startServer(disposables, roomyMachine, async (client) => {
--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -14,6 +14,8 @@
 
 /** Connections of callers, to be closed without cutting off an answer or half a request. */
 export interface CallerConnections {
+  /** Number of open connections. */
+  readonly size: number;
   add(socket: Socket): void;
   /** Returns `null` for a request behind an answer that ends the connection: it gets no answer. */
   requestStarted(socket: Socket, response: ServerResponse): ConnectionTurn | null;
@@ -24,6 +26,11 @@
   receivedNoRequest(socket: Socket): boolean;
   /** True if the next step is the client's: to send a request or the rest of one, or to read. */
   awaitsClient(socket: Socket): boolean;
+  /**
+   * Of the connections without a request in progress the oldest that never had one, or else the one
+   * that has been idle for longest.
+   */
+  longestIdle(): Socket | undefined;
   /** Closes idle connections now, and each other one after its answer. */
   closeWhenIdle(): void;
 }
@@ -47,6 +54,7 @@
 
 /** Creates an empty set of connections. */
 export function createCallerConnections(): CallerConnections {
+  /** Those that became idle last are the last ones. */
   const states = new Map<Socket, ConnectionState>();
   let isClosing = false;
 
@@ -56,6 +64,9 @@
   };
 
   return {
+    get size() {
+      return states.size;
+    },
     add: (socket) => {
       const openResponses = new Set<ServerResponse>();
       states.set(socket, {
@@ -89,6 +100,7 @@
         finished: () => {
           state.requestsInProgress -= 1;
           state.idleAtBytes = socket.bytesRead;
+          if (states.delete(socket)) states.set(socket, state);
           const mayClose = isClosing || state.closesAfterAnswers;
           if (mayClose && state.requestsInProgress === 0) close(socket, state);
         },
@@ -107,6 +119,15 @@
       if (state === undefined || state.requestsInProgress === 0) return true;
       return socket.writableLength > 0 || isRequestIncomplete(state);
     },
+    longestIdle: () => {
+      let longestIdle: Socket | undefined;
+      for (const [socket, state] of states) {
+        if (state.requestsInProgress > 0) continue;
+        if (state.requestsStarted === 0) return socket;
+        longestIdle ??= socket;
+      }
+      return longestIdle;
+    },
     closeWhenIdle: () => {
       isClosing = true;
       for (const [socket, state] of states)
--- a/packages/gateway/src/clientGuard.ts
+++ b/packages/gateway/src/clientGuard.ts
@@ -5,6 +5,15 @@
 /** Part of a machine's memory for everything that clients make a process hold. */
 const CLIENT_MEMORY_FRACTION = 0.15;
 
+/** Descriptors of a process that are kept for files. */
+const FILE_DESCRIPTORS = 200;
+
+/** Parts of the other descriptors that the connections of one server may take. */
+const connectionFractions = { callers: 0.6, status: 0.05, metrics: 0.05 } as const;
+
+/** Servers of a process, by who calls them. */
+export type ClientServerName = keyof typeof connectionFractions;
+
 /** Bodies in small parts that are read at the same time; each part costs processor time. */
 const MAXIMUM_SMALL_PART_BODIES = 8;
 
@@ -26,6 +35,7 @@
   readonly turns: ClientTurns;
   readonly smallPartBodies: ClientPlaces;
   readonly lingering: ClientPlaces;
+  maximumConnections(server: ClientServerName): number;
 }
 
 function createPlaces(maximum: number): ClientPlaces {
@@ -43,11 +53,13 @@
 }
 
 /** Creates the guard of a process without clients. */
-export function createClientGuard({ memoryMegabytes }: MachineLimits): ClientGuard {
+export function createClientGuard({ memoryMegabytes, descriptors }: MachineLimits): ClientGuard {
+  const sockets = descriptors - FILE_DESCRIPTORS;
   return {
     memory: createClientMemory(memoryMegabytes * BYTES_PER_MEGABYTE * CLIENT_MEMORY_FRACTION),
     turns: createClientTurns(),
     smallPartBodies: createPlaces(MAXIMUM_SMALL_PART_BODIES),
     lingering: createPlaces(MAXIMUM_LINGERING),
+    maximumConnections: (server) => Math.max(1, Math.floor(sockets * connectionFractions[server])),
   };
 }
--- a/packages/gateway/src/clientServer.ts
+++ b/packages/gateway/src/clientServer.ts
@@ -11,7 +11,7 @@
   type ConnectionTurn,
 } from './callerConnections.js';
 import { isBodyPending } from './clientBody.js';
-import type { ClientGuard } from './clientGuard.js';
+import type { ClientGuard, ClientServerName } from './clientGuard.js';
 import { createClientInput, type ClientInput } from './clientInput.js';
 
 /** Memory of a request besides its head and body, in bytes: its objects, timers and log line. */
@@ -52,6 +52,7 @@
 
 /** Options of {@link createClientServer}. */
 export interface ClientServerOptions {
+  readonly name: ClientServerName;
   readonly guard: ClientGuard;
   readonly time: TimeSource;
   readonly metrics: Pick<MetricRegistry, 'count'>;
@@ -85,6 +86,7 @@
   const { guard, time, metrics, handle } = options;
   const connections = createCallerConnections();
   const inputs = new WeakMap<Socket, ClientInput>();
+  const maximumConnections = guard.maximumConnections(options.name);
   const server = createServer(
     {
       maxHeaderSize: MAXIMUM_HEAD_BYTES,
@@ -163,6 +165,9 @@
   server.on('connection', (socket: Socket) => {
     connections.add(socket);
     inputs.set(socket, createClientInput(socket, time, guard));
+    if (connections.size <= maximumConnections) return;
+    metrics.count('burdockrail_clients_evicted_total', { holding: 'connection' });
+    (connections.longestIdle() ?? socket).destroy();
   });
   return {
     server,
--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -218,6 +218,7 @@
   };
 
   const { server, connections, listen } = createClientServer({
+    name: 'callers',
     guard: context.clients,
     time,
     metrics,
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -110,6 +110,7 @@
 
   const startStatusServer = async (): Promise<void> => {
     const { server: statusServer, listen } = createClientServer({
+      name: 'status',
       guard: context.clients,
       time,
       metrics,
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -58,6 +58,7 @@
   let inProgress = 0;
 
   const { server, connections, listen } = createClientServer({
+    name: 'callers',
     guard: entry.clients,
     time: entry.time,
     metrics,
--- a/packages/gateway/src/gatewayMain.ts
+++ b/packages/gateway/src/gatewayMain.ts
@@ -65,6 +65,7 @@
   metrics,
 }: GatewayContext): Promise<AsyncDisposable> {
   const { server, listen } = createClientServer({
+    name: 'metrics',
     guard: clients,
     time,
     metrics,
