Control: readers of the configuration share a few quorum reads

Cause: each call makes a quorum read of its own, which takes the whole document from the leader, and hundreds of them at once end at their time-out.

Why this works: four reads run at the same time, as before for each caller; whoever comes while they run shares the next one, which begins after its call, so that no answer is older than its question (common/sharedOperation). Nothing changes for up to four readers.

--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -1,6 +1,7 @@
 import { isUtf8 } from 'node:buffer';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
+import { createSharedOperation } from '@burdockrail/common/sharedOperation.js';
 import {
   departureIssue,
   upstreamRecordIssue,
@@ -30,6 +31,9 @@
   nameWeights: MAXIMUM_MESSAGE_BYTES,
 };
 
+/** Reads of the configuration at the same time; each asks a quorum and holds a whole document. */
+const MAXIMUM_CONCURRENT_READS = 4;
+
 /** Deflate level; higher levels cost more time than the saved bytes are worth. */
 const COMPRESSION_LEVEL = 3;
 
@@ -90,7 +94,7 @@
     return isSuccess ? okAnswer : errorAnswer(503, outcome.code, outcome.detail);
   };
 
-  const getConfiguration = async (): Promise<ControlAnswer> => {
+  const readConfiguration = async (): Promise<ControlAnswer> => {
     const outcome = await leaderClient.read();
     if (outcome.kind === 'failure') return errorAnswer(503, outcome.code, outcome.detail);
     const { configuration } = outcome.value;
@@ -98,6 +102,9 @@
       return errorAnswer(503, ResultCode.GroupNotFormed, 'no configuration has been stored yet');
     return { status: 200, body: inflateRawSync(configuration.document).toString('utf8') };
   };
+  const getConfiguration = createSharedOperation(readConfiguration, {
+    maximumConcurrent: MAXIMUM_CONCURRENT_READS,
+  });
 
   const nameWeights = async (body: string): Promise<ControlAnswer> => {
     const weights = dialect.decodeModelVersion(body);
@@ -166,7 +173,7 @@
     heartbeat: async ({ id }, body) => heartbeat(id, body),
     leave: async ({ id }, body) => leave(id, body),
     putConfiguration: async (_call, body) => putConfiguration(body),
-    getConfiguration: async () => getConfiguration(),
+    getConfiguration,
     nameWeights: async (_call, body) => nameWeights(body),
   };
 
