Membership: the registry takes a bounded number of upstreams

What callers saw: 100 clients that announce 1,000 new upstreams each keep a control process from answering a read of the configuration for more than 5 s.

Cause: the registry took every id that anybody sent and kept it for good, silent or not; each heartbeat looks at all records, and all of them go to every entry and agent.

Why this works: at most 512 upstreams of services that the configuration doesn't name, and 8,192 in all, more than twice the runners that the product is designed for. A new one beyond that gets 503, which a runner takes to another control process and repeats; known ones are not affected. Silent upstreams of unnamed services are dropped after the two minutes for which departures are kept.

--- a/packages/gateway/__tests__/oddBody.spec.ts
+++ b/packages/gateway/__tests__/oddBody.spec.ts
@@ -52,6 +52,7 @@
   };
   const directory = {
     upstreams: { records: [] },
+    hasRoomFor: () => true,
     recordLeave: (id: string) => taken.push(`${id} left`),
     recordHeartbeat: ({ service }: UpstreamRecord) => taken.push(service) > 0,
   };
--- a/packages/gateway/src/controlDirectory.ts
+++ b/packages/gateway/src/controlDirectory.ts
@@ -56,6 +56,8 @@
   readonly upstreams: UpstreamRegistry;
   /** Records a heartbeat; returns whether it was newer than the stored one. */
   recordHeartbeat(record: UpstreamRecord): boolean;
+  /** False if there are too many upstreams to take a new one. */
+  hasRoomFor(record: UpstreamRecord): boolean;
   /** Records that an upstream left by its own request; see {@link ControlDepartures}. */
   recordLeave(id: string, startedAt: number | null): Promise<boolean>;
   /** Records that an upstream drains; see {@link ControlDepartures}. */
@@ -309,7 +311,7 @@
   const sweep = (): void => {
     informedMilliseconds(time.now());
     const previousRevision = upstreams.latestRevision(false);
-    upstreams.sweep(silenceLimitMilliseconds, time.now());
+    upstreams.sweep(silenceLimitMilliseconds, time.now(), isNamedService);
     if (upstreams.latestRevision(false) !== previousRevision) changes.notify();
     verdictStore.writeChanges();
     watchNewPeers();
@@ -319,6 +321,7 @@
   return {
     upstreams,
     recordHeartbeat: (record) => applyRecord(record, time.now(), 'heartbeat'),
+    hasRoomFor: (record) => upstreams.hasRoomFor(record, isNamedService),
     recordLeave: async (id, statedStart) => departures.recordLeave(id, statedStart),
     recordDraining: async (record) => departures.recordDraining(record),
     stateChanged: () => {
--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -126,9 +126,12 @@
     'too few control processes hold the departure',
   );
 
+  const fullAnswer = errorAnswer(503, ResultCode.Overloaded, 'there are too many upstreams');
+
   const heartbeat = async (id: string, body: string): Promise<ControlAnswer> => {
     const record = dialect.decodeHeartbeat(id, body);
     const issue = record === null ? 'unreadable' : upstreamRecordIssue(record, Date.now());
+    if (record !== null && issue === null && !directory.hasRoomFor(record)) return fullAnswer;
     const isNewer = record !== null && issue === null && directory.recordHeartbeat(record);
     if (!isNewer) {
       log.write('heartbeatRefused', {
--- a/packages/membership/__tests__/upstreamRegistry.spec.ts
+++ b/packages/membership/__tests__/upstreamRegistry.spec.ts
@@ -3,7 +3,11 @@
 import type { UpstreamDeparture, UpstreamRecord } from '@burdockrail/protocol/protocolDirectory.js';
 import fc from 'fast-check';
 import { createDirectoryView } from '../src/directoryView.js';
-import { createUpstreamRegistry } from '../src/upstreamRegistry.js';
+import {
+  createUpstreamRegistry,
+  MAXIMUM_UNNAMED_UPSTREAMS,
+  MAXIMUM_UPSTREAMS,
+} from '../src/upstreamRegistry.js';
 
 function record(changes: Partial<UpstreamRecord>): UpstreamRecord {
   return {
@@ -43,6 +47,44 @@
 };
 
 describe('the registry of upstreams', () => {
+  // A sender of ever new ids used up the processor and memory of all control processes.
+  it('takes few upstreams of unnamed services, also beside many of named ones', () => {
+    const registry = createUpstreamRegistry();
+    const isNamed = (service: string): boolean => service === 'till';
+    const announce = (service: string, index: number): boolean =>
+      registry.applyRecord(
+        record({ id: `${service}-${index}`, service, address: `${service}:${index}` }),
+        0,
+        isNamed,
+      );
+    for (let index = 0; index < MAXIMUM_UNNAMED_UPSTREAMS; index += 1)
+      assert.ok(announce('nowhere', index));
+    assert.equal(announce('nowhere', MAXIMUM_UNNAMED_UPSTREAMS), false);
+    for (let index = 0; registry.records.length < MAXIMUM_UPSTREAMS; index += 1)
+      announce('till', index);
+    assert.equal(announce('till', MAXIMUM_UPSTREAMS), false);
+    const again = record({ id: 'till-0', address: 'till:0', sequence: 2 });
+    assert.ok(registry.hasRoomFor(again, isNamed));
+    assert.ok(registry.applyRecord(again, 0, isNamed));
+  });
+
+  it('drops silent upstreams of unnamed services after a time', () => {
+    const registry = createUpstreamRegistry();
+    const isNamed = (service: string): boolean => service === 'till';
+    registry.applyRecord(record({ id: 'odd', service: 'nowhere', address: 'odd:1' }), 0, isNamed);
+    registry.applyRecord(record({}), 0, isNamed);
+    registry.sweep(1_000, 121_000, isNamed);
+    assert.deepEqual(
+      registry.records.map(({ record: { id, state } }) => `${id} ${state}`),
+      ['odd gone', 'i-1 ready'],
+    );
+    registry.sweep(1_000, 242_000, isNamed);
+    assert.deepEqual(
+      registry.records.map(({ record: { id } }) => id),
+      ['i-1'],
+    );
+  });
+
   it('keeps the newest record for any order of arrival', () => {
     const sequences = fc.uniqueArray(fc.integer({ min: 1, max: 50 }), { minLength: 1 });
     fc.assert(
--- a/packages/membership/src/upstreamRegistry.ts
+++ b/packages/membership/src/upstreamRegistry.ts
@@ -18,6 +18,12 @@
 /** Start time of an upstream that does not report one. */
 const UNKNOWN_START_TIME = 0;
 
+/** Most upstreams; a deployment has some thousand. */
+export const MAXIMUM_UPSTREAMS = 8_192;
+
+/** Most upstreams of services that the configuration does not name; anybody may send such records. */
+export const MAXIMUM_UNNAMED_UPSTREAMS = 512;
+
 /** A record in the registry. */
 export interface RegistryRecord {
   readonly record: UpstreamRecord;
@@ -49,6 +55,8 @@
     heardAt: Milliseconds,
     isNamed?: (service: string) => boolean,
   ): boolean;
+  /** False if a record is of a new upstream and there are too many; it would not be applied. */
+  hasRoomFor(record: UpstreamRecord, isNamed?: (service: string) => boolean): boolean;
   /** Sets the models that an engine holds, as reported by the agent on its VM. */
   setModels(id: string, models: readonly HeldModel[]): void;
   /** Records what an agent says of the loads of its engine, also before the engine is known. */
@@ -64,8 +72,15 @@
   applyDeparture(departure: UpstreamDeparture, heardAt: Milliseconds): boolean;
   get(id: string): RegistryRecord | undefined;
   departureOf(id: string): UpstreamDeparture | undefined;
-  /** Marks records without recent heartbeats as silent, and drops gone upstreams after a time. */
-  sweep(silenceTimeoutMilliseconds: Milliseconds, now: Milliseconds): void;
+  /**
+   * Marks records without recent heartbeats as silent, and drops upstreams that are gone, and silent
+   * ones of services that the configuration does not name, after a time.
+   */
+  sweep(
+    silenceTimeoutMilliseconds: Milliseconds,
+    now: Milliseconds,
+    isNamed?: (service: string) => boolean,
+  ): void;
   /** Records changed after a revision; with `includeHeartbeats` also those with only a heartbeat. */
   recordsSince(
     knownRevision: number,
@@ -145,6 +160,17 @@
     });
   };
 
+  const hasRoomFor = (
+    { id, service }: UpstreamRecord,
+    isNamed: (service: string) => boolean,
+  ): boolean => {
+    if (records.has(id) || records.size < MAXIMUM_UNNAMED_UPSTREAMS) return true;
+    if (isNamed(service)) return records.size < MAXIMUM_UPSTREAMS;
+    let unnamed = 0;
+    for (const { record } of records.values()) if (!isNamed(record.service)) unnamed += 1;
+    return unnamed < MAXIMUM_UNNAMED_UPSTREAMS;
+  };
+
   const endPreviousHolders = (
     next: UpstreamRecord,
     heardAt: Milliseconds,
@@ -180,7 +206,9 @@
     get departures() {
       return departures.held;
     },
+    hasRoomFor: (record, isNamed = () => true) => hasRoomFor(record, isNamed),
     applyRecord: (received, heardAt, isNamed = () => true) => {
+      if (!hasRoomFor(received, isNamed)) return false;
       if (received.loads !== undefined) recordVerdicts(received.id, received.loads, heardAt);
       const record = withVerdicts(departedRecord(received, departures.get(received.id)));
       const current = records.get(record.id);
@@ -225,7 +253,7 @@
       if (record !== current.record) store(record, heardAt, false, true);
       return true;
     },
-    sweep: (silenceTimeoutMilliseconds, now) => {
+    sweep: (silenceTimeoutMilliseconds, now, isNamed = () => true) => {
       departures.expire(now);
       for (const id of departureRevisions.keys())
         if (departures.get(id) === undefined) departureRevisions.delete(id);
@@ -240,7 +268,9 @@
           if (age > DEPARTURE_RETENTION_MILLISECONDS) records.delete(current.record.id);
           continue;
         }
-        if (!current.silent && age > silenceTimeoutMilliseconds)
+        if (age > DEPARTURE_RETENTION_MILLISECONDS && !isNamed(current.record.service))
+          store({ ...current.record, state: 'gone' }, now, true, true);
+        else if (!current.silent && age > silenceTimeoutMilliseconds)
           store(current.record, current.heardAt, true, true);
       }
     },
