Transport: frames that have not arrived completely share one bound

What callers saw: 50 connections to an internal port that begin a frame of 64 MiB and stop after 16 bring a control process to 911 MB of 346 and an agent to 939 of 218.

Cause: a frame was bounded by itself, the frames of all connections together were not, and anybody may connect: there is no authentication between processes.

--- a/packages/gateway/src/agentRole.ts
+++ b/packages/gateway/src/agentRole.ts
@@ -128,7 +128,13 @@
     start: async () => {
       const handlers = mergeHandlers([slots.handlers, weights.handlers]);
       disposables.use(
-        await createPeerServer(settings.internal, context.identity, handlers, context.traffic),
+        await createPeerServer(
+          settings.internal,
+          context.identity,
+          handlers,
+          context.traffic,
+          context.clients.peerBounds(context.time),
+        ),
       );
       engineMonitor.start();
       watcher.start();
--- a/packages/gateway/src/controlRole.ts
+++ b/packages/gateway/src/controlRole.ts
@@ -71,7 +71,13 @@
       const leaderClient = createLeaderClient(context, openedGroup);
       const handlers = mergeHandlers([openedGroup.handlers, directory.handlers]);
       disposables.use(
-        await createPeerServer(control.internal, context.identity, handlers, context.traffic),
+        await createPeerServer(
+          control.internal,
+          context.identity,
+          handlers,
+          context.traffic,
+          context.clients.peerBounds(context.time),
+        ),
       );
       server = disposables.use(await startControlServer(context, control, directory, leaderClient));
       directory.start();
--- a/packages/transport/__tests__/frameCodec.spec.ts
+++ b/packages/transport/__tests__/frameCodec.spec.ts
@@ -1,15 +1,24 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { createByteBudget } from '@burdockrail/common/byteBudget.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { ResultError } from '@burdockrail/common/outcome.js';
 import fastCheck from 'fast-check';
 import { digestOf } from '@burdockrail/common/digest.js';
 import { frameKeyMap } from '../src/frameKeys.js';
-import { createFrameReader, decodeBody, encodeFrame } from '../src/frameCodec.js';
+import {
+  createFrameReader,
+  decodeBody,
+  encodeFrame,
+  MAXIMUM_FRAME_BYTES,
+} from '../src/frameCodec.js';
 
 /** Memory that a malformed body of some bytes may take, in bytes. */
 const MOST_GROWN_BYTES = 32 * 1024 * 1024;
 
+/** Room for one frame of the test with the blocks that it is gathered in, in bytes. */
+const BUDGET_BYTES = 150_000;
+
 function isMalformed(error: unknown): boolean {
   return error instanceof ResultError && error.code === ResultCode.MessageMalformed;
 }
@@ -94,4 +103,15 @@
     const frame = encodeFrame('x'.repeat(100));
     assert.throws(() => createFrameReader(50).push(frame.subarray(0, 8)), isMalformed);
   });
+
+  it('rejects a frame that does not fit into the memory of all connections', () => {
+    const budget = createByteBudget(BUDGET_BYTES);
+    const frame = encodeFrame(Buffer.alloc(90_000));
+    const stalled = createFrameReader(MAXIMUM_FRAME_BYTES, budget);
+    stalled.push(frame.subarray(0, 80_000));
+    const reader = createFrameReader(MAXIMUM_FRAME_BYTES, budget);
+    assert.throws(() => reader.push(frame.subarray(0, 80_000)), isMalformed);
+    assert.equal(stalled.push(frame.subarray(80_000)).length, 1);
+    assert.ok(budget.tryReserve(BUDGET_BYTES), 'what was reserved is released');
+  });
 });
--- a/packages/transport/src/frameCodec.ts
+++ b/packages/transport/src/frameCodec.ts
@@ -1,4 +1,5 @@
 import { crc32 } from 'node:zlib';
+import type { ByteBudget } from '@burdockrail/common/byteBudget.js';
 import { createByteCollector } from '@burdockrail/common/byteCollector.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { ResultError } from '@burdockrail/common/outcome.js';
@@ -77,10 +78,17 @@
  *
  * @remarks
  * `push` throws a {@link ResultError} with `MessageMalformed` if a frame is too large, has an
- * invalid checksum or is not CBOR; the connection is then unusable.
+ * invalid checksum or is not CBOR, or if the budget has no room for it; the connection is then
+ * unusable.
  */
-export function createFrameReader(maximumFrameBytes: number = MAXIMUM_FRAME_BYTES): FrameReader {
-  const pending = createByteCollector({ maximumBytes: HEADER_BYTES + maximumFrameBytes });
+export function createFrameReader(
+  maximumFrameBytes: number = MAXIMUM_FRAME_BYTES,
+  budget?: ByteBudget,
+): FrameReader {
+  const pending = createByteCollector({
+    maximumBytes: HEADER_BYTES + maximumFrameBytes,
+    ...(budget === undefined ? {} : { budget }),
+  });
   /** Bytes of the pending frame, or of its length field as long as that is incomplete. */
   let requiredBytes = LENGTH_FIELD_BYTES;
 
@@ -109,7 +117,8 @@
         }
         const part = rest.subarray(0, requiredBytes - pending.size);
         rest = rest.subarray(part.length);
-        pending.add(part);
+        if (!pending.add(part))
+          throw new ResultError(ResultCode.MessageMalformed, 'no memory for the frame');
         if (pending.size < requiredBytes) break;
         const gathered = pending.take();
         if (requiredBytes === LENGTH_FIELD_BYTES) {
--- a/packages/transport/src/peerConnection.ts
+++ b/packages/transport/src/peerConnection.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import type { Socket } from 'node:net';
+import type { ByteBudget } from '@burdockrail/common/byteBudget.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import { ResultError, toResultError } from '@burdockrail/common/outcome.js';
 import type { PeerIdentity } from '@burdockrail/protocol/protocolAddress.js';
@@ -11,7 +12,7 @@
   PeerStreams,
   StreamKind,
 } from '@burdockrail/protocol/protocolKinds.js';
-import { createFrameReader, encodeFrame } from './frameCodec.js';
+import { createFrameReader, encodeFrame, MAXIMUM_FRAME_BYTES } from './frameCodec.js';
 import { createItemQueue, type ItemQueue } from './itemQueue.js';
 import { fromWireKind, toWireKind } from './messageKinds.js';
 import { FrameKind, isPeerFrame, type PeerFrame } from './peerFrame.js';
@@ -74,14 +75,20 @@
 /** Kind under which the traffic meter counts frames that belong to no message. */
 const CONNECTION_KIND = 'connection';
 
-/** Runs the frame protocol on a socket; the meter counts the bytes that this side sends. */
+/**
+ * Runs the frame protocol on a socket.
+ *
+ * @param meter - counts the bytes that this side sends.
+ * @param frameBudget - memory for frames that have not arrived completely.
+ */
 export function createPeerConnection(
   socket: Socket,
   identity: PeerIdentity,
   handlers: PeerHandlers,
   meter?: TrafficMeter,
+  frameBudget?: ByteBudget,
 ): PeerConnection {
-  const reader = createFrameReader();
+  const reader = createFrameReader(MAXIMUM_FRAME_BYTES, frameBudget);
   const pendingCalls = new Map<number, PendingCall>();
   const openStreams = new Map<number, ItemQueue>();
   const activeHandlers = new Map<number, AbortController>();
