Telemetry: a field of a log line has at most 1,024 characters

A request to no route stood in the log with its whole path and id, up to 16 KB each, and 2,000 lines may wait for a slow reader: some 60 MB of a heap of 96.

Cause: lines were bounded in number, not in length.

Evidence: telemetry/eventLog.spec fails without the change (32 KB in a line of two long fields). entryRequestsCrowd.spec, 'whose heads are long', passed before and after.

Why this works: the log cuts every text field, whoever sent it; 2,000 lines then take a few MB. Ids and paths of ordinary requests are far shorter.

--- a/packages/telemetry/src/eventLog.ts
+++ b/packages/telemetry/src/eventLog.ts
@@ -19,6 +19,21 @@
   readonly write?: (line: string) => void;
 }
 
+/** Longest text of a field, in characters; the rest is left out. */
+const MAXIMUM_FIELD_CHARACTERS = 1_024;
+
+/** Text of a field, which may have come from a client. */
+function boundedField(value: string | number | boolean | null): string | number | boolean | null {
+  const isTooLong = typeof value === 'string' && value.length > MAXIMUM_FIELD_CHARACTERS;
+  return isTooLong ? `${value.slice(0, MAXIMUM_FIELD_CHARACTERS)}…` : value;
+}
+
+function boundedFields(fields: EventFields): EventFields {
+  return Object.fromEntries(
+    Object.entries(fields).map(([name, value]) => [name, boundedField(value)]),
+  );
+}
+
 /** Log levels of consola by event level. */
 const consolaLevels: Readonly<Record<EventLevel, number>> = {
   error: 0,
@@ -85,7 +100,7 @@
   const render = renderers[options.format];
   return {
     write: (event, fields = {}) => {
-      consola[eventCatalogue[event].level](render(event, fields));
+      consola[eventCatalogue[event].level](render(event, boundedFields(fields)));
     },
   };
 }
