Gateway, daemon: an answer whose status HTTP doesn't define is a broken one

What callers saw: an upstream that answers with 600 or 999, signed and with the id of the request, got them through to the caller as its answer (MIXED; users' report on odd status lines). 000, 001, 099, 150 and 199 gave 502 already.

Cause: whatever status the HTTP client read went on, and it reads any three digits.

Why this works: common/httpStatus tells which statuses may end a request, 200 to 599. Where an attempt gets another one, its connection is closed and it counts as an answer that the upstream broke: it may have run, so that it is repeated only where that is allowed. Agents and origins are asked for exact statuses and were not affected (read only).

--- a/packages/daemon/__tests__/rawUpstream.spec.ts
+++ b/packages/daemon/__tests__/rawUpstream.spec.ts
@@ -126,6 +126,20 @@
   return last?.kind === 'failed' ? last.run : String(last?.kind);
 }
 
+// An answer whose status HTTP doesn't define reached the caller.
+describe('an answer with an odd status', { timeout: 30_000 }, () => {
+  for (const status of ['000', '099', '150', '199', '600', '999']) {
+    it(`leaves open whether the attempt has run (${status})`, async () => {
+      await using disposables = createDisposalStack();
+      const { run, service } = await createFixture(disposables, ({ socket, id }) => {
+        socket.end(message(`${status} Odd`, id));
+      });
+      assert.equal(runStateOf(await run({})), 'unknown');
+      assert.ok(service);
+    });
+  }
+});
+
 describe('a copy of an earlier refusal', { timeout: 30_000 }, () => {
   for (const status of ['421 Misdirected Request', '429 Too Many Requests', '503 Unavailable']) {
     for (const copiedId of ['first', null]) {
--- a/packages/daemon/src/attemptAnswer.ts
+++ b/packages/daemon/src/attemptAnswer.ts
@@ -1,5 +1,6 @@
 import { createByteCollector } from '@burdockrail/common/byteCollector.js';
 import { createEventSplitter } from '@burdockrail/common/eventSplitter.js';
+import { isFinalStatus } from '@burdockrail/common/httpStatus.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
 import type { AttemptItem, AttemptStart } from '@burdockrail/protocol/protocolAttempt.js';
 import type { Dispatcher } from 'undici';
@@ -57,6 +58,12 @@
   return isChunked && firstHeaderValue(response, 'connection')?.toLowerCase() !== 'close';
 }
 
+function checkStatus({ statusCode }: Response): void {
+  if (isFinalStatus(statusCode)) return;
+  const detail = `the upstream answered with status ${statusCode}, which is not one of HTTP`;
+  throw new AttemptError(ResultCode.UpstreamFailed, 'unknown', detail);
+}
+
 function checkAttemptId(start: AttemptStart, response: Response): void {
   const requestId = firstHeaderValue(response, REQUEST_ID_HEADER);
   if (requestId === start.attemptId) return;
@@ -308,6 +315,7 @@
   response.body.on('error', () => undefined);
   reportUpstreamState(options, incarnation, start.attemptId, response);
   try {
+    checkStatus(response);
     checkAttemptId(start, response);
     options.onLimit(namedLimit(response));
     checkDigest(start, response, options.allowsDigest);
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -1,5 +1,6 @@
 import { validateHeaderName, validateHeaderValue } from 'node:http';
 import type { Socket } from 'node:net';
+import { isFinalStatus } from '@burdockrail/common/httpStatus.js';
 import { buildConnector, Pool, type Dispatcher } from 'undici';
 import type { HeaderMap } from './dialect.js';
 
@@ -183,7 +184,9 @@
               else observer.sent();
             },
             onResponseStart: (started, status, headers) => {
-              if (status < 200) return;
+              if (status >= 100 && status < 200) return;
+              // Thrown here, it ends the connection and counts as a broken answer.
+              if (!isFinalStatus(status)) throw new Error(`status ${status} is not one of HTTP`);
               const raw = (started as unknown as { readonly rawHeaders?: unknown }).rawHeaders;
               observer.head(status, headers, readRawHeaders(raw));
             },
