Bundle: a failed assertion of a dependency doesn't parse the bundle

What callers saw: the first answer with status 000 in the life of an entry takes seconds, in which it answers nobody: 2,738 ms here, 4.5 s on the users' arm64 machine, where it also lost its control connection.

Cause: Node builds the message of a failed assert(value) by reading and parsing the source around it. In a minified bundle the line of the assertion is a megabyte long. 155 of them stand in the HTTP client alone, and foreign bytes reach some.

Why this works: the bundle takes scripts/plainAssert in place of Node's module, which throws an error with the same name and code and a fixed text. The client handles it as before: the request fails, its connection closes.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -7,6 +7,7 @@
 installIfMissing();
 build();
 const { build: bundle } = await import('esbuild');
+const plainAssert = join(workspaceRoot, 'scripts', 'plainAssert.cjs');
 mkdirSync(join(workspaceRoot, 'target'), { recursive: true });
 await bundle({
   entryPoints: [join(workspaceRoot, 'platform', 'dist', 'src', 'platformMain.js')],
@@ -18,6 +19,7 @@
   minify: true,
   keepNames: true,
   legalComments: 'none',
+  alias: { assert: plainAssert, 'node:assert': plainAssert },
   banner: {
     js: "import { createRequire as makeRequire } from 'node:module'; const require = makeRequire(import.meta.url);",
   },
