Entry: names of prompt parts that callers choose long are kept as digests

Cause: the quarantine keeps ten thousand names that consist of a model and a part, and the model's name may fill a head: up to 160 MB of a heap of 96, if all of them are kept.

Evidence: gateway/entryDigest.spec fails without the change (there was no bound).

Names of the users' platform are far shorter and stay as they are, also in findings that entries tell each other; equal names have equal digests in all processes.

--- a/packages/gateway/src/entryHandler.ts
+++ b/packages/gateway/src/entryHandler.ts
@@ -10,7 +10,7 @@
 import type { ChangeSignal } from './changeSignal.js';
 import type { CallerHeaders } from './dialect.js';
 import { admitRequest, isRefusal, type AdmittedRequest, type Refusal } from './entryAdmission.js';
-import { digestRequest } from './entryDigest.js';
+import { digestRequest, promptTrait } from './entryDigest.js';
 import { runBuffered } from './entryBuffered.js';
 import type { EntryContext } from './entryContext.js';
 import type { EntryExchanges, OpenExchange } from './entryExchanges.js';
@@ -212,7 +212,7 @@
       metadata.team = team?.name ?? '';
       const traits: RequestTraits = {
         content: digestRequest(caller.key, request, body),
-        parts: caller.sharedParts.map((part) => `${caller.model} ${part}`),
+        parts: caller.sharedParts.map((part) => promptTrait(caller.model, part)),
       };
       const quarantineRefusal = refusalOfQuarantined(quarantine, traits, time.now());
       if (quarantineRefusal !== null) {
