Ingress: the servers for clients that are not trusted become a package of their own

Cause: client*.ts and callerConnections.ts stood in the gateway.

Change: they move to packages/ingress, unchanged but for what divides a machine: the fractions of memory and descriptors stay in the gateway (machineShares), and a server is told how many connections it may have.

--- a/packages/gateway/__tests__/controlServer.spec.ts
+++ b/packages/gateway/__tests__/controlServer.spec.ts
@@ -5,10 +5,10 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import type { ControlDirectory } from '../src/controlDirectory.js';
-import { createClientGuard } from '../src/clientGuard.js';
 import { startControlServer } from '../src/controlServer.js';
 import type { GatewayContext } from '../src/gatewayContext.js';
 import type { ControlSettings } from '../src/gatewaySettings.js';
+import { createMachineShares } from '../src/machineShares.js';
 
 const HOST = '127.0.0.1';
 
@@ -41,7 +41,10 @@
       log: { write: () => undefined },
       metrics: { count: () => undefined },
       time: { now: () => performance.now() },
-      clients: createClientGuard({ memoryMegabytes: 346, descriptors: 4_096 }),
+      shares: createMachineShares(
+        { memoryMegabytes: 346, descriptors: 4_096 },
+        { now: () => performance.now() },
+      ),
     } as unknown as GatewayContext;
     const directory = {
       upstreams: { records: [] },
@@ -71,7 +74,10 @@
       log: { write: () => undefined },
       metrics: { count: () => undefined },
       time: { now: () => performance.now() },
-      clients: createClientGuard({ memoryMegabytes: 346, descriptors: 4_096 }),
+      shares: createMachineShares(
+        { memoryMegabytes: 346, descriptors: 4_096 },
+        { now: () => performance.now() },
+      ),
     } as unknown as GatewayContext;
     const settings = { listen: { host: HOST, port } } as unknown as ControlSettings;
     disposables.use(await startControlServer(context, settings, {} as never, {} as never));
@@ -93,7 +99,10 @@
       log: { write: () => undefined },
       metrics: { count: () => undefined },
       time: { now: () => performance.now() },
-      clients: createClientGuard({ memoryMegabytes: 346, descriptors: 4_096 }),
+      shares: createMachineShares(
+        { memoryMegabytes: 346, descriptors: 4_096 },
+        { now: () => performance.now() },
+      ),
     } as unknown as GatewayContext;
     const settings = { listen: { host: HOST, port } } as unknown as ControlSettings;
     disposables.use(await startControlServer(context, settings, {} as never, {} as never));
--- a/packages/gateway/__tests__/entryContextFixture.ts
+++ b/packages/gateway/__tests__/entryContextFixture.ts
@@ -3,11 +3,11 @@
 import type { RouteConfiguration } from '@burdockrail/routing/routeConfiguration.js';
 import { createRouteTable } from '@burdockrail/routing/routeTable.js';
 import type { UpstreamCandidate } from '@burdockrail/routing/upstreamChoice.js';
-import { createClientGuard } from '../src/clientGuard.js';
 import type { EntryContext } from '../src/entryContext.js';
 import type { EntrySlots, GrantedSlot } from '../src/entrySlots.js';
 import { createUpstreamRests } from '../src/upstreamRests.js';
 import type { StreamObserver } from '../src/streamAttempt.js';
+import { createMachineShares } from '../src/machineShares.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -91,7 +91,10 @@
   const log = { write: ignore };
   return {
     connections,
-    clients: createClientGuard({ memoryMegabytes: 272, descriptors: 2_069 }),
+    shares: createMachineShares(
+      { memoryMegabytes: 272, descriptors: 2_069 },
+      { now: () => performance.now() },
+    ),
     answerMemory: createByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES),
     time: { now: () => performance.now() },
     random: { next: () => 0 },
--- a/packages/gateway/__tests__/oddLeave.spec.ts
+++ b/packages/gateway/__tests__/oddLeave.spec.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { ControlDirectory } from '../src/controlDirectory.js';
-import { createClientGuard } from '../src/clientGuard.js';
 import { startControlServer } from '../src/controlServer.js';
 import type { LeaveMessage } from '../src/dialect.js';
 import type { GatewayContext } from '../src/gatewayContext.js';
 import type { ControlSettings } from '../src/gatewaySettings.js';
 import type { LeaderClient } from '../src/leaderClient.js';
+import { createMachineShares } from '../src/machineShares.js';
 import { findFreePort } from './freePort.js';
 
 const HOST = '127.0.0.1';
@@ -25,7 +25,10 @@
     },
     log: { write: () => undefined },
     time: { now: () => performance.now() },
-    clients: createClientGuard({ memoryMegabytes: 346, descriptors: 4_096 }),
+    shares: createMachineShares(
+      { memoryMegabytes: 346, descriptors: 4_096 },
+      { now: () => performance.now() },
+    ),
     metrics: { count: () => undefined },
   };
   const directory = {
--- a/packages/gateway/__tests__/stoppingControl.spec.ts
+++ b/packages/gateway/__tests__/stoppingControl.spec.ts
@@ -6,10 +6,10 @@
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { success } from '@burdockrail/common/outcome.js';
 import type { ControlDirectory } from '../src/controlDirectory.js';
-import { createClientGuard } from '../src/clientGuard.js';
 import { startControlServer } from '../src/controlServer.js';
 import type { GatewayContext } from '../src/gatewayContext.js';
 import type { LeaderClient } from '../src/leaderClient.js';
+import { createMachineShares } from '../src/machineShares.js';
 
 const HOST = '127.0.0.1';
 
@@ -38,7 +38,10 @@
     log: { write: ignore },
     metrics: { count: ignore },
     time: { now: () => performance.now() },
-    clients: createClientGuard({ memoryMegabytes: 346, descriptors: 4_096 }),
+    shares: createMachineShares(
+      { memoryMegabytes: 346, descriptors: 4_096 },
+      { now: () => performance.now() },
+    ),
   } as unknown as GatewayContext;
   let orders = 0;
   const leaderClient = {
--- a/packages/gateway/src/agentRole.ts
+++ b/packages/gateway/src/agentRole.ts
@@ -133,7 +133,7 @@
           context.identity,
           handlers,
           context.traffic,
-          context.clients.peerBounds(context.time),
+          context.shares.peerBounds,
         ),
       );
       engineMonitor.start();
--- a/packages/gateway/src/controlRole.ts
+++ b/packages/gateway/src/controlRole.ts
@@ -76,7 +76,7 @@
           context.identity,
           handlers,
           context.traffic,
-          context.clients.peerBounds(context.time),
+          context.shares.peerBounds,
         ),
       );
       server = disposables.use(await startControlServer(context, control, directory, leaderClient));
--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -2,14 +2,14 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
 import { createSharedOperation } from '@burdockrail/common/sharedOperation.js';
+import { readClientBody, type BodyFailure } from '@burdockrail/ingress/clientBody.js';
+import { createClientServer, type ClientExchange } from '@burdockrail/ingress/clientServer.js';
 import {
   departureIssue,
   upstreamRecordIssue,
 } from '@burdockrail/membership/upstreamRecordCheck.js';
 import { configurationIssue } from '@burdockrail/routing/routeConfiguration.js';
 import { createChangeSignal } from './changeSignal.js';
-import { readClientBody, type BodyFailure } from './clientBody.js';
-import { createClientServer, type ClientExchange } from './clientServer.js';
 import type { ControlDirectory } from './controlDirectory.js';
 import type { LeaderClient } from './leaderClient.js';
 import type { ControlCall } from './dialect.js';
@@ -228,8 +228,8 @@
   };
 
   const { server, connections, listen } = createClientServer({
-    name: 'callers',
-    guard: context.clients,
+    maximumConnections: context.shares.maximumConnections('callers'),
+    guard: context.shares.guard,
     time,
     metrics,
     handle: (client) => {
--- a/packages/gateway/src/entryHandler.ts
+++ b/packages/gateway/src/entryHandler.ts
@@ -1,12 +1,12 @@
 import { ResultCode, resultName } from '@burdockrail/common/resultCode.js';
 import { timerDelay } from '@burdockrail/common/timerDelay.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import { readClientBody, type BodyFailure } from '@burdockrail/ingress/clientBody.js';
+import type { ClientExchange } from '@burdockrail/ingress/clientServer.js';
 import { createRequestDurations } from '@burdockrail/limits/requestDurations.js';
 import type { RequestTraits } from '@burdockrail/limits/quarantineState.js';
 import { expectedDurationMilliseconds } from '@burdockrail/limits/slotRequest.js';
 import { createCallerAnswer } from './callerAnswer.js';
-import { readClientBody, type BodyFailure } from './clientBody.js';
-import type { ClientExchange } from './clientServer.js';
 import type { ChangeSignal } from './changeSignal.js';
 import type { CallerHeaders } from './dialect.js';
 import { admitRequest, isRefusal, type AdmittedRequest, type Refusal } from './entryAdmission.js';
--- a/packages/gateway/src/entryRole.ts
+++ b/packages/gateway/src/entryRole.ts
@@ -1,10 +1,10 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { createByteBudget } from '@burdockrail/common/byteBudget.js';
+import { createClientServer } from '@burdockrail/ingress/clientServer.js';
 import { createCallerElapsedEstimator } from '@burdockrail/limits/callerElapsedEstimator.js';
 import { createSharedRetryBudget } from '@burdockrail/limits/sharedRetryBudget.js';
 import { createDirectoryWatcher } from './directoryWatcher.js';
-import { createClientServer } from './clientServer.js';
 import { createClusterView } from './clusterView.js';
 import type { EntryContext } from './entryContext.js';
 import { createEntryQuarantine } from './entryQuarantine.js';
@@ -110,8 +110,8 @@
 
   const startStatusServer = async (): Promise<void> => {
     const { server: statusServer, listen } = createClientServer({
-      name: 'status',
-      guard: context.clients,
+      maximumConnections: context.shares.maximumConnections('status'),
+      guard: context.shares.guard,
       time,
       metrics,
       handle: ({ request, response, endsInput }) => {
--- a/packages/gateway/src/entryServer.ts
+++ b/packages/gateway/src/entryServer.ts
@@ -2,8 +2,8 @@
 import type { Server } from 'node:http';
 import { timerDelay } from '@burdockrail/common/timerDelay.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import { createClientServer } from '@burdockrail/ingress/clientServer.js';
 import { createChangeSignal } from './changeSignal.js';
-import { createClientServer } from './clientServer.js';
 import type { EntryContext } from './entryContext.js';
 import { createEntryExchanges } from './entryExchanges.js';
 import { createEntryHandler } from './entryHandler.js';
@@ -58,8 +58,8 @@
   let inProgress = 0;
 
   const { server, connections, listen } = createClientServer({
-    name: 'callers',
-    guard: entry.clients,
+    maximumConnections: entry.shares.maximumConnections('callers'),
+    guard: entry.shares.guard,
     time: entry.time,
     metrics,
     handle: (exchange) => {
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -7,8 +7,8 @@
 import type { TrafficMeter } from '@burdockrail/transport/trafficMeter.js';
 import type { ActorSystemRef } from 'nact';
 import type { Dialect } from './dialect.js';
-import type { ClientGuard } from './clientGuard.js';
 import type { GatewaySettings } from './gatewaySettings.js';
+import type { MachineShares } from './machineShares.js';
 
 /** Dependencies shared by all roles of a gateway process. */
 export interface GatewayContext {
@@ -23,8 +23,8 @@
   readonly metrics: MetricRegistry;
   readonly actors: ActorSystemRef;
   readonly dialect: Dialect;
-  /** Bounds what the clients of all servers make the process hold. */
-  readonly clients: ClientGuard;
+  /** What the servers of the process may take of its machine. */
+  readonly shares: MachineShares;
   /** Rereads the seeds from the settings file; `null` when it cannot be read. */
   readonly readSeeds: () => readonly Address[] | null;
 }
--- a/packages/gateway/src/gatewayMain.ts
+++ b/packages/gateway/src/gatewayMain.ts
@@ -3,6 +3,7 @@
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
 import { createSeededRandom } from '@burdockrail/common/seededRandom.js';
 import { receiveStopSignal } from '@burdockrail/common/stopSignal.js';
+import { createClientServer } from '@burdockrail/ingress/clientServer.js';
 import type { PeerIdentity, Role } from '@burdockrail/protocol/protocolAddress.js';
 import { createBoundedLineWriter } from '@burdockrail/telemetry/boundedLineWriter.js';
 import { createEventLog } from '@burdockrail/telemetry/eventLog.js';
@@ -11,13 +12,12 @@
 import { createPeerClient } from '@burdockrail/transport/peerClient.js';
 import { start as startActors, stop as stopActors } from 'nact';
 import { createAgentRole } from './agentRole.js';
-import { createClientGuard } from './clientGuard.js';
-import { createClientServer } from './clientServer.js';
 import { createControlRole } from './controlRole.js';
 import type { Dialect } from './dialect.js';
 import { createEntryRole } from './entryRole.js';
 import type { GatewayContext, GatewayRole } from './gatewayContext.js';
 import type { GatewaySettings } from './gatewaySettings.js';
+import { createMachineShares } from './machineShares.js';
 import { createSuspendClock } from './suspendClock.js';
 
 /** Random bytes in the incarnation id of a process. */
@@ -60,13 +60,13 @@
 
 async function startMetricsServer({
   settings,
-  clients,
+  shares,
   time,
   metrics,
 }: GatewayContext): Promise<AsyncDisposable> {
   const { server, listen } = createClientServer({
-    name: 'metrics',
-    guard: clients,
+    maximumConnections: shares.maximumConnections('metrics'),
+    guard: shares.guard,
     time,
     metrics,
     handle: ({ request, response, hasMemory, endsInput, answerHeld }) => {
@@ -123,24 +123,25 @@
     dataCentre: settings.dataCentre,
     roles: configuredRoles(settings),
   };
+  const time = createSuspendClock();
   const context: GatewayContext = {
     settings,
     identity,
     client: createPeerClient({ identity, localHost: settings.localAddress, meter: traffic }),
     traffic,
-    time: createSuspendClock(),
+    time,
     random: createSeededRandom(randomBytes(RANDOM_SEED_BYTES).readInt32BE(0)),
     log,
     metrics,
     actors: startActors(),
     dialect,
-    clients: createClientGuard(settings.machine),
+    shares: createMachineShares(settings.machine, time),
     readSeeds: () => options.reloadSettings()?.seeds ?? null,
   };
   metrics.gauge(
     'burdockrail_client_memory_bytes',
     'Memory reserved for what clients have sent and not yet read.',
-    () => context.clients.memory.heldBytes,
+    () => context.shares.guard.memory.heldBytes,
   );
   const stopSignal = receiveStopSignal(process, () => {
     const reloaded = options.reloadSettings();
--- a/packages/gateway/__tests__/clientServer.spec.ts
+++ b/packages/ingress/__tests__/clientServer.spec.ts
@@ -1,24 +1,26 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { connect, type Socket } from 'node:net';
+import { connect, type AddressInfo, type Socket } from 'node:net';
 import { describe, it } from 'node:test';
 import { setTimeout as pause } from 'node:timers/promises';
 import { createDisposalStack, type DisposalStack } from '@burdockrail/common/disposalStack.js';
 import { readClientBody } from '../src/clientBody.js';
 import { createClientGuard } from '../src/clientGuard.js';
 import { createClientServer, type ClientExchange, type ClientServer } from '../src/clientServer.js';
-import type { MachineLimits } from '../src/gatewaySettings.js';
-import { findFreePort } from './freePort.js';
 
 const HOST = '127.0.0.1';
 const KIBIBYTE = 1_024;
 const MEBIBYTE = 1_024 * 1_024;
 const WAIT_MILLISECONDS = 10_000;
 
-const roomyMachine: MachineLimits = { memoryMegabytes: 272, descriptors: 2_069 };
+/** What clients may take in a test. */
+interface Bounds {
+  readonly memoryBytes: number;
+  readonly maximumConnections: number;
+}
 
-/** Shares of 1.5 MB of memory and of six connections for callers. */
-const smallMachine: MachineLimits = { memoryMegabytes: 10, descriptors: 210 };
+const roomy: Bounds = { memoryBytes: 40 * MEBIBYTE, maximumConnections: 1_000 };
+const narrow: Bounds = { memoryBytes: 1_500_000, maximumConnections: 6 };
 
 function answer({ response, endsInput, answerHeld }: ClientExchange, status: number, body: string) {
   response.writeHead(status, {
@@ -42,18 +44,18 @@
 
 async function startServer(
   disposables: DisposalStack,
-  machine: MachineLimits,
+  { memoryBytes, maximumConnections }: Bounds,
   handle: (client: ClientExchange) => Promise<void> | void,
 ): Promise<ClientServer & { readonly port: number }> {
-  const port = await findFreePort(HOST);
   const started = createClientServer({
-    name: 'callers',
-    guard: createClientGuard(machine),
+    maximumConnections,
+    guard: createClientGuard(memoryBytes),
     time: { now: () => performance.now() },
     metrics: { count: () => undefined },
     handle: (client) => void handle(client),
   });
-  await started.listen({ host: HOST, port });
+  await started.listen({ host: HOST, port: 0 });
+  const { port } = started.server.address() as AddressInfo;
   disposables.defer(() => {
     started.server.close();
     started.server.closeAllConnections();
@@ -101,7 +103,7 @@
     await using disposables = createDisposalStack();
     let inProgress = 0;
     let mostInProgress = 0;
-    const { port } = await startServer(disposables, roomyMachine, async (client) => {
+    const { port } = await startServer(disposables, roomy, async (client) => {
       inProgress += 1;
       mostInProgress = Math.max(mostInProgress, inProgress);
       await pause(1);
@@ -125,7 +127,7 @@
   for (const line of [`content-length: ${64 * MEBIBYTE}`, 'transfer-encoding: chunked']) {
     it(`refuses a body far over the limit so that its sender sees it (${line})`, async () => {
       await using disposables = createDisposalStack();
-      const { port } = await startServer(disposables, roomyMachine, measureBody(MEBIBYTE));
+      const { port } = await startServer(disposables, roomy, measureBody(MEBIBYTE));
       const { socket, received, isClosed } = await openClient(disposables, port);
       socket.write(post(line));
       const part = 'x'.repeat(64 * KIBIBYTE);
@@ -141,7 +143,7 @@
 
   it('keeps a connection whose refused body is hardly longer than the limit', async () => {
     await using disposables = createDisposalStack();
-    const { port } = await startServer(disposables, roomyMachine, measureBody(KIBIBYTE));
+    const { port } = await startServer(disposables, roomy, measureBody(KIBIBYTE));
     const { socket, received } = await openClient(disposables, port);
     socket.write(post(`content-length: ${2 * KIBIBYTE}`) + 'x'.repeat(2 * KIBIBYTE));
     socket.write(post('content-length: 2') + 'ab');
@@ -152,7 +154,7 @@
   it('reads a body in chunks of one byte', async () => {
     const bytes = 300_000;
     await using disposables = createDisposalStack();
-    const { port } = await startServer(disposables, roomyMachine, measureBody(MEBIBYTE));
+    const { port } = await startServer(disposables, roomy, measureBody(MEBIBYTE));
     const { socket, received } = await openClient(disposables, port);
     socket.write(`${post('transfer-encoding: chunked')}${'1\r\nx\r\n'.repeat(bytes)}0\r\n\r\n`);
     await waitUntil(() => received() !== '');
@@ -161,7 +163,7 @@
 
   it('refuses further bodies in small chunks while it reads many', async () => {
     await using disposables = createDisposalStack();
-    const { port } = await startServer(disposables, roomyMachine, measureBody(MEBIBYTE));
+    const { port } = await startServer(disposables, roomy, measureBody(MEBIBYTE));
     const clients = await Promise.all(
       Array.from({ length: 12 }, async () => openClient(disposables, port)),
     );
@@ -177,7 +179,7 @@
 
   it('refuses the largest body when others need its memory', async () => {
     await using disposables = createDisposalStack();
-    const { port } = await startServer(disposables, smallMachine, measureBody(2 * MEBIBYTE));
+    const { port } = await startServer(disposables, narrow, measureBody(2 * MEBIBYTE));
     const large = await openClient(disposables, port);
     large.socket.write(post('content-length: 1400000') + 'x'.repeat(1_200_000));
     await pause(100);
@@ -191,7 +193,7 @@
 
   it('closes the connection without a request that is oldest when there are too many', async () => {
     await using disposables = createDisposalStack();
-    const { port } = await startServer(disposables, smallMachine, (client) => {
+    const { port } = await startServer(disposables, narrow, (client) => {
       answer(client, 200, 'ok');
     });
     const served = await openClient(disposables, port);
@@ -207,7 +209,7 @@
 
   it('waits for an answer for longer than for a client that does not read it', async () => {
     await using disposables = createDisposalStack();
-    const { port, server } = await startServer(disposables, roomyMachine, async (client) => {
+    const { port, server } = await startServer(disposables, roomy, async (client) => {
       await pause(400);
       answer(client, 200, 'x'.repeat(16 * MEBIBYTE));
     });
@@ -240,7 +242,7 @@
 
   it('gives up answers that clients do not read when others need their memory', async () => {
     await using disposables = createDisposalStack();
-    const { port } = await startServer(disposables, smallMachine, (client) => {
+    const { port } = await startServer(disposables, narrow, (client) => {
       answer(client, 200, client.request.url === '/large' ? 'x'.repeat(32 * MEBIBYTE) : 'ok');
     });
     const unread = connect({ host: HOST, port });
--- a/packages/gateway/src/clientServer.ts
+++ b/packages/ingress/src/clientServer.ts
@@ -11,7 +11,7 @@
   type ConnectionTurn,
 } from './callerConnections.js';
 import { isBodyPending } from './clientBody.js';
-import type { ClientGuard, ClientServerName } from './clientGuard.js';
+import type { ClientGuard } from './clientGuard.js';
 import { createClientInput, type ClientInput } from './clientInput.js';
 
 /** Memory of a request besides its head and body, in bytes: its objects, timers and log line. */
@@ -52,7 +52,7 @@
 
 /** Options of {@link createClientServer}. */
 export interface ClientServerOptions {
-  readonly name: ClientServerName;
+  readonly maximumConnections: number;
   readonly guard: ClientGuard;
   readonly time: TimeSource;
   readonly metrics: Pick<MetricRegistry, 'count'>;
@@ -83,10 +83,9 @@
  * All servers of a process share one guard, since each bound alone does not bound the process.
  */
 export function createClientServer(options: ClientServerOptions): ClientServer {
-  const { guard, time, metrics, handle } = options;
+  const { guard, time, metrics, maximumConnections, handle } = options;
   const connections = createCallerConnections();
   const inputs = new WeakMap<Socket, ClientInput>();
-  const maximumConnections = guard.maximumConnections(options.name);
   const server = createServer(
     {
       maxHeaderSize: MAXIMUM_HEAD_BYTES,
