Daemon: the entry of burdockraild is served by ingress

A caller that stops short in a large body kept its memory without a limit in time, connections had no limit, and bodies were bounded one by one.

Cause: the entry read bodies and accepted connections by itself, with Node's defaults.

Change: createEntryServer takes a clientServer. Two settings: entry.clientMemoryBytes (64 MiB) and entry.maximumConnections (2,048).

Result: no crowd was played against a process of burdockraild.

--- a/packages/daemon/__tests__/entryFixture.ts
+++ b/packages/daemon/__tests__/entryFixture.ts
@@ -130,6 +130,7 @@
 export async function startEntry(
   announcements: readonly Announcement[],
   groups: GroupClient = createFakeGroups(),
+  entrySettings: object = {},
 ): Promise<TestEntry> {
   let listenAddress = '';
   const settings = settingsSchema.parse({
@@ -138,7 +139,7 @@
     region: 'north',
     listen: loopback,
     peers: [],
-    entry: { http: loopback, defaultTimeoutMilliseconds: 3_000 },
+    entry: { http: loopback, defaultTimeoutMilliseconds: 3_000, ...entrySettings },
   });
   const identity: PeerIdentity = {
     name: 'entry',
--- a/packages/daemon/src/entryExchange.ts
+++ b/packages/daemon/src/entryExchange.ts
@@ -1,4 +1,5 @@
 import { ResultCode } from '@burdockrail/common/resultCode.js';
+import type { ClientExchange } from '@burdockrail/ingress/clientServer.js';
 import { toResultError } from '@burdockrail/common/outcome.js';
 import { acceptRequest } from './requestAccept.js';
 import { answerRefusal } from './requestAnswer.js';
@@ -43,6 +44,7 @@
 
 /** An exchange whose answer is not complete. */
 interface OpenExchange {
+  readonly client: ClientExchange;
   readonly message: IncomingMessage;
   readonly caller: RequestCaller;
   /** True once an upstream may have got the request. */
@@ -53,9 +55,9 @@
   options: ExchangeHandlerOptions,
   exchange: OpenExchange,
 ): Promise<void> {
-  const { message, caller } = exchange;
+  const { client, message, caller } = exchange;
   const arrivedAt = options.context.time.now();
-  const accepted = await acceptRequest(message, caller, options.settings, arrivedAt);
+  const accepted = await acceptRequest(client, caller, options.settings, arrivedAt);
   // A refusal that is sent before the body has been read can be lost by a reset.
   if (options.isDraining()) {
     answerRefusal(caller, refuseBeforeReading(message, ResultCode.Draining));
@@ -98,11 +100,12 @@
 /** Creates the handler of all HTTP exchanges of an entry. */
 export function createExchangeHandler(options: ExchangeHandlerOptions): ExchangeHandler {
   const exchanges = new Set<OpenExchange>();
-  const { log, time } = options.context;
+  const { log } = options.context;
   return {
-    handle: async (message, response) => {
-      const caller = createRequestCaller(message, response, time);
-      const exchange: OpenExchange = { message, caller, mayHaveRun: false };
+    handle: async (client) => {
+      const { request: message } = client;
+      const caller = createRequestCaller(client);
+      const exchange: OpenExchange = { client, message, caller, mayHaveRun: false };
       exchanges.add(exchange);
       try {
         const path = (message.url ?? '').split('?')[0] ?? '';
--- a/packages/daemon/src/entryRole.ts
+++ b/packages/daemon/src/entryRole.ts
@@ -98,7 +98,12 @@
     groups: [],
     start: async () => {
       membership.start();
-      server = disposables.use(await createEntryServer(settings.http, exchanges));
+      server = disposables.use(
+        await createEntryServer(
+          { settings, time: context.time, metrics: services.metrics },
+          exchanges,
+        ),
+      );
       const { host, port } = server.address;
       context.log.write('entryListening', { address: `${host}:${port}` });
     },
--- a/packages/daemon/src/entryServer.ts
+++ b/packages/daemon/src/entryServer.ts
@@ -1,13 +1,17 @@
 import { once } from 'node:events';
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { setTimeout } from 'node:timers/promises';
+import type { TimeSource } from '@burdockrail/common/timeSource.js';
+import { createClientGuard } from '@burdockrail/ingress/clientGuard.js';
+import { createClientServer, type ClientExchange } from '@burdockrail/ingress/clientServer.js';
 import type { Address } from '@burdockrail/protocol/protocolAddress.js';
+import type { EntrySettings } from '@burdockrail/settings/settingsSchema.js';
+import type { EntryMetrics } from './metricsEntry.js';
 
 /** Handles HTTP exchanges. */
 export interface ExchangeHandler {
   /** Handles one exchange; never rejects. */
-  handle(message: IncomingMessage, response: ServerResponse): Promise<void>;
+  handle(client: ClientExchange): Promise<void>;
   /** Answers each exchange in progress, because the process ends. */
   endAll(): void;
 }
@@ -34,26 +38,42 @@
 /** Longest time in which the answers at the end of the process are written, in milliseconds. */
 const LAST_ANSWERS_MILLISECONDS = 150;
 
+/** Options of {@link createEntryServer}. */
+export interface EntryServerOptions {
+  readonly settings: Pick<EntrySettings, 'clientMemoryBytes' | 'http' | 'maximumConnections'>;
+  readonly time: TimeSource;
+  readonly metrics: Pick<EntryMetrics, 'countClientEvent'>;
+}
+
 /** Starts listening and passes each exchange to the handler. */
 export async function createEntryServer(
-  listen: Address,
+  { settings, time, metrics }: EntryServerOptions,
   handler: ExchangeHandler,
 ): Promise<EntryServer> {
   const exchanges = new Set<Promise<void>>();
   let isDraining = false;
-  const server = createServer((message, response) => {
-    if (isDraining) response.setHeader('connection', 'close');
-    const closed = once(response, 'close').then(() => undefined);
-    const exchange = Promise.all([handler.handle(message, response), closed]).then(() => {
-      exchanges.delete(exchange);
-    });
-    exchanges.add(exchange);
+  const { server, listen } = createClientServer({
+    maximumConnections: settings.maximumConnections,
+    guard: createClientGuard(settings.clientMemoryBytes),
+    time,
+    metrics: {
+      count: (name, labels) => {
+        metrics.countClientEvent(name, labels);
+      },
+    },
+    handle: (client) => {
+      const { response } = client;
+      if (isDraining) response.setHeader('connection', 'close');
+      const closed = once(response, 'close').then(() => undefined);
+      const exchange = Promise.all([handler.handle(client), closed]).then(() => {
+        exchanges.delete(exchange);
+      });
+      exchanges.add(exchange);
+    },
   });
   server.keepAliveTimeout = KEEP_ALIVE_MILLISECONDS;
-  // Model answers may take longer than the library's timeout; request deadlines bound them instead.
-  server.requestTimeout = 0;
-  server.listen(listen.port, listen.host);
-  await once(server, 'listening');
+  server.timeout = KEEP_ALIVE_MILLISECONDS;
+  await listen(settings.http);
   const listenAddress = server.address() as AddressInfo;
   return {
     address: { host: listenAddress.address, port: listenAddress.port },
--- a/packages/daemon/src/metricsEntry.ts
+++ b/packages/daemon/src/metricsEntry.ts
@@ -22,6 +22,8 @@
   recordRequest(finished: FinishedRequest): void;
   /** Records the time between two parts of a streamed answer. */
   recordPartGap(team: string, service: string, gap: Milliseconds): void;
+  /** Counts an event at the server for callers. */
+  countClientEvent(name: string, labels?: Readonly<Record<string, string>>): void;
   /** All metrics in the text exposition format. */
   formatMetrics(): string;
 }
@@ -56,12 +58,16 @@
 export function createEntryMetrics(): EntryMetrics {
   const requests = createCounterSet();
   const attempts = createCounterSet();
+  const clientEvents = new Map<string, ReturnType<typeof createCounterSet>>();
   const latency = createRequestHistograms('burdockrail_request_seconds');
   const firstByte = createRequestHistograms('burdockrail_first_byte_seconds');
   const partGaps = createRequestHistograms('burdockrail_between_parts_seconds');
   const metricFamilies = (): readonly MetricFamily[] => [
     counterFamily('burdockrail_requests_total', 'Requests by result.', requests.all()),
     counterFamily('burdockrail_attempts_total', 'Attempts at upstreams.', attempts.all()),
+    ...[...clientEvents].map(([name, counters]) =>
+      counterFamily(name, 'Events at the server for callers.', counters.all()),
+    ),
     ...[latency, firstByte, partGaps].map((histograms: RequestHistograms) => histograms.family()),
   ];
   return {
@@ -78,6 +84,11 @@
     recordPartGap: (team, service, gap) => {
       partGaps.record({ team, class: service }, gap);
     },
+    countClientEvent: (name, labels = {}) => {
+      const counters = clientEvents.get(name) ?? createCounterSet();
+      clientEvents.set(name, counters);
+      counters.add(labels);
+    },
     formatMetrics: () => metricsText(metricFamilies()),
   };
 }
--- a/packages/daemon/src/requestAccept.ts
+++ b/packages/daemon/src/requestAccept.ts
@@ -1,7 +1,8 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
-import { readBoundedBody } from '@burdockrail/common/boundedBody.js';
 import { ResultCode } from '@burdockrail/common/resultCode.js';
+import { readClientBody, type BodyFailure } from '@burdockrail/ingress/clientBody.js';
+import type { ClientExchange } from '@burdockrail/ingress/clientServer.js';
 import { failure, success, type Outcome } from '@burdockrail/common/outcome.js';
 import type { Milliseconds } from '@burdockrail/common/timeSource.js';
 import { promptTextOf } from '@burdockrail/protocol/protocolPrefix.js';
@@ -77,18 +78,27 @@
   return Math.min(requested, MAXIMUM_TIMEOUT_MILLISECONDS);
 }
 
+const bodyFailureCodes: Readonly<Record<BodyFailure, ResultCode>> = {
+  tooLarge: ResultCode.BodyTooLarge,
+  noMemory: ResultCode.Overloaded,
+  aborted: ResultCode.ConnectionLost,
+};
+
 /** Reads a complete request and determines its service. */
 export async function acceptRequest(
-  message: IncomingMessage,
+  client: ClientExchange,
   caller: RequestCaller,
   settings: EntrySettings,
   arrivedAt: Milliseconds,
 ): Promise<Outcome<AcceptedRequest>> {
+  const { request: message } = client;
+  if (!client.hasMemory) return failure(ResultCode.Overloaded);
   const url = new URL(message.url ?? '/', 'http://entry');
   const readTarget = targetReaders[url.pathname.split('/')[1] ?? ''];
   if (readTarget === undefined) return failure(ResultCode.UnknownService);
-  const body = await readBoundedBody(message, { maximumBytes: settings.maximumBodyBytes });
-  if (body === null) return failure(ResultCode.BodyTooLarge);
+  const read = await readClientBody(client, settings.maximumBodyBytes);
+  if (read.kind !== 'whole') return failure(bodyFailureCodes[read.kind]);
+  const body = read.bytes ?? Buffer.alloc(0);
   const target = readTarget(url, body);
   if (target.kind === 'failure') return target;
   const headers = headersOf(message);
--- a/packages/daemon/src/requestCaller.ts
+++ b/packages/daemon/src/requestCaller.ts
@@ -1,6 +1,6 @@
 import { once } from 'node:events';
-import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Milliseconds, TimeSource } from '@burdockrail/common/timeSource.js';
+import type { Milliseconds } from '@burdockrail/common/timeSource.js';
+import type { ClientExchange } from '@burdockrail/ingress/clientServer.js';
 
 /** Headers of an answer by name. */
 export type AnswerHeaders = Readonly<Record<string, string>>;
@@ -28,11 +28,8 @@
 }
 
 /** Creates the caller of one HTTP exchange. */
-export function createRequestCaller(
-  message: IncomingMessage,
-  response: ServerResponse,
-  time: TimeSource,
-): RequestCaller {
+export function createRequestCaller(client: ClientExchange): RequestCaller {
+  const { request: message, response, time } = client;
   const disconnectController = new AbortController();
   let firstByteAt: Milliseconds | undefined;
   let previousPartAt: Milliseconds | undefined;
@@ -66,7 +63,13 @@
     sendAnswer: (status, headers, body) => {
       if (response.headersSent || response.destroyed) return;
       recordPart();
-      response.writeHead(status, { ...headers, 'content-length': Buffer.byteLength(body) });
+      const bytes = Buffer.byteLength(body);
+      response.writeHead(status, {
+        ...headers,
+        'content-length': bytes,
+        ...(client.endsInput() ? { connection: 'close' } : {}),
+      });
+      client.answerHeld(bytes);
       response.end(message.method === 'HEAD' ? undefined : body);
     },
     startAnswer: (status, headers) => {
--- a/packages/settings/src/settingsSchema.ts
+++ b/packages/settings/src/settingsSchema.ts
@@ -1,6 +1,8 @@
 import { z } from 'zod';
 
 const DEFAULT_MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
+const DEFAULT_CLIENT_MEMORY_BYTES = 64 * 1024 * 1024;
+const DEFAULT_MAXIMUM_CONNECTIONS = 2_048;
 const DEFAULT_TIMEOUT_MILLISECONDS = 30_000;
 const DEFAULT_DRAIN_MILLISECONDS = 30_000;
 
@@ -50,6 +52,16 @@
       .positive()
       .default(DEFAULT_MAXIMUM_BODY_BYTES)
       .describe('maximum size of a request body, in bytes'),
+    clientMemoryBytes: z
+      .int()
+      .positive()
+      .default(DEFAULT_CLIENT_MEMORY_BYTES)
+      .describe('memory for what all callers send and have not read, in bytes'),
+    maximumConnections: z
+      .int()
+      .positive()
+      .default(DEFAULT_MAXIMUM_CONNECTIONS)
+      .describe('maximum number of open connections of callers'),
     defaultTimeoutMilliseconds: z
       .int()
       .positive()
