--- a/packages/gateway/src/controlServer.ts
+++ b/packages/gateway/src/controlServer.ts
@@ -131,16 +131,20 @@
   const heartbeat = async (id: string, body: string): Promise<ControlAnswer> => {
     const record = dialect.decodeHeartbeat(id, body);
     const issue = record === null ? 'unreadable' : upstreamRecordIssue(record, Date.now());
-    if (record !== null && issue === null && !directory.hasRoomFor(record)) return fullAnswer;
-    const isNewer = record !== null && issue === null && directory.recordHeartbeat(record);
-    if (!isNewer) {
+    const logRefused = (reason: string): void => {
       log.write('heartbeatRefused', {
         upstream: describeOddId(id),
         readable: record !== null,
         sequence: record?.sequence ?? null,
-        reason: issue ?? 'not newer than the stored record',
+        reason,
       });
+    };
+    if (record !== null && issue === null && !directory.hasRoomFor(record)) {
+      logRefused('too many upstreams');
+      return fullAnswer;
     }
+    const isNewer = record !== null && issue === null && directory.recordHeartbeat(record);
+    if (!isNewer) logRefused(issue ?? 'not newer than the stored record');
     if (record === null || issue !== null)
       return errorAnswer(400, ResultCode.BadRequest, `the heartbeat is not valid: ${issue}`);
     if (record.state === 'ready') return okAnswer;
