Ingress: long heads cost what they take, and connections are accepted before them

What callers saw: 1,000 clients that send heads of 1,800 short lines, and no body, ended an entry: its heap was used up. With that mended, an ordinary request behind them was still not answered for 4 to 5 s, though the entry was idle for part of that time.

Cause: a head was charged by its text, but each line is strings and entries of lists and tables, some 130 KB for such a head of 12 KB. And Node accepts one connection in a turn of the event loop, so that an ordinary client behind a thousand waits for as many turns, each of which worked on heads.

Why this works: a line costs 256 bytes beside its text. What doesn't fit is refused without a look at its headers, and at most 64 refused connections linger with their heads.

--- a/packages/gateway/src/entryHandler.ts
+++ b/packages/gateway/src/entryHandler.ts
@@ -70,6 +70,16 @@
   },
 };
 
+const emptyTrace = (): RequestTrace => ({
+  attempts: 0,
+  upstreams: [],
+  firstByteMilliseconds: null,
+  longestPauseMilliseconds: 0,
+  cause: '',
+});
+
+const emptyMetadata = { route: '', team: '', objective: null, callerLeft: false } as const;
+
 /** What the server tells the handler of requests. */
 export interface EntryServerState {
   /** Changes with the cluster view. */
@@ -121,7 +131,22 @@
       await server.clusterSignal.wait(deadline - time.now(), signal);
   };
 
+  /** Refuses a request whose head alone is too much; its headers are not looked at. */
+  const refuseUnread = (client: ClientExchange): void => {
+    const { response, request } = client;
+    const answer = createCallerAnswer(response, dialect, client.endsInput, () => undefined);
+    const cause = bodyRefusals.noMemory.detail;
+    answer.refuse(bodyRefusals.noMemory);
+    const trace = { ...emptyTrace(), cause };
+    const metadata = { ...emptyMetadata, arrivedAt: time.now() };
+    requestLog.record(null, request.url ?? '', answer, trace, metadata);
+  };
+
   return async (client, endsConnection) => {
+    if (!client.hasMemory) {
+      refuseUnread(client);
+      return;
+    }
     const { request, response } = client;
     const arrivedAt = time.now();
     const answer = createCallerAnswer(
@@ -131,23 +156,11 @@
       client.answerHeld,
     );
     const caller = dialect.readCaller(request.headers);
-    const trace: RequestTrace = {
-      attempts: 0,
-      upstreams: [],
-      firstByteMilliseconds: null,
-      longestPauseMilliseconds: 0,
-      cause: '',
-    };
+    const trace = emptyTrace();
     const cancellation = new AbortController();
     const exchange: OpenExchange = { answer, trace, cancellation };
     const close = exchanges.open(exchange);
-    const metadata: RequestMetadata = {
-      arrivedAt,
-      route: '',
-      team: '',
-      objective: null,
-      callerLeft: false,
-    };
+    const metadata: RequestMetadata = { ...emptyMetadata, arrivedAt };
     response.once('close', () => {
       if (answer.state === 'open') {
         metadata.callerLeft = true;
@@ -159,10 +172,6 @@
       answer.refuse(refusal);
     };
     try {
-      if (!client.hasMemory) {
-        refuse(bodyRefusals.noMemory);
-        return;
-      }
       if (!isConfirmed() && arrivedAt - startedAt < STARTUP_MILLISECONDS)
         await waitForConfirmation(cancellation.signal);
       const decision = admitRequest(
--- a/packages/ingress/src/clientGuard.ts
+++ b/packages/ingress/src/clientGuard.ts
@@ -4,8 +4,14 @@
 /** Bodies in small parts that are read at the same time; each part costs processor time. */
 const MAXIMUM_SMALL_PART_BODIES = 8;
 
-/** Connections that stay open with input unread behind the answer to a refused request. */
-const MAXIMUM_LINGERING = 8;
+/**
+ * Connections that stay open for a time behind the answer to a refused request; each keeps the head
+ * of that request.
+ */
+const MAXIMUM_LINGERING = 64;
+
+/** Of these, connections whose input is not read any more. */
+const MAXIMUM_LINGERING_UNREAD = 8;
 
 /** Places for a kind of work that only few requests may make at the same time. */
 export interface ClientPlaces {
@@ -20,6 +26,7 @@
   readonly turns: ClientTurns;
   readonly smallPartBodies: ClientPlaces;
   readonly lingering: ClientPlaces;
+  readonly lingeringUnread: ClientPlaces;
 }
 
 function createPlaces(maximum: number): ClientPlaces {
@@ -47,5 +54,6 @@
     turns: createClientTurns(),
     smallPartBodies: createPlaces(MAXIMUM_SMALL_PART_BODIES),
     lingering: createPlaces(MAXIMUM_LINGERING),
+    lingeringUnread: createPlaces(MAXIMUM_LINGERING_UNREAD),
   };
 }
--- a/packages/ingress/src/clientInput.ts
+++ b/packages/ingress/src/clientInput.ts
@@ -40,7 +40,7 @@
 export function createClientInput(
   socket: Socket,
   time: TimeSource,
-  { memory, turns, lingering }: Pick<ClientGuard, 'lingering' | 'memory' | 'turns'>,
+  { memory, turns, lingering, lingeringUnread }: Omit<ClientGuard, 'smallPartBodies'>,
 ): ClientInput {
   const account = memory.open(time.now());
   const share = createInputShare();
@@ -57,6 +57,7 @@
   let isDiscarding = false;
   let discardedBytes = 0;
   let isLingering = false;
+  let isLeftUnread = false;
 
   const hold = (): void => {
     isHeld = true;
@@ -92,7 +93,7 @@
       const slice: Buffer = waiting.subarray(0, sliceBytes);
       waiting = waiting.length > sliceBytes ? waiting.subarray(sliceBytes) : null;
       parse?.call(socket, slice);
-      turns.spend(share.sliceProcessed(time.now()));
+      turns.spend(share.sliceProcessed(slice.length, time.now()));
     }
   };
 
@@ -106,9 +107,9 @@
 
   const discardBytes = (bytes: number): void => {
     discardedBytes += bytes;
-    if (discardedBytes <= LINGER_BYTES || isLingering) return;
-    isLingering = lingering.tryTake();
-    if (isLingering) pause();
+    if (discardedBytes <= LINGER_BYTES || isLeftUnread) return;
+    isLeftUnread = lingeringUnread.tryTake();
+    if (isLeftUnread) pause();
     else socket.destroy();
   };
 
@@ -128,6 +129,7 @@
     waiting = null;
     account.close();
     if (isLingering) lingering.giveBack();
+    if (isLeftUnread) lingeringUnread.giveBack();
   });
   // The server pauses a connection for a body that is not consumed or an answer that is not read.
   socket.pause = () => {
@@ -140,7 +142,8 @@
     return isHeld ? socket : resume();
   };
   socket.destroySoon = () => {
-    if (!isDiscarding) {
+    isLingering ||= isDiscarding && !socket.destroyed && lingering.tryTake();
+    if (!isLingering) {
       destroySoon();
       return;
     }
--- a/packages/ingress/src/clientServer.ts
+++ b/packages/ingress/src/clientServer.ts
@@ -17,6 +17,9 @@
 /** Memory of a request besides its head and body, in bytes: its objects, timers and log line. */
 const REQUEST_BYTES = 8 * 1024;
 
+/** Memory of a line of a head besides its text, in bytes: strings, and entries of lists and tables. */
+const HEAD_LINE_BYTES = 256;
+
 /** Largest head, in bytes. */
 const MAXIMUM_HEAD_BYTES = 16_384;
 
@@ -73,7 +76,8 @@
 };
 
 function headBytes({ rawHeaders, url = '' }: IncomingMessage): number {
-  return rawHeaders.reduce((bytes, text) => bytes + text.length, url.length);
+  const lineBytes = (rawHeaders.length / 2) * HEAD_LINE_BYTES;
+  return rawHeaders.reduce((bytes, text) => bytes + text.length, url.length + lineBytes);
 }
 
 /**
@@ -125,7 +129,8 @@
         time,
         hasMemory,
         endsInput: () => {
-          if (!isBodyPending(request)) return false;
+          // Without memory the headers are not looked at, which would take more of it.
+          if (hasMemory && !isBodyPending(request)) return false;
           input.discard();
           return true;
         },
@@ -163,6 +168,7 @@
   });
   server.on('connection', (socket: Socket) => {
     connections.add(socket);
+    guard.turns.connectionAccepted();
     inputs.set(socket, createClientInput(socket, time, guard));
     if (connections.size <= maximumConnections) return;
     metrics.count('burdockrail_clients_evicted_total', { holding: 'connection' });
--- a/packages/limits/__tests__/inputShare.spec.ts
+++ b/packages/limits/__tests__/inputShare.spec.ts
@@ -5,6 +5,7 @@
 /** Requests, parts and slices of a crowd in these tests. */
 const MANY = 2_000;
 
+const SLICE_BYTES = 1_024;
 const WINDOW_MILLISECONDS = 1_000;
 const LARGE_PART_BYTES = 4_096;
 
@@ -14,7 +15,7 @@
     for (let count = 0; count < MANY; count += 1) {
       share.countRequest(false);
       share.countBodyPart(LARGE_PART_BYTES);
-      share.sliceProcessed(0);
+      share.sliceProcessed(SLICE_BYTES, 0);
     }
     assert.equal(share.isHeavy(0), false);
     assert.equal(share.hasSmallParts, false);
@@ -23,7 +24,7 @@
   it('is exceeded by requests that are sent ahead, until the next window', () => {
     const share = createInputShare();
     for (let count = 0; count < MANY; count += 1) share.countRequest(true);
-    share.sliceProcessed(0);
+    share.sliceProcessed(SLICE_BYTES, 0);
     assert.ok(share.isHeavy(0));
     assert.equal(share.hasSmallParts, false);
     assert.equal(share.isHeavy(WINDOW_MILLISECONDS), false);
@@ -32,7 +33,7 @@
   it('is exceeded by small parts', () => {
     const share = createInputShare();
     for (let count = 0; count < MANY; count += 1) share.countBodyPart(1);
-    share.sliceProcessed(0);
+    share.sliceProcessed(SLICE_BYTES, 0);
     assert.ok(share.isHeavy(0));
     assert.ok(share.hasSmallParts);
   });
@@ -42,7 +43,7 @@
     const first = share.sliceBytes;
     for (let count = 0; count < MANY; count += 1) {
       share.countBodyPart(LARGE_PART_BYTES);
-      share.sliceProcessed(0);
+      share.sliceProcessed(SLICE_BYTES, 0);
     }
     assert.ok(share.sliceBytes > first);
     share.countRequest(false);
@@ -53,7 +54,16 @@
     const share = createInputShare();
     share.countBodyPart(1);
     share.countBodyPart(1);
-    assert.equal(share.sliceProcessed(0), 2);
-    assert.equal(share.sliceProcessed(0), 0);
+    assert.equal(share.sliceProcessed(SLICE_BYTES, 0), 2);
+    assert.equal(share.sliceProcessed(0, 0), 0);
+  });
+
+  it('is exceeded by a long head, until it has ended', () => {
+    const share = createInputShare();
+    for (let bytes = 0; bytes < 8_192; bytes += SLICE_BYTES) share.sliceProcessed(SLICE_BYTES, 0);
+    assert.ok(share.isHeavy(0));
+    assert.equal(share.hasSmallParts, false);
+    share.countRequest(false);
+    assert.equal(share.isHeavy(0), false);
   });
 });
