--- a/packages/gateway/__tests__/singleByteChunks.spec.ts
+++ b/packages/gateway/__tests__/singleByteChunks.spec.ts
@@ -1,9 +1,12 @@
 import assert from 'node:assert/strict';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
+import { Readable } from 'node:stream';
 import { describe, it } from 'node:test';
 import { setTimeout as pause } from 'node:timers/promises';
-import { readBoundedBody } from '@burdockrail/common/boundedBody.js';
 import { createDisposalStack } from '@burdockrail/common/disposalStack.js';
+import { readClientBody } from '@burdockrail/ingress/clientBody.js';
+import { createClientGuard } from '@burdockrail/ingress/clientGuard.js';
+import type { ClientExchange } from '@burdockrail/ingress/clientServer.js';
 import { createFrameReader, encodeFrame } from '@burdockrail/transport/frameCodec.js';
 import { attemptBuffered } from '../src/bufferedAttempt.js';
 import { createHttpClient } from '../src/httpClient.js';
@@ -143,9 +146,21 @@
         yield singleByteRead();
       }
     };
-    const reading = readBoundedBody(body(), { maximumBytes: 2 * MEBIBYTE });
+    const request = Object.assign(Readable.from(body()), {
+      headers: { 'transfer-encoding': 'chunked' },
+    });
+    const guard = createClientGuard(2 * MEBIBYTE);
+    const client = {
+      request,
+      account: guard.memory.open(0),
+      input: { bodyPartReceived: () => undefined, hasSmallParts: false },
+      guard,
+      time: { now: () => performance.now() },
+    } as unknown as ClientExchange;
+    const reading = readClientBody(client, 2 * MEBIBYTE);
     const growth = await peakGrowth(reading);
-    assert.equal((await reading)?.length, PARTS);
+    const read = await reading;
+    assert.equal(read.kind === 'whole' ? read.bytes?.length : read.kind, PARTS);
     assert.ok(growth < MAXIMUM_GROWTH_BYTES, `${growth} bytes`);
   });
 
