Transport: a client that was disposed of opens no connection any more

An entry of burdockraild had logged processStopped and stayed, with one connection to another entry.

Evidence: the new case of transport/peerConnection.spec fails before (the call is answered) and passes now; system.spec passed eight times of eight, all at once.

Why this works: from its disposal on a client gives out connections that are closed already, so that calls fail with ConnectionLost and notifications are dropped, as on a lost one.

--- a/packages/transport/__tests__/peerConnection.spec.ts
+++ b/packages/transport/__tests__/peerConnection.spec.ts
@@ -70,6 +70,21 @@
     assert.equal(last, 500);
   });
 
+  // Such a connection kept a process alive that had stopped.
+  it('opens no connection once its client is disposed of', async () => {
+    await using server = await createPeerServer(loopback, identity, handlers);
+    const client = createPeerClient({ identity });
+    await client.connectionTo(server.address).peer;
+    await client[Symbol.asyncDispose]();
+    const connection = client.connectionTo(server.address);
+    await assert.rejects(
+      connection.call('attempt.fence', { attemptId: 'a', agentIncarnation: 'i' }, callOptions),
+      (error: unknown) => error instanceof ResultError && error.code === ResultCode.ConnectionLost,
+    );
+    await connection.closed;
+    assert.equal(connection.counters.sentBytes, 0);
+  });
+
   it('ends a call at its timeout and leaves the connection usable', async () => {
     await using server = await createPeerServer(loopback, identity, handlers);
     await using client = createPeerClient({ identity });
--- a/packages/transport/src/peerClient.ts
+++ b/packages/transport/src/peerClient.ts
@@ -48,6 +48,7 @@
   const openConnections = new Set<PeerConnection>();
   let closedSentBytes = 0;
   let closedReceivedBytes = 0;
+  let isDisposed = false;
 
   /** A socket to a port that cannot exist is lost at the first write, like a refused one. */
   const openSocket = ({ host, port }: Address): Socket =>
@@ -60,7 +61,7 @@
       : new Socket();
 
   const openConnection = (address: Address): PeerConnection => {
-    const socket = openSocket(address);
+    const socket = isDisposed ? new Socket().destroy() : openSocket(address);
     const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MILLISECONDS);
     socket.once('connect', () => {
       clearTimeout(timer);
@@ -107,6 +108,8 @@
       return { sentBytes, receivedBytes };
     },
     [Symbol.asyncDispose]: async () => {
+      // What is sent from now on is lost: a connection opened later would keep the process alive.
+      isDisposed = true;
       for (const connection of openConnections) connection.destroy();
       await Promise.all([...openConnections].map((connection) => connection.closed));
     },
