--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -1,11 +1,18 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { countOutcomes, runCase } from '../lib-3/caseRun.mjs';
-import { send } from '../lib-3/http.mjs';
-import { sendSteadily } from '../lib-3/requester.mjs';
+import { sendAttempt, sendSteadily } from '../lib-3/requester.mjs';
 import { startServing } from '../lib-3/setup.mjs';
 
+const ENGINES = 3;
 const KINDS = ['stream', 'plain'];
-const RUNNERS = 2;
+
+/** Attempts of one requester that states a prompt which no runner can hold. */
+const OVERSIZED_ATTEMPTS = 3;
+
+/** Number of prompt tokens that it states, in digits; more than a double-precision number times 1000 holds. */
+const OVERSIZED_TOKENS = `1${'0'.repeat(306)}`;
+const USUAL_TOKENS = '600';
+
 const BEFORE_SECONDS = 3;
 const AFTER_SECONDS = 40;
 const PER_SECOND = 5;
@@ -17,16 +24,19 @@
   results.filter(({ isServed }) => isServed).length / Math.max(1, results.length);
 
 await runCase(import.meta.url, async ({ hasTrouble, record, defer }) => {
-  const arrivals = new Map();
-  const { deployment, runners } = await startServing({
+  const rejected = [];
+  const { deployment } = await startServing({
     defer,
     record,
-    engines: 2,
-    runners: RUNNERS,
+    engines: ENGINES,
+    runners: 2,
     kinds: KINDS,
-    onArrival: ({ runner }) => arrivals.set(runner, (arrivals.get(runner) ?? 0) + 1),
+    onArrival: (arrival) => {
+      if (arrival.status !== 200)
+        rejected.push(`${arrival.requestId} at ${arrival.runner} (${arrival.status})`);
+    },
   });
-  const { controls, fronts, hostOf } = deployment;
+  const { fronts } = deployment;
   const before = await sendSteadily({
     fronts,
     kinds: KINDS,
@@ -35,38 +45,19 @@
   });
   record(`before: ${JSON.stringify(countOutcomes(before))}`);
 
-  // Another writer reports once for each plain runner, of a service that nothing names.
-  const reportForeign = async (id) => {
-    const body = JSON.stringify({
-      service: 'nowhere',
-      address: `${hostOf(99)}:9999`,
-      zone: 'north-a',
-      version: 'v1',
-      slots: 16,
-      state: 'ready',
-      cold_remaining_ms: 0,
-      seq_no: 1,
-      born: Date.now(),
-    });
-    const { status } = await send({
-      address: controls[0],
-      method: 'PUT',
-      path: `/burdockrail/instances/${id}`,
-      headers: { 'content-type': 'application/json' },
-      body,
-    });
-    record(`a report of the unnamed service under the id ${id}: ${status}`);
-  };
-  for (let index = 0; index < RUNNERS; index += 1)
-    await reportForeign(hasTrouble ? `i-plain-${index + 1}` : `i-other-${index + 1}`);
+  for (let index = 0; index < OVERSIZED_ATTEMPTS; index += 1) {
+    const promptTokens = hasTrouble ? OVERSIZED_TOKENS : USUAL_TOKENS;
+    const { requestId, status, detail } = await sendAttempt(
+      fronts[index % fronts.length],
+      'stream',
+      { promptTokens },
+    );
+    record(`${requestId} with ${promptTokens.length} digits of prompt tokens: ${status} ${detail}`);
+    await pause(500);
+  }
+  record(`rejected by runners as too large: ${rejected.join(', ') || 'none'}`);
 
   await pause(3000);
-  const counted = () =>
-    [...runners.values()].map(
-      ({ id, reports }) =>
-        `${id}: ${arrivals.get(id) ?? 0} arrivals, ${reports.acknowledged} reports acknowledged`,
-    );
-  record(`3 s later: ${counted().join('; ')}`);
   const after = await sendSteadily({
     fronts,
     kinds: KINDS,
@@ -75,19 +66,30 @@
     onResult: ({ requestId, kind, status, detail, isServed }) =>
       record(`${requestId} ${kind}: ${isServed ? 'served' : `${status} ${detail}`}`),
   });
-  record(`at the end: ${counted().join('; ')}`);
+  const ended = deployment.names().filter((name) => !deployment.isRunning(name));
+  record(`processes that have ended: ${ended.join(', ') || 'none'}`);
   for (const kind of KINDS)
     record(
       `after, ${kind}: ${JSON.stringify(countOutcomes(after.filter((r) => r.kind === kind)))}`,
     );
+  for (const name of deployment.names().filter((n) => n.startsWith('side')))
+    record(
+      `${name}: ${
+        deployment
+          .log(name)
+          .split('\n')
+          .filter((l) => l.includes('placeRefused'))
+          .at(-1) ?? 'refused no claim'
+      }`,
+    );
 
   const all = [...before, ...after];
-  const plain = servedShare(all.filter(({ kind }) => kind === 'plain'));
+  const streams = servedShare(all.filter(({ kind }) => kind === 'stream'));
   const limit = STARVED_SHARE * servedShare(all);
   return {
-    held: plain >= limit,
-    text: `plain requests served ${plain.toFixed(3)}, limit ${limit.toFixed(3)}; of the last ${
+    held: streams >= limit,
+    text: `streams served ${streams.toFixed(3)}, limit ${limit.toFixed(3)}; of the last ${
       AFTER_SECONDS
-    } s ${servedShare(after.filter(({ kind }) => kind === 'plain')).toFixed(3)}`,
+    } s ${servedShare(after.filter(({ kind }) => kind === 'stream')).toFixed(3)}`,
   };
 });
--- a/review/lib-3/caseRun.mjs
+++ b/review/lib-3/caseRun.mjs
@@ -45,6 +45,10 @@
     process.stdout.write(`${text}\n`);
     process.exit(code);
   };
+  // A fault of a stand-in is no verdict on the rule.
+  process.once('uncaughtException', (error) => {
+    void finish(NOT_RUN, `not run: ${error.stack}`);
+  });
   setTimeout(() => {
     void finish(NOT_RUN, 'not run: it takes too long');
   }, LONGEST_RUN_MILLISECONDS).unref();
--- a/review/lib-3/http.mjs
+++ b/review/lib-3/http.mjs
@@ -1,10 +1,22 @@
 import { Agent, request as httpRequest } from 'node:http';
 import { clearTimeout, setTimeout } from 'node:timers';
 
+/** Lines of a head, as alternating names and values; a list of values gives a line for each. */
+function headerLines(address, headers, body) {
+  const named = {
+    ...(headers.Host === undefined ? { Host: address } : {}),
+    ...headers,
+    ...(body === undefined ? {} : { 'Content-Length': String(body.length) }),
+  };
+  return Object.entries(named).flatMap(([name, value]) =>
+    [value].flat().flatMap((text) => [name, text]),
+  );
+}
+
 /**
  * Sends one HTTP request on a new connection; resolves with the answer or with why there is none.
  *
- * @param options.headers - object, or alternating names and values.
+ * @param options.headers - values by name; a list is sent as several lines.
  */
 export async function send({ address, method = 'GET', path, headers = {}, body, timeout = 1000 }) {
   const separator = address.lastIndexOf(':');
@@ -22,10 +34,7 @@
         port: Number(address.slice(separator + 1)),
         method,
         path,
-        headers: {
-          ...headers,
-          ...(body === undefined ? {} : { 'content-length': String(body.length) }),
-        },
+        headers: headerLines(address, headers, body),
         agent,
       },
       (response) => {
--- a/review/lib-3/requester.mjs
+++ b/review/lib-3/requester.mjs
@@ -9,8 +9,17 @@
   return randomBytes(8).toString('hex');
 }
 
-/** Sends one attempt of a kind of request to an entry; tokens are those of the prompt. */
-export async function sendAttempt(address, kind, { promptTokens = '600' } = {}) {
+/**
+ * Sends one attempt of a kind of request to an entry.
+ *
+ * @param options.promptTokens - number of tokens of the prompt, in digits.
+ * @param options.repeatsHost - true to send the line with the host twice.
+ */
+export async function sendAttempt(
+  address,
+  kind,
+  { promptTokens = '600', repeatsHost = false } = {},
+) {
   const requestId = createAttemptId();
   const route = kind === 'stream' ? STREAM : PLAIN;
   const sentAt = performance.now();
@@ -20,7 +29,7 @@
     method: 'POST',
     path: route.path,
     headers: {
-      Host: route.host,
+      Host: repeatsHost ? [route.host, route.host] : route.host,
       'Attempt-Id': requestId,
       'Deadline-Ms': String(deadline),
       Authorization: `Token ${KEY}`,
